--- /dev/null
+++ b/coordination/pkg/configuration/check.go
@@ -0,0 +1,195 @@
+package configuration
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"path"
+	"strings"
+	"time"
+
+	"godwitmoor.example/coordination/pkg/document"
+)
+
+const (
+	maxInFlightLimit        = 4096
+	maxQueueLimit           = 1_000_000
+	maxBodyLimit            = 64 << 20
+	maxStoredAnswer         = 256 << 10
+	minRetention            = time.Minute
+	maxRetention            = 31 * 24 * time.Hour
+	sha256HexadecimalLength = 64
+)
+
+// Parse reads a configuration and checks every setting. Faults come back as
+// *document.ProblemsError, each with file, line, field and remedy.
+func Parse(file string, data []byte) (Configuration, error) {
+	var c Configuration
+	if err := document.Decode(file, data, &c); err != nil {
+		return Configuration{}, err
+	}
+	if problems := c.Check(); len(problems) > 0 {
+		return Configuration{}, &document.ProblemsError{Problems: document.Locate(file, data, problems)}
+	}
+	return c, nil
+}
+
+// checker gathers the faults of one configuration.
+type checker struct {
+	configuration *Configuration
+	problems      []document.Problem
+}
+
+// Check gives the faults of the values, by field.
+func (c *Configuration) Check() []document.Problem {
+	k := &checker{configuration: c}
+	if c.GoodputWeight < 0 || c.GoodputWeight > 1 {
+		k.add("/goodput-weight", "is outside 0 to 1", "set a number from 0 (spare prefill) to 1 (goodput first)")
+	}
+	k.checkTiers()
+	k.checkCustomers()
+	k.checkServices()
+	k.checkRules()
+	k.checkClaims()
+	return k.problems
+}
+
+func (k *checker) add(field, message, remedy string) {
+	k.problems = append(k.problems, document.Problem{Field: field, Message: message, Remedy: remedy})
+}
+
+func (k *checker) unique(seen map[string]bool, field, name string) {
+	switch {
+	case name == "":
+		k.add(field, "is empty", "give it a name")
+	case strings.ContainsAny(name, "/ \t\n"):
+		k.add(field, fmt.Sprintf("%q holds a space or a slash", name), "use letters, digits, dots and hyphens")
+	case seen[name]:
+		k.add(field, fmt.Sprintf("%q is used twice", name), "give each its own name")
+	}
+	seen[name] = true
+}
+
+func (k *checker) knownTier(field, name string) {
+	if _, known := k.configuration.TierRank(name); !known {
+		k.add(field, fmt.Sprintf("there is no tier %q", name), "name one of /tiers")
+	}
+}
+
+func (k *checker) positive(field string, value, most int64) {
+	if value < 1 || value > most {
+		k.add(field, fmt.Sprintf("%d is outside 1 to %d", value, most), "set a number in that range")
+	}
+}
+
+func (k *checker) checkTiers() {
+	if len(k.configuration.Tiers) == 0 {
+		k.add("/tiers", "there is no tier", "declare at least one")
+	}
+	seen := map[string]bool{}
+	for i, t := range k.configuration.Tiers {
+		field := fmt.Sprintf("/tiers/%d", i)
+		k.unique(seen, field+"/name", t.Name)
+		if t.Deadline <= 0 {
+			k.add(field+"/deadline", "is not above zero", `set a duration such as "2s"`)
+		}
+	}
+}
+
+func (k *checker) checkCustomers() {
+	names, tokens := map[string]bool{}, map[string]bool{}
+	for i, c := range k.configuration.Customers {
+		field := fmt.Sprintf("/customers/%d", i)
+		k.unique(names, field+"/name", c.Name)
+		_, err := hex.DecodeString(c.TokenSHA256)
+		if err != nil || len(c.TokenSHA256) != sha256HexadecimalLength {
+			k.add(field+"/token-sha256", "is not a SHA-256 digest", "give 64 hexadecimal digits, in lower case")
+		}
+		if tokens[c.TokenSHA256] {
+			k.add(field+"/token-sha256", "is another customer's too", "give each customer a token of its own")
+		}
+		tokens[c.TokenSHA256] = true
+		if len(c.Tiers) == 0 {
+			k.add(field+"/tiers", "grants no tier", "grant at least one of /tiers")
+		}
+		for n, tier := range c.Tiers {
+			k.knownTier(fmt.Sprintf("%s/tiers/%d", field, n), tier)
+		}
+	}
+}
+
+func (k *checker) checkServices() {
+	names, prefixes, endpoints := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for i := range k.configuration.Services {
+		s := &k.configuration.Services[i]
+		field := fmt.Sprintf("/services/%d", i)
+		k.unique(names, field+"/name", s.Name)
+		if !strings.HasPrefix(s.Prefix, "/") || s.Prefix != path.Clean(s.Prefix) {
+			k.add(field+"/prefix", fmt.Sprintf("%q is not a plain path", s.Prefix), `write it as "/name"`)
+		}
+		if prefixes[s.Prefix] {
+			k.add(field+"/prefix", fmt.Sprintf("%q is used twice", s.Prefix), "give each service its own prefix")
+		}
+		prefixes[s.Prefix] = true
+		if s.Kind != Model && s.Kind != Application {
+			k.add(field+"/kind", fmt.Sprintf("%q is not a kind", s.Kind), `write "model" or "application"`)
+		}
+		k.positive(field+"/queue-limit", int64(s.QueueLimit), maxQueueLimit)
+		k.positive(field+"/body-limit", s.BodyLimit, maxBodyLimit)
+		if s.FirstByteTimeout <= 0 {
+			k.add(field+"/first-byte-timeout", "is not above zero", `set a duration such as "30s"`)
+		}
+		if s.GapTimeout <= 0 {
+			k.add(field+"/gap-timeout", "is not above zero", `set a duration such as "10s"`)
+		}
+		for n := range s.Endpoints {
+			k.checkEndpoint(fmt.Sprintf("%s/endpoints/%d", field, n), &s.Endpoints[n], endpoints)
+		}
+	}
+}
+
+func (k *checker) checkEndpoint(field string, e *Endpoint, seen map[string]bool) {
+	k.unique(seen, field+"/name", e.Name)
+	if _, err := netip.ParseAddrPort(e.Address); err != nil {
+		k.add(field+"/address", fmt.Sprintf("%q is not an IP number with a port", e.Address), `write it as "127.0.0.1:8000"`)
+	}
+	if e.DataCentre == "" {
+		k.add(field+"/data-centre", "is empty", "name the data centre the endpoint stands in")
+	}
+	k.positive(field+"/in-flight-limit", int64(e.InFlightLimit), maxInFlightLimit)
+	if e.PrefillSpeed < 0 {
+		k.add(field+"/prefill-speed", "is below zero", "give tokens/s, or leave it out")
+	}
+	if e.DecodeSpeed < 0 {
+		k.add(field+"/decode-speed", "is below zero", "give tokens/s, or leave it out")
+	}
+}
+
+func (k *checker) checkRules() {
+	for i, r := range k.configuration.Rules {
+		field := fmt.Sprintf("/rules/%d", i)
+		if _, known := k.configuration.Service(r.Service); !known {
+			k.add(field+"/service", fmt.Sprintf("there is no service %q", r.Service), "name one of /services")
+		}
+		for n, method := range r.Methods {
+			if method == "" || method != strings.ToUpper(method) {
+				k.add(fmt.Sprintf("%s/methods/%d", field, n), fmt.Sprintf("%q is not a method", method), "write it in capitals, such as POST")
+			}
+		}
+		if _, err := path.Match(r.Path, "/"); err != nil {
+			k.add(field+"/path", fmt.Sprintf("%q is not a pattern", r.Path), "see the patterns of Go's path.Match")
+		}
+		k.knownTier(field+"/tier", r.Tier)
+	}
+}
+
+func (k *checker) checkClaims() {
+	retention := k.configuration.Claims.Retention.Std()
+	if retention < minRetention || retention > maxRetention {
+		k.add("/claims/retention", fmt.Sprintf("%v is outside %v to %v", retention, minRetention, maxRetention), `set a duration such as "24h"`)
+	}
+	limit := k.configuration.Claims.StoredAnswerLimit
+	if limit < 0 || limit > maxStoredAnswer {
+		k.add("/claims/stored-answer-limit", fmt.Sprintf("%d is outside 0 to %d bytes", limit, maxStoredAnswer), "set a number of bytes in that range")
+	}
+}
--- /dev/null
+++ b/coordination/pkg/configuration/difference.go
@@ -0,0 +1,111 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Difference is one field that two configurations hold differently. An empty
+// side means that the field is absent there.
+type Difference struct {
+	// Field names the place; list items are named by their name, not their number.
+	Field  string
+	Before string
+	After  string
+}
+
+func (d Difference) String() string {
+	switch {
+	case d.Before == "":
+		return fmt.Sprintf("+ %s = %s", d.Field, d.After)
+	case d.After == "":
+		return fmt.Sprintf("- %s = %s", d.Field, d.Before)
+	default:
+		return fmt.Sprintf("~ %s: %s -> %s", d.Field, d.Before, d.After)
+	}
+}
+
+// Differences gives what changes from before to after, by field.
+func Differences(before, after Configuration) ([]Difference, error) {
+	old, err := flatten(before)
+	if err != nil {
+		return nil, err
+	}
+	current, err := flatten(after)
+	if err != nil {
+		return nil, err
+	}
+	fields := slices.Collect(maps.Keys(old))
+	for field := range current {
+		if _, both := old[field]; !both {
+			fields = append(fields, field)
+		}
+	}
+	slices.Sort(fields)
+	var differences []Difference
+	for _, field := range fields {
+		if old[field] != current[field] {
+			differences = append(differences, Difference{Field: field, Before: old[field], After: current[field]})
+		}
+	}
+	return differences, nil
+}
+
+func flatten(c Configuration) (map[string]string, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	var tree any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return nil, errors.Wrap(err, "decode configuration")
+	}
+	flat := map[string]string{}
+	flattenInto(flat, "", tree)
+	return flat, nil
+}
+
+func flattenInto(flat map[string]string, field string, node any) {
+	switch n := node.(type) {
+	case map[string]any:
+		for name, child := range n {
+			flattenInto(flat, field+"/"+name, child)
+		}
+	case []any:
+		for i, child := range n {
+			flattenInto(flat, field+"/"+itemName(i, child), child)
+		}
+		// The order of a list is part of its meaning: tiers by rank, rules by match.
+		if len(n) > 0 {
+			flat[field+"/order"] = orderOf(n)
+		}
+	default:
+		text, err := json.Marshal(n)
+		if err != nil {
+			// Values that came out of a JSON text always go back into one.
+			panic(err)
+		}
+		flat[field] = string(text)
+	}
+}
+
+func itemName(i int, item any) string {
+	if fields, isObject := item.(map[string]any); isObject {
+		if name, named := fields["name"].(string); named {
+			return name
+		}
+	}
+	return fmt.Sprint(i)
+}
+
+func orderOf(items []any) string {
+	names := make([]string, len(items))
+	for i, item := range items {
+		names[i] = itemName(i, item)
+	}
+	return fmt.Sprint(names)
+}
--- /dev/null
+++ b/coordination/pkg/configuration/register.go
@@ -0,0 +1,189 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+)
+
+const (
+	// currentKey holds the one configuration that is in force.
+	currentKey = "godwitmoor/configuration/current"
+	// rememberedChanges is how many past change ids stay in the value, so that
+	// an operator whose reply was lost still finds its own among them.
+	rememberedChanges = 64
+	settleInterval    = 200 * time.Millisecond
+)
+
+// Release is one accepted configuration. Versions start at 1 and only rise.
+type Release struct {
+	Version int64  `json:"version"`
+	Change  string `json:"change"`
+	By      string `json:"by"`
+	// Text is the configuration as the operator wrote it, comments included.
+	Text string `json:"text"`
+	// Earlier are the change ids before this one, newest first.
+	Earlier []string `json:"earlier,omitempty"`
+}
+
+// Decode gives the checked configuration of the release.
+func (r Release) Decode() (Configuration, error) {
+	return Parse(fmt.Sprintf("version-%d", r.Version), []byte(r.Text))
+}
+
+// Change is one operator's wish.
+type Change struct {
+	// ID is unique to the change; the operator's program makes a random one.
+	ID   string
+	By   string
+	Text string
+	// Base is the version the operator looked at; zero stands for none yet.
+	Base int64
+}
+
+// Result is how a change ended. It is one of Applied and Overtaken.
+type Result interface{ result() }
+
+// Applied says that the change is accepted, as Version.
+type Applied struct{ Version int64 }
+
+// Overtaken says that another change came first; nothing was written.
+type Overtaken struct {
+	Version int64
+	Change  string
+	By      string
+}
+
+func (Applied) result()   {}
+func (Overtaken) result() {}
+
+// UnsettledError says that it isn't known whether the change was accepted.
+type UnsettledError struct {
+	Change string
+	Cause  error
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("it is not known yet whether change %s was accepted (%v); run the same apply again with --change-id %s", e.Change, e.Cause, e.Change)
+}
+
+func (e *UnsettledError) Unwrap() error { return e.Cause }
+
+// Register reads and moves the configuration in the platform's service.
+type Register struct {
+	Store keyvalue.Store
+}
+
+// Current gives the release in force; a zero Release if none was ever applied.
+func (r *Register) Current(ctx context.Context) (Release, error) {
+	release, _, err := r.read(ctx)
+	return release, err
+}
+
+func (r *Register) read(ctx context.Context) (Release, int64, error) {
+	entry, err := r.Store.Read(ctx, currentKey)
+	if err != nil || !entry.Found() {
+		return Release{}, 0, err
+	}
+	release, err := decodeRelease(entry)
+	return release, entry.Revision, err
+}
+
+func decodeRelease(entry keyvalue.Entry) (Release, error) {
+	var release Release
+	if err := json.Unmarshal(entry.Value, &release); err != nil {
+		return Release{}, errors.Wrapf(err, "the value of %s is no release; put back a good one", entry.Key)
+	}
+	return release, nil
+}
+
+// Apply moves the configuration from the base version to the change's text.
+// Lost replies are settled by reading back until ctx ends; then the error is an
+// *UnsettledError. Applying the same change again is harmless.
+func (r *Register) Apply(ctx context.Context, change Change) (Result, error) {
+	if _, err := Parse(change.ID, []byte(change.Text)); err != nil {
+		return nil, err
+	}
+	for {
+		result, err := r.tryApply(ctx, change)
+		if err == nil {
+			return result, nil
+		}
+		var unreachable *keyvalue.UnreachableError
+		if !errors.As(err, &unreachable) {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &UnsettledError{Change: change.ID, Cause: err}
+		case <-time.After(settleInterval):
+		}
+	}
+}
+
+func (r *Register) tryApply(ctx context.Context, change Change) (Result, error) {
+	current, revision, err := r.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if version, found := current.versionOf(change.ID); found {
+		return Applied{Version: version}, nil
+	}
+	if current.Version != change.Base {
+		return Overtaken{Version: current.Version, Change: current.Change, By: current.By}, nil
+	}
+	next := current.withChange(change)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode release")
+	}
+	outcome, err := r.write(ctx, value, revision)
+	if err != nil {
+		return nil, err
+	}
+	if outcome.Applied {
+		return Applied{Version: next.Version}, nil
+	}
+	winner, err := decodeRelease(outcome.Current)
+	if err != nil {
+		return nil, err
+	}
+	// The write that lost may have lost against its own earlier, unanswered try.
+	if version, found := winner.versionOf(change.ID); found {
+		return Applied{Version: version}, nil
+	}
+	return Overtaken{Version: winner.Version, Change: winner.Change, By: winner.By}, nil
+}
+
+func (r *Register) write(ctx context.Context, value []byte, revision int64) (keyvalue.Outcome, error) {
+	if revision == 0 {
+		return r.Store.Create(ctx, keyvalue.Creation{Key: currentKey, Value: value})
+	}
+	return r.Store.Swap(ctx, currentKey, value, revision, 0)
+}
+
+func (r Release) versionOf(change string) (int64, bool) {
+	if r.Change == change && change != "" {
+		return r.Version, true
+	}
+	if i := slices.Index(r.Earlier, change); i >= 0 {
+		return r.Version - 1 - int64(i), true
+	}
+	return 0, false
+}
+
+func (r Release) withChange(change Change) Release {
+	var earlier []string
+	if r.Change != "" {
+		earlier = append([]string{r.Change}, r.Earlier...)
+	}
+	if len(earlier) > rememberedChanges {
+		earlier = earlier[:rememberedChanges]
+	}
+	return Release{Version: r.Version + 1, Change: change.ID, By: change.By, Text: change.Text, Earlier: earlier}
+}
--- /dev/null
+++ b/coordination/pkg/keyvalue/client.go
@@ -0,0 +1,222 @@
+package keyvalue
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	maxReplyBytes      = 4 << 20
+)
+
+// Client calls one key-value service over HTTP. The zero value with a URL works.
+type Client struct {
+	// URL is the service's base, for instance http://127.0.0.1:2379.
+	URL string
+	// CallTimeout bounds each call; zero means 2 s.
+	CallTimeout time.Duration
+	// HTTP is the client used; nil means a client of the default transport.
+	HTTP *http.Client
+
+	reads  atomic.Int64
+	writes atomic.Int64
+}
+
+// Calls gives the number of read and write calls made so far.
+func (c *Client) Calls() (reads, writes int64) { return c.reads.Load(), c.writes.Load() }
+
+// 64-bit numbers are strings in the protocol's JSON form, bytes are base64.
+type (
+	entryWire struct {
+		Key      []byte `json:"key"`
+		Value    []byte `json:"value"`
+		Revision int64  `json:"mod_revision,string"`
+	}
+	rangeRequest struct {
+		Key []byte `json:"key"`
+	}
+	rangeReply struct {
+		Entries []entryWire `json:"kvs"`
+	}
+	putRequest struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease,string,omitempty"`
+	}
+	compareWire struct {
+		Key            []byte `json:"key"`
+		Target         string `json:"target"`
+		Result         string `json:"result"`
+		CreateRevision *int64 `json:"create_revision,string,omitempty"`
+		ModRevision    *int64 `json:"mod_revision,string,omitempty"`
+	}
+	operationWire struct {
+		Put   *putRequest   `json:"request_put,omitempty"`
+		Range *rangeRequest `json:"request_range,omitempty"`
+	}
+	transactionRequest struct {
+		Compare []compareWire   `json:"compare"`
+		Success []operationWire `json:"success"`
+		Failure []operationWire `json:"failure"`
+	}
+	headerWire struct {
+		Revision int64 `json:"revision,string"`
+	}
+	transactionReply struct {
+		Header    headerWire `json:"header"`
+		Succeeded bool       `json:"succeeded"`
+		Responses []struct {
+			Range *rangeReply `json:"response_range"`
+		} `json:"responses"`
+	}
+	leaseRequest struct {
+		ID  int64 `json:"ID,string,omitempty"`
+		TTL int64 `json:"TTL,string,omitempty"`
+	}
+	leaseReply struct {
+		ID  int64 `json:"ID,string"`
+		TTL int64 `json:"TTL,string"`
+	}
+	errorReply struct {
+		Message string `json:"message"`
+	}
+)
+
+// Read gives the entry of key, or the zero Entry if there is none.
+func (c *Client) Read(ctx context.Context, key string) (Entry, error) {
+	c.reads.Add(1)
+	var reply rangeReply
+	err := c.call(ctx, "range", "/v3/kv/range", rangeRequest{Key: []byte(key)}, &reply)
+	if err != nil {
+		return Entry{}, err
+	}
+	return firstEntry(&reply), nil
+}
+
+// Create writes a key that must not exist yet.
+func (c *Client) Create(ctx context.Context, creation Creation) (Outcome, error) {
+	var zero int64
+	key := []byte(creation.Key)
+	txn := transactionRequest{
+		Compare: []compareWire{{Key: key, Target: "CREATE", Result: "EQUAL", CreateRevision: &zero}},
+		Success: []operationWire{{Put: &putRequest{Key: key, Value: creation.Value, Lease: int64(creation.Lease)}}},
+		Failure: []operationWire{{Range: &rangeRequest{Key: key}}},
+	}
+	if creation.Guard != "" {
+		guard := []byte(creation.Guard)
+		txn.Compare = append(txn.Compare, compareWire{Key: guard, Target: "CREATE", Result: "GREATER", CreateRevision: &zero})
+	}
+	outcome, err := c.transact(ctx, txn, creation.Lease)
+	if err == nil && !outcome.Applied && !outcome.Current.Found() {
+		outcome.GuardLost = true
+	}
+	return outcome, err
+}
+
+// Swap writes value if the key still stands at revision.
+func (c *Client) Swap(ctx context.Context, key string, value []byte, revision int64, lease Lease) (Outcome, error) {
+	name := []byte(key)
+	txn := transactionRequest{
+		Compare: []compareWire{{Key: name, Target: "MOD", Result: "EQUAL", ModRevision: &revision}},
+		Success: []operationWire{{Put: &putRequest{Key: name, Value: value, Lease: int64(lease)}}},
+		Failure: []operationWire{{Range: &rangeRequest{Key: name}}},
+	}
+	return c.transact(ctx, txn, lease)
+}
+
+func (c *Client) transact(ctx context.Context, txn transactionRequest, lease Lease) (Outcome, error) {
+	c.writes.Add(1)
+	var reply transactionReply
+	err := c.call(ctx, "txn", "/v3/kv/txn", txn, &reply)
+	if isLeaseMissing(err) {
+		return Outcome{}, &LeaseExpiredError{Lease: lease}
+	}
+	if err != nil {
+		return Outcome{}, err
+	}
+	if reply.Succeeded {
+		return Outcome{Applied: true, Revision: reply.Header.Revision}, nil
+	}
+	var outcome Outcome
+	if len(reply.Responses) > 0 && reply.Responses[0].Range != nil {
+		outcome.Current = firstEntry(reply.Responses[0].Range)
+	}
+	return outcome, nil
+}
+
+// Grant makes a lease that runs out after life. Life is rounded
+// up to whole seconds.
+func (c *Client) Grant(ctx context.Context, life time.Duration) (Lease, error) {
+	c.writes.Add(1)
+	seconds := int64((life + time.Second - 1) / time.Second)
+	var reply leaseReply
+	err := c.call(ctx, "lease grant", "/v3/lease/grant", leaseRequest{TTL: seconds}, &reply)
+	return Lease(reply.ID), err
+}
+
+func (c *Client) call(ctx context.Context, operation, path string, request, reply any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", operation)
+	}
+	timeout := c.CallTimeout
+	if timeout == 0 {
+		timeout = defaultCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "prepare %s", operation)
+	}
+	post.Header.Set("Content-Type", "application/json")
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(post)
+	if err != nil {
+		return &UnreachableError{Operation: operation, Cause: err}
+	}
+	defer response.Body.Close()
+	return decodeReply(operation, response, reply)
+}
+
+func decodeReply(operation string, response *http.Response, reply any) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return &UnreachableError{Operation: operation, Cause: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		var problem errorReply
+		// A body that does not parse leaves the message empty; the status still tells.
+		_ = json.Unmarshal(data, &problem)
+		return &UnreachableError{Operation: operation, Cause: fmt.Errorf("status %d: %s", response.StatusCode, problem.Message)}
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return &UnreachableError{Operation: operation, Cause: err}
+	}
+	return nil
+}
+
+func isLeaseMissing(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "requested lease not found")
+}
+
+func firstEntry(reply *rangeReply) Entry {
+	if len(reply.Entries) == 0 {
+		return Entry{}
+	}
+	e := reply.Entries[0]
+	return Entry{Key: string(e.Key), Value: e.Value, Revision: e.Revision}
+}
--- /dev/null
+++ b/coordination/pkg/operator/operator.go
@@ -0,0 +1,207 @@
+// Package operator is the library in which operators write their deployment as
+// a program. The program prints the configuration, which they review and apply.
+//
+// # Usage
+//
+//	deployment := operator.New("Lunch orders").
+//		WithTier("allergen", 2*time.Second, "a fast yes or no").
+//		WithCustomer("office-1", token, "allergen")
+//	if err := deployment.Print(os.Stdout); err != nil { … }
+//
+// Every With method gives a new Deployment and leaves the old one as it was.
+// Print checks all settings and fails with the faults, by field.
+package operator
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/document"
+)
+
+const (
+	defaultQueueLimit   = 10_000
+	defaultBodyLimit    = 4 << 20
+	defaultFirstByte    = 30 * time.Second
+	defaultGap          = 10 * time.Second
+	defaultRetention    = 24 * time.Hour
+	defaultStoredAnswer = 64 << 10
+	defaultGoodput      = 0.5
+	indent              = "  "
+)
+
+// Deployment is what one operator's program declares.
+type Deployment struct {
+	title         string
+	configuration configuration.Configuration
+	notes         map[string]string
+}
+
+// New starts a deployment with the defaults and no tier, customer or service.
+func New(title string) Deployment {
+	return Deployment{
+		title: title,
+		configuration: configuration.Configuration{
+			GoodputWeight: defaultGoodput,
+			Claims: configuration.Claims{
+				Retention:         document.Duration(defaultRetention),
+				StoredAnswerLimit: defaultStoredAnswer,
+			},
+		},
+	}
+}
+
+func (d Deployment) withNote(field, note string) Deployment {
+	notes := make(map[string]string, len(d.notes)+1)
+	for k, v := range d.notes {
+		notes[k] = v
+	}
+	notes[field] = note
+	d.notes = notes
+	return d
+}
+
+// WithGoodputWeight weighs goodput by tier (1) against wasted prefill (0).
+func (d Deployment) WithGoodputWeight(weight float64) Deployment {
+	d.configuration.GoodputWeight = weight
+	return d
+}
+
+// WithClaims sets how long keys are remembered and how large an answer is kept
+// for a repeated key, in bytes.
+func (d Deployment) WithClaims(retention time.Duration, storedAnswerLimit int) Deployment {
+	d.configuration.Claims = configuration.Claims{
+		Retention:         document.Duration(retention),
+		StoredAnswerLimit: storedAnswerLimit,
+	}
+	return d
+}
+
+// WithTier adds a tier below those added before. The note is printed with it.
+func (d Deployment) WithTier(name string, deadline time.Duration, note string) Deployment {
+	tier := configuration.Tier{Name: name, Deadline: document.Duration(deadline)}
+	d.configuration.Tiers = append(slices.Clip(d.configuration.Tiers), tier)
+	return d.withNote("tiers/"+name, note)
+}
+
+// WithCustomer adds a customer with its bearer token and the tiers granted. Only
+// the token's digest is printed.
+func (d Deployment) WithCustomer(name, token string, tiers ...string) Deployment {
+	digest := sha256.Sum256([]byte(token))
+	customer := configuration.Customer{Name: name, TokenSHA256: hex.EncodeToString(digest[:]), Tiers: tiers}
+	d.configuration.Customers = append(slices.Clip(d.configuration.Customers), customer)
+	return d
+}
+
+// WithService adds a service; limits and timeouts left at zero get defaults.
+func (d Deployment) WithService(s configuration.Service, note string) Deployment {
+	if s.QueueLimit == 0 {
+		s.QueueLimit = defaultQueueLimit
+	}
+	if s.BodyLimit == 0 {
+		s.BodyLimit = defaultBodyLimit
+	}
+	if s.FirstByteTimeout == 0 {
+		s.FirstByteTimeout = document.Duration(defaultFirstByte)
+	}
+	if s.GapTimeout == 0 {
+		s.GapTimeout = document.Duration(defaultGap)
+	}
+	d.configuration.Services = append(slices.Clip(d.configuration.Services), s)
+	return d.withNote("services/"+s.Name, note)
+}
+
+// WithEndpointLeaving takes new work away from an endpoint.
+func (d Deployment) WithEndpointLeaving(name string) Deployment {
+	d.configuration = d.configuration.WithEndpointLeaving(name)
+	return d
+}
+
+// WithRule adds a rule after those added before; the first that matches counts.
+func (d Deployment) WithRule(r configuration.Rule, note string) Deployment {
+	field := fmt.Sprintf("rules/%d", len(d.configuration.Rules))
+	d.configuration.Rules = append(slices.Clip(d.configuration.Rules), r)
+	return d.withNote(field, note)
+}
+
+// Configuration gives what was declared so far.
+func (d Deployment) Configuration() configuration.Configuration { return d.configuration }
+
+// Print writes the checked configuration as JSON with comments.
+func (d Deployment) Print(w io.Writer) error {
+	if problems := d.configuration.Check(); len(problems) > 0 {
+		return &document.ProblemsError{Problems: document.Locate("deployment", nil, problems)}
+	}
+	var page bytes.Buffer
+	p := printer{out: &page, notes: d.notes}
+	p.line(0, "// %s", d.title)
+	p.line(0, "{")
+	p.line(1, "// 1 puts goodput by tier first, 0 spares prefill that was computed already.")
+	p.line(1, `"goodput-weight": %v,`, d.configuration.GoodputWeight)
+	p.line(1, "// Tiers of work, the highest first.")
+	printList(&p, "tiers", d.configuration.Tiers, func(t configuration.Tier) string { return t.Name })
+	p.line(1, "// Customers, with the digest of their token and the tiers granted to them.")
+	printList(&p, "customers", d.configuration.Customers, func(c configuration.Customer) string { return c.Name })
+	p.line(1, "// Services, by path prefix, with their endpoints.")
+	printList(&p, "services", d.configuration.Services, func(s configuration.Service) string { return s.Name })
+	p.line(1, "// Rules; the first that matches counts. What no rule matches is idempotent")
+	p.line(1, "// only for GET, HEAD and OPTIONS.")
+	number := -1
+	printList(&p, "rules", d.configuration.Rules, func(configuration.Rule) string {
+		number++
+		return fmt.Sprint(number)
+	})
+	p.line(1, "// How long keys of non-idempotent requests are remembered.")
+	p.value(`"claims": `, d.configuration.Claims, "")
+	p.line(0, "}")
+	if p.failed != nil {
+		return p.failed
+	}
+	_, err := w.Write(page.Bytes())
+	return errors.Wrap(err, "print the configuration")
+}
+
+// printer writes lines and keeps the first failure.
+type printer struct {
+	out    *bytes.Buffer
+	notes  map[string]string
+	failed error
+}
+
+func (p *printer) line(depth int, format string, values ...any) {
+	fmt.Fprintf(p.out, strings.Repeat(indent, depth)+format+"\n", values...)
+}
+
+func (p *printer) value(label string, value any, end string) {
+	prefix := strings.Repeat(indent, strings.Count(label, indent)+1)
+	data, err := json.MarshalIndent(value, prefix, indent)
+	if err != nil {
+		p.failed = errors.CombineErrors(p.failed, errors.Wrap(err, "encode the configuration"))
+		return
+	}
+	fmt.Fprintf(p.out, "%s%s%s%s\n", indent, label, data, end)
+}
+
+func printList[T any](p *printer, name string, items []T, nameOf func(T) string) {
+	p.line(1, "%q: [", name)
+	for i, item := range items {
+		if note := p.notes[name+"/"+nameOf(item)]; note != "" {
+			p.line(2, "// %s", note)
+		}
+		end := ","
+		if i == len(items)-1 {
+			end = ""
+		}
+		p.value(indent, item, end)
+	}
+	p.line(1, "],")
+}
--- /dev/null
+++ b/coordination/pkg/permit/core.go
@@ -0,0 +1,435 @@
+// Package permit decides which waiting request goes to which endpoint, and
+// when. One Core decides for one service, or for one part of its endpoints.
+//
+// The core is pure: Step takes an event and gives actions, and reads no clock,
+// no randomness and no network. The same events in the same order give the same
+// actions, so a record of the events can be replayed and compared. It changes
+// its own state in place: a copy for each step would cost more than the
+// decision itself when many requests wait.
+//
+// # Decisions
+//
+// A request waits unbound. When a place is free, tiers are served from the
+// highest; within a tier, first the request that can wait the least. A request
+// starts only at an endpoint where it can still finish in time. One that can
+// finish in time nowhere any more is refused at once, and a full queue refuses
+// the lowest tier first.
+//
+// # Usage
+//
+//	var core permit.Core
+//	core.Step(permit.Configured{At: now, Tiers: 2, QueueLimit: 100, Endpoints: endpoints})
+//	for _, action := range core.Step(permit.Asked{At: now, Ask: ask}) {
+//		switch a := action.(type) {
+//		case permit.Granted: // send the request to a.Endpoint, then Step(Finished)
+//		case permit.Refused: // tell the caller that it was not run
+//		}
+//	}
+//
+// A Core is not safe for concurrent use.
+package permit
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+const (
+	// lookahead is how many requests of a tier are tried for a free place that
+	// does not suit the first of them.
+	lookahead = 16
+	// grantGrace is how long a permit may be missing from its host's list while
+	// the message that grants it is under way.
+	grantGrace = 3 * time.Second
+	// lostGrace is how long the places of a lost host stay taken, as its last
+	// requests may still be running.
+	lostGrace = 5 * time.Second
+	// minRetryAfter is the shortest wait advised to a refused caller.
+	minRetryAfter = time.Second
+)
+
+// Core is the state of one decision maker. The zero value is ready for its
+// first Configured event.
+type Core struct {
+	now        Instant
+	queueLimit int
+	settled    Instant
+	queues     []queue
+	waiting    map[string]*waiter
+	held       map[string]*holding
+	endpoints  map[string]*endpoint
+	order      []*endpoint
+	sequence   uint64
+	free       []*endpoint
+	aside      []*waiter
+	actions    []Action
+}
+
+// holding is a permit that was granted and not given back.
+type holding struct {
+	ask      Ask
+	endpoint *endpoint
+	granted  Instant
+	estimate time.Duration
+	// lost is set when the host that held the permit is gone.
+	lost Instant
+}
+
+// Step takes one event and gives what is decided, in order. The actions are
+// valid until the next Step.
+func (c *Core) Step(event Event) []Action {
+	c.actions = c.actions[:0]
+	c.now = max(c.now, event.at())
+	switch e := event.(type) {
+	case Configured:
+		c.configure(e)
+	case Asked:
+		c.ask(e.Ask)
+	case Withdrawn:
+		c.withdraw(e.ID)
+	case Finished:
+		c.finish(e.ID, e.Usage)
+	case Listed:
+		c.reconcile(e)
+	case Reported:
+		c.report(e)
+	case Marked:
+		c.mark(e)
+	case HostLost:
+		c.loseHost(e.Host)
+	case Ticked:
+		c.tick()
+	}
+	c.place()
+	return c.actions
+}
+
+// Load gives the number of waiting requests and of permits held.
+func (c *Core) Load() (waiting, held int) { return len(c.waiting), len(c.held) }
+
+func (c *Core) configure(e Configured) {
+	if c.waiting == nil {
+		c.waiting = map[string]*waiter{}
+		c.held = map[string]*holding{}
+		c.endpoints = map[string]*endpoint{}
+		c.settled = c.now.After(e.Settle)
+	}
+	c.queueLimit = e.QueueLimit
+	c.resizeQueues(e.Tiers)
+	listed := make(map[string]bool, len(e.Endpoints))
+	c.order = c.order[:0]
+	for _, rules := range e.Endpoints {
+		listed[rules.Name] = true
+		known := c.endpoints[rules.Name]
+		if known == nil {
+			known = newEndpoint(rules)
+			c.endpoints[rules.Name] = known
+		}
+		known.rules = rules
+		c.order = append(c.order, known)
+	}
+	for name := range c.endpoints {
+		if !listed[name] {
+			// Its permits keep pointing at it until they are given back.
+			delete(c.endpoints, name)
+		}
+	}
+}
+
+// resizeQueues keeps requests whose tier is gone in the lowest one.
+func (c *Core) resizeQueues(tiers int) {
+	tiers = max(tiers, 1)
+	for len(c.queues) < tiers {
+		c.queues = append(c.queues, queue{})
+	}
+	for len(c.queues) > tiers {
+		last := len(c.queues) - 1
+		for _, w := range c.queues[last] {
+			w.ask.Tier = tiers - 1
+			heap.Push(&c.queues[tiers-1], w)
+		}
+		c.queues = c.queues[:last]
+	}
+}
+
+func (c *Core) ask(a Ask) {
+	if c.waiting == nil || c.waiting[a.ID] != nil {
+		return
+	}
+	if h := c.held[a.ID]; h != nil {
+		// The grant was lost on its way, or crossed the repeated ask.
+		c.actions = append(c.actions, Granted{ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate})
+		return
+	}
+	a.Tier = min(max(a.Tier, 0), len(c.queues)-1)
+	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
+	c.sequence++
+	w.latestStart = c.latestStart(a)
+	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
+		c.refuse(w, QueueFull)
+		return
+	}
+	c.waiting[a.ID] = w
+	heap.Push(&c.queues[a.Tier], w)
+}
+
+// makeRoom refuses a waiting request of a tier below the given one.
+func (c *Core) makeRoom(tier int) bool {
+	for lowest := len(c.queues) - 1; lowest > tier; lowest-- {
+		q := &c.queues[lowest]
+		if q.Len() == 0 {
+			continue
+		}
+		// The last leaf of the heap is never the most urgent one.
+		w := (*q)[q.Len()-1]
+		c.dequeue(w)
+		c.refuse(w, Displaced)
+		return true
+	}
+	return false
+}
+
+func (c *Core) dequeue(w *waiter) {
+	heap.Remove(&c.queues[w.ask.Tier], w.position)
+	delete(c.waiting, w.ask.ID)
+}
+
+func (c *Core) refuse(w *waiter, reason Reason) {
+	c.actions = append(c.actions, Refused{
+		ID:         w.ask.ID,
+		Host:       w.ask.Host,
+		Reason:     reason,
+		RetryAfter: c.retryAfter(),
+		Waited:     c.now.Since(w.since),
+	})
+}
+
+// retryAfter gives the time in which the places turn over once for every
+// request that waits now.
+func (c *Core) retryAfter() time.Duration {
+	places, total := 0, time.Duration(0)
+	for _, h := range c.held {
+		total += h.estimate
+		places++
+	}
+	if places == 0 {
+		return minRetryAfter
+	}
+	mean := total / time.Duration(places)
+	return max(minRetryAfter, mean*time.Duration(len(c.waiting))/time.Duration(places))
+}
+
+func (c *Core) withdraw(id string) {
+	if w := c.waiting[id]; w != nil {
+		c.dequeue(w)
+		return
+	}
+	c.finish(id, Usage{})
+}
+
+func (c *Core) finish(id string, usage Usage) {
+	h := c.held[id]
+	if h == nil {
+		return
+	}
+	h.endpoint.learn(usage)
+	c.release(id, h)
+}
+
+func (c *Core) release(id string, h *holding) {
+	h.endpoint.held--
+	delete(c.held, id)
+}
+
+// reconcile takes up permits that an earlier owner granted, and gives back the
+// places of permits that the host no longer knows.
+func (c *Core) reconcile(e Listed) {
+	listed := make(map[string]bool, len(e.Permits))
+	for _, p := range e.Permits {
+		listed[p.ID] = true
+		known := c.endpoints[p.Endpoint]
+		if c.held[p.ID] != nil || known == nil {
+			continue
+		}
+		if w := c.waiting[p.ID]; w != nil {
+			c.dequeue(w)
+		}
+		c.hold(Ask{ID: p.ID, Host: e.Host, Tier: p.Tier}, known, 0)
+	}
+	for id, h := range c.held {
+		overdue := c.now.Since(h.granted) > grantGrace
+		if h.ask.Host == e.Host && !listed[id] && overdue {
+			c.release(id, h)
+		}
+	}
+}
+
+func (c *Core) report(e Reported) {
+	if known := c.endpoints[e.Endpoint]; known != nil {
+		known.report(e.Running)
+	}
+}
+
+func (c *Core) mark(e Marked) {
+	if known := c.endpoints[e.Endpoint]; known != nil {
+		known.closed = !e.Open
+	}
+}
+
+func (c *Core) loseHost(host string) {
+	var orphans []*waiter
+	for _, w := range c.waiting {
+		if w.ask.Host == host {
+			orphans = append(orphans, w)
+		}
+	}
+	// The shape of the heap depends on the order of removals, and with it what
+	// a full queue gives up: keep that order the same in a replay.
+	slices.SortFunc(orphans, func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, w := range orphans {
+		c.dequeue(w)
+	}
+	for _, h := range c.held {
+		if h.ask.Host == host && h.lost == 0 {
+			h.lost = c.now
+		}
+	}
+}
+
+func (c *Core) tick() {
+	for id, h := range c.held {
+		if h.lost != 0 && c.now.Since(h.lost) > lostGrace {
+			c.release(id, h)
+		}
+	}
+	for tier := range c.queues {
+		c.expire(&c.queues[tier])
+	}
+}
+
+// expire refuses the requests at the head of a queue that are too late. Speeds
+// change while requests wait, so the head is judged, and ordered, anew.
+func (c *Core) expire(q *queue) {
+	for q.Len() > 0 {
+		w := (*q)[0]
+		if !c.isTooLate(w) {
+			heap.Fix(q, 0)
+			if (*q)[0] == w {
+				return
+			}
+			continue
+		}
+		c.dequeue(w)
+		c.refuse(w, TooLate)
+	}
+}
+
+// isTooLate tells whether no open endpoint could finish the request in time.
+// While none is open, a request may wait until its deadline itself.
+func (c *Core) isTooLate(w *waiter) bool {
+	if c.now > w.ask.Deadline {
+		return true
+	}
+	w.latestStart = c.latestStart(w.ask)
+	return c.now > w.latestStart
+}
+
+func (c *Core) latestStart(a Ask) Instant {
+	best := time.Duration(-1)
+	for _, e := range c.order {
+		if !e.open() {
+			continue
+		}
+		if estimate := e.estimate(a); best < 0 || estimate < best {
+			best = estimate
+		}
+	}
+	return a.Deadline.After(-max(best, 0))
+}
+
+// place gives free places to waiting requests, the highest tier first.
+func (c *Core) place() {
+	if len(c.waiting) == 0 {
+		return
+	}
+	c.findFree()
+	for tier := range c.queues {
+		if len(c.free) == 0 {
+			return
+		}
+		c.placeTier(&c.queues[tier])
+	}
+}
+
+func (c *Core) placeTier(q *queue) {
+	c.aside = c.aside[:0]
+	for q.Len() > 0 && len(c.free) > 0 && len(c.aside) < lookahead {
+		w := (*q)[0]
+		best := c.bestFor(w.ask)
+		if best != nil {
+			c.dequeue(w)
+			c.grant(w, best)
+			continue
+		}
+		heap.Pop(q)
+		if c.isTooLate(w) {
+			delete(c.waiting, w.ask.ID)
+			c.refuse(w, TooLate)
+			continue
+		}
+		c.aside = append(c.aside, w)
+	}
+	for _, w := range c.aside {
+		heap.Push(q, w)
+	}
+}
+
+func (c *Core) findFree() {
+	c.free = c.free[:0]
+	settling := c.now < c.settled
+	for _, e := range c.order {
+		if e.hasPlace(settling) {
+			c.free = append(c.free, e)
+		}
+	}
+}
+
+// bestFor gives the free endpoint that would answer soonest, or nil if the
+// request could finish in time at none of them.
+func (c *Core) bestFor(a Ask) *endpoint {
+	var best *endpoint
+	var bestScore time.Duration
+	for _, e := range c.free {
+		estimate := e.estimate(a)
+		if c.now.After(estimate) > a.Deadline || slices.Contains(a.Avoid, e.rules.Name) {
+			continue
+		}
+		score := e.score(estimate)
+		if best == nil || score < bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+func (c *Core) grant(w *waiter, e *endpoint) {
+	estimate := e.estimate(w.ask)
+	c.hold(w.ask, e, estimate)
+	c.actions = append(c.actions, Granted{
+		ID:       w.ask.ID,
+		Host:     w.ask.Host,
+		Endpoint: e.rules.Name,
+		Waited:   c.now.Since(w.since),
+		Estimate: estimate,
+	})
+	if !e.hasPlace(c.now < c.settled) {
+		c.free = slices.DeleteFunc(c.free, func(other *endpoint) bool { return other == e })
+	}
+}
+
+func (c *Core) hold(a Ask, e *endpoint, estimate time.Duration) {
+	e.take()
+	c.held[a.ID] = &holding{ask: a, endpoint: e, granted: c.now, estimate: estimate}
+}
--- /dev/null
+++ b/coordination/pkg/permit/event.go
@@ -0,0 +1,182 @@
+package permit
+
+import (
+	"slices"
+	"time"
+)
+
+// Instant is a point in time in nanoseconds since 1970 UTC, as the caller of
+// the core read it. The core itself never reads a clock.
+type Instant int64
+
+// After gives the instant d later.
+func (t Instant) After(d time.Duration) Instant { return t + Instant(d) }
+
+// Since gives the time from earlier to t.
+func (t Instant) Since(earlier Instant) time.Duration { return time.Duration(t - earlier) }
+
+// Ask is one request's wish for a place at an endpoint. It carries what the
+// decision needs and nothing of the request's content.
+type Ask struct {
+	// ID is unique to this asking; the permit that answers it has the same ID.
+	ID string `json:"id"`
+	// Request is the request's own id, the same over all its askings.
+	Request string `json:"request"`
+	// Host is the entry host that holds the request.
+	Host string `json:"host"`
+	// Tier is the rank of the request's tier; 0 is the highest.
+	Tier int `json:"tier"`
+	// Deadline is when the whole answer must be there.
+	Deadline Instant `json:"deadline"`
+	// PromptTokens and AnswerTokens estimate the work; both are 0 for a plain
+	// service.
+	PromptTokens int `json:"prompt-tokens,omitempty"`
+	AnswerTokens int `json:"answer-tokens,omitempty"`
+	// Avoid names the endpoints that failed this request before.
+	Avoid []string `json:"avoid,omitempty"`
+}
+
+// WithAvoid gives a copy of the ask, under a new id, that stays off one more
+// endpoint.
+func (a Ask) WithAvoid(id, endpoint string) Ask {
+	a.Avoid = append(slices.Clip(a.Avoid), endpoint)
+	a.ID = id
+	return a
+}
+
+// Permit is the right to send one request to one endpoint.
+type Permit struct {
+	ID       string `json:"id"`
+	Endpoint string `json:"endpoint"`
+	Tier     int    `json:"tier"`
+}
+
+// Usage is what an answered request took, from which speeds are learned. The
+// zero Usage teaches nothing.
+type Usage struct {
+	PromptTokens int           `json:"prompt-tokens,omitempty"`
+	AnswerTokens int           `json:"answer-tokens,omitempty"`
+	FirstByte    time.Duration `json:"first-byte,omitempty"`
+	Total        time.Duration `json:"total,omitempty"`
+}
+
+// EndpointRules is what the configuration says of one endpoint.
+type EndpointRules struct {
+	Name         string  `json:"name"`
+	Limit        int     `json:"limit"`
+	PrefillSpeed float64 `json:"prefill-speed,omitempty"`
+	DecodeSpeed  float64 `json:"decode-speed,omitempty"`
+	Leaving      bool    `json:"leaving,omitempty"`
+}
+
+// Event is what the core is told. It is one of Configured, Asked, Withdrawn,
+// Finished, Listed, Reported, Marked, HostLost and Ticked.
+type Event interface{ at() Instant }
+
+type (
+	// Configured brings the rules of the service. The first one starts the
+	// settling time, in which a new owner hears of permits granted before it.
+	Configured struct {
+		At         Instant         `json:"at"`
+		Version    int64           `json:"version"`
+		Tiers      int             `json:"tiers"`
+		QueueLimit int             `json:"queue-limit"`
+		Endpoints  []EndpointRules `json:"endpoints"`
+		Settle     time.Duration   `json:"settle,omitempty"`
+	}
+	// Asked brings a waiting request. Asking again with the same ID is harmless.
+	Asked struct {
+		At  Instant `json:"at"`
+		Ask Ask     `json:"ask"`
+	}
+	// Withdrawn takes back an ask, or a permit that was not used.
+	Withdrawn struct {
+		At Instant `json:"at"`
+		ID string  `json:"id"`
+	}
+	// Finished gives back a used permit.
+	Finished struct {
+		At    Instant `json:"at"`
+		ID    string  `json:"id"`
+		Usage Usage   `json:"usage"`
+	}
+	// Listed gives all the permits that a host holds, for what messages lost.
+	Listed struct {
+		At      Instant  `json:"at"`
+		Host    string   `json:"host"`
+		Permits []Permit `json:"permits"`
+	}
+	// Reported is an endpoint's own, late word on the requests it runs.
+	Reported struct {
+		At       Instant `json:"at"`
+		Endpoint string  `json:"endpoint"`
+		Running  int     `json:"running"`
+	}
+	// Marked opens or closes an endpoint for new work.
+	Marked struct {
+		At       Instant `json:"at"`
+		Endpoint string  `json:"endpoint"`
+		Open     bool    `json:"open"`
+		Reason   string  `json:"reason,omitempty"`
+	}
+	// HostLost says that a host's process is gone, and what waited on it too.
+	HostLost struct {
+		At   Instant `json:"at"`
+		Host string  `json:"host"`
+	}
+	// Ticked lets time pass.
+	Ticked struct {
+		At Instant `json:"at"`
+	}
+)
+
+func (e Configured) at() Instant { return e.At }
+func (e Asked) at() Instant      { return e.At }
+func (e Withdrawn) at() Instant  { return e.At }
+func (e Finished) at() Instant   { return e.At }
+func (e Listed) at() Instant     { return e.At }
+func (e Reported) at() Instant   { return e.At }
+func (e Marked) at() Instant     { return e.At }
+func (e HostLost) at() Instant   { return e.At }
+func (e Ticked) at() Instant     { return e.At }
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// TooLate means that no endpoint could still finish the request in time.
+	TooLate Reason = "deadline"
+	// QueueFull means that all waiting requests are of the same tier or higher.
+	QueueFull Reason = "queue-full"
+	// Displaced means that a request of a higher tier took the place in the queue.
+	Displaced Reason = "displaced"
+)
+
+// Action is what the core decides. It is one of Granted and Refused.
+type Action interface{ action() }
+
+type (
+	// Granted lets the host send the request to the endpoint.
+	Granted struct {
+		ID       string `json:"id"`
+		Host     string `json:"host"`
+		Endpoint string `json:"endpoint"`
+		// Waited is the time since the ask.
+		Waited time.Duration `json:"waited"`
+		// Estimate is the time the request is expected to take there.
+		Estimate time.Duration `json:"estimate"`
+	}
+	// Refused ends an ask without a permit: the request was not sent.
+	Refused struct {
+		ID         string        `json:"id"`
+		Host       string        `json:"host"`
+		Reason     Reason        `json:"reason"`
+		RetryAfter time.Duration `json:"retry-after"`
+		// Waited is the time since the ask.
+		Waited time.Duration `json:"waited"`
+	}
+)
+
+func (Granted) action() {}
+func (Refused) action() {}
--- /dev/null
+++ b/examples/pkg/kerbrat/kerbrat.go
@@ -0,0 +1,82 @@
+// Package kerbrat is the deployment of Moulerie Kerbrat Numérique.
+package kerbrat
+
+import (
+	"fmt"
+	"time"
+
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/operator"
+)
+
+// Names that the programs of this repository refer to.
+const (
+	Atelier = "godwit-atelier"
+	Carnet  = "carnet-commandes"
+
+	Bench  = "bench"
+	Order  = "work-order"
+	Review = "review"
+)
+
+// DataCentres are the three in Brittany.
+var DataCentres = []string{"quimper", "lorient", "rennes"}
+
+// Workshops are the customers.
+var Workshops = []string{"atelier-bois", "atelier-noyaux", "bureau-etudes", "fonderie-lorient", "apprentis"}
+
+// Token gives a workshop's token in this example.
+func Token(workshop string) string { return "token-of-" + workshop }
+
+// Deployment declares the tiers, services and rules for the given workers.
+func Deployment(engines, books []string) operator.Deployment {
+	d := operator.New("Moulerie Kerbrat pattern shop").
+		WithGoodputWeight(0.2).
+		WithTier(Bench, 5*time.Second, "an apprentice waits with the timber glued").
+		WithTier(Order, 15*time.Second, "work orders and stock").
+		WithTier(Review, 10*time.Minute, "long reviews of core-box drawings, which must finish")
+	for _, workshop := range Workshops {
+		d = d.WithCustomer(workshop, Token(workshop), Bench, Order, Review)
+	}
+	return d.
+		WithService(atelier(engines), "the model workers").
+		WithService(carnet(books), "work orders, releases to the foundry, stock").
+		WithRule(configuration.Rule{
+			Service: Atelier, Methods: []string{"POST"}, Path: "/v1/completions", Idempotent: true, Tier: Review,
+		}, "reviews and questions can run again").
+		WithRule(configuration.Rule{
+			Service: Carnet, Methods: []string{"GET"}, Path: "/stock/**", Idempotent: true, Tier: Order,
+		}, "stock can be read again").
+		WithRule(configuration.Rule{
+			Service: Carnet, Path: "/**", Idempotent: false, Tier: Order,
+		}, "a release to the foundry runs once at most")
+}
+
+func atelier(engines []string) configuration.Service {
+	s := configuration.Service{
+		Name: Atelier, Prefix: "/atelier", Kind: configuration.Model, EchoesAttempt: true, Resumes: true,
+	}
+	s.Endpoints = endpoints("atelier", engines, 8)
+	return s
+}
+
+func carnet(books []string) configuration.Service {
+	s := configuration.Service{
+		Name: Carnet, Prefix: "/carnet", Kind: configuration.Application, EchoesAttempt: true,
+	}
+	s.Endpoints = endpoints("carnet", books, 16)
+	return s
+}
+
+func endpoints(name string, addresses []string, limit int) []configuration.Endpoint {
+	made := make([]configuration.Endpoint, len(addresses))
+	for i, address := range addresses {
+		made[i] = configuration.Endpoint{
+			Name:          fmt.Sprintf("%s-%d", name, i+1),
+			Address:       address,
+			DataCentre:    DataCentres[i%len(DataCentres)],
+			InFlightLimit: limit,
+		}
+	}
+	return made
+}
--- /dev/null
+++ b/godwitmoor/pkg/app/app.go
@@ -0,0 +1,36 @@
+// Package app is the operators' command line.
+//
+// # Usage
+//
+//	godwitmoor validate hsu.jsonc
+//	godwitmoor apply --key-value http://127.0.0.1:2379 --host http://127.0.0.1:9101 --wait hsu.jsonc
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/godwitmoor/pkg/commands"
+)
+
+// Main runs the command and ends the process.
+func Main() { os.Exit(execute()) }
+
+func execute() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:     "godwitmoor",
+		Usage:    "drive a deployment of godwitmoor",
+		Commands: commands.All(os.Stdout),
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/godwitmoor/pkg/commands/apply.go
@@ -0,0 +1,124 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/godwitmoor/pkg/statusport"
+)
+
+const (
+	applyTimeout = 30 * time.Second
+	pollInterval = 100 * time.Millisecond
+)
+
+// OvertakenError says that another operator's change came first.
+type OvertakenError struct{ By configuration.Overtaken }
+
+func (e *OvertakenError) Error() string {
+	return fmt.Sprintf("nothing was applied: version %d by %s (change %s) came first; look at it with diff and apply again with --base %d",
+		e.By.Version, e.By.By, e.By.Change, e.By.Version)
+}
+
+// NotEverywhereError says that some hosts do not hold the version yet.
+type NotEverywhereError struct {
+	Version    int64
+	Hold, Know int
+}
+
+func (e *NotEverywhereError) Error() string {
+	return fmt.Sprintf("version %d is accepted, and in force on %d of %d hosts; see status for the others", e.Version, e.Hold, e.Know)
+}
+
+func apply(out io.Writer) *cli.Command {
+	flags := append(storeFlags(),
+		&cli.Int64Flag{Name: "base", Value: -1, Usage: "apply only if this `VERSION` is in force; default: the one in force now"},
+		&cli.StringFlag{Name: "change-id", Usage: "`ID` of an earlier apply whose outcome was not known"},
+		&cli.StringFlag{Name: "by", Usage: "`NAME` shown to operators who come second; default: the user"},
+		&cli.BoolFlag{Name: "wait", Usage: "wait until every live host holds the version; needs --host"},
+		&cli.DurationFlag{Name: "timeout", Value: applyTimeout, Usage: "longest wait"},
+		hostFlag(),
+	)
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "bring a configuration into force",
+		ArgsUsage: "FILE",
+		Flags:     flags,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+			defer cancel()
+			version, err := applyFile(ctx, c)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "accepted: version %d\n", version)
+			if !c.Bool("wait") {
+				return nil
+			}
+			return waitEverywhere(ctx, c, out, version)
+		},
+	}
+}
+
+func applyFile(ctx context.Context, c *cli.Command) (int64, error) {
+	text, _, err := readFile(c)
+	if err != nil {
+		return 0, err
+	}
+	if c.Bool("wait") && len(c.StringSlice("host")) == 0 {
+		return 0, &UsageError{Message: "--wait needs --host"}
+	}
+	register := registerOf(c)
+	base := c.Int64("base")
+	if base < 0 {
+		current, err := register.Current(ctx)
+		if err != nil {
+			return 0, err
+		}
+		base = current.Version
+	}
+	change := configuration.Change{ID: c.String("change-id"), By: c.String("by"), Text: text, Base: base}
+	if change.ID == "" {
+		change.ID = uuid.NewString()
+	}
+	if change.By == "" {
+		change.By = os.Getenv("USER")
+	}
+	result, err := register.Apply(ctx, change)
+	if err != nil {
+		return 0, err
+	}
+	switch r := result.(type) {
+	case configuration.Applied:
+		return r.Version, nil
+	case configuration.Overtaken:
+		return 0, &OvertakenError{By: r}
+	}
+	return 0, nil
+}
+
+// waitEverywhere asks the hosts until all the live ones hold the version.
+func waitEverywhere(ctx context.Context, c *cli.Command, out io.Writer, version int64) error {
+	start := time.Now()
+	hold, know := 0, 0
+	for {
+		if view, err := statusport.Any(ctx, c.StringSlice("host")); err == nil {
+			hold, know = view.Holding(version)
+			if hold == know && know > 0 {
+				fmt.Fprintf(out, "in force on %d of %d hosts after %v\n", hold, know, time.Since(start).Round(time.Millisecond))
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return &NotEverywhereError{Version: version, Hold: hold, Know: know}
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- /dev/null
+++ b/godwitmoor/pkg/commands/commands.go
@@ -0,0 +1,73 @@
+// Package commands holds the operators' commands, a file each. All is the one
+// place where a command is added.
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+)
+
+// All gives every command, which print to out.
+func All(out io.Writer) []*cli.Command {
+	return []*cli.Command{
+		validate(out),
+		diff(out),
+		apply(out),
+		status(out),
+		explain(out),
+	}
+}
+
+// UsageError says how a command was called wrongly.
+type UsageError struct{ Message string }
+
+func (e *UsageError) Error() string { return e.Message + "; see --help" }
+
+// storeFlags are for commands that call the platform's service.
+func storeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "key-value", Required: true, Usage: "`URL` of the platform's key-value service"},
+	}
+}
+
+func hostFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "host", Usage: "`URL` of a host's status port; can be repeated"}
+}
+
+func registerOf(c *cli.Command) *configuration.Register {
+	return &configuration.Register{Store: &keyvalue.Client{URL: c.String("key-value")}}
+}
+
+// readFile gives the text and the checked configuration of the one argument.
+func readFile(c *cli.Command) (string, configuration.Configuration, error) {
+	if c.Args().Len() != 1 {
+		return "", configuration.Configuration{}, &UsageError{Message: "name one configuration file"}
+	}
+	file := c.Args().First()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", configuration.Configuration{}, errors.Wrap(err, "read the configuration")
+	}
+	parsed, err := configuration.Parse(file, data)
+	return string(data), parsed, err
+}
+
+func printDifferences(out io.Writer, before, after configuration.Configuration) error {
+	differences, err := configuration.Differences(before, after)
+	if err != nil {
+		return err
+	}
+	if len(differences) == 0 {
+		fmt.Fprintln(out, "no difference")
+	}
+	for _, d := range differences {
+		fmt.Fprintln(out, d)
+	}
+	return nil
+}
--- /dev/null
+++ b/godwitmoor/pkg/commands/explain.go
@@ -0,0 +1,160 @@
+package commands
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoor/pkg/statusport"
+)
+
+// maxLine bounds one line of a record, in bytes.
+const maxLine = 4 << 20
+
+// NotRecordedError says that no host remembers a request.
+type NotRecordedError struct {
+	ID          string
+	Unreachable []string
+}
+
+func (e *NotRecordedError) Error() string {
+	text := fmt.Sprintf("no host remembers %s; the record of older requests is in the hosts' logs", e.ID)
+	if len(e.Unreachable) > 0 {
+		text += "; not reached: " + strings.Join(e.Unreachable, ", ")
+	}
+	return text
+}
+
+// recordLine is one line of a host's record.
+type recordLine struct {
+	Decision *permit.Line    `json:"decision"`
+	Request  *finishedReport `json:"request"`
+}
+
+type finishedReport struct {
+	Request  string   `json:"request"`
+	Host     string   `json:"host"`
+	Customer string   `json:"customer"`
+	Tier     string   `json:"tier"`
+	Key      string   `json:"key"`
+	Attempts []string `json:"attempts"`
+	Endpoint string   `json:"endpoint"`
+	Outcome  string   `json:"outcome"`
+	Reason   string   `json:"reason"`
+	Took     float64  `json:"took-ms"`
+	Deadline float64  `json:"deadline-ms"`
+}
+
+func explain(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of a request from the records of all named hosts",
+		ArgsUsage: "REQUEST-ID or KEY",
+		Flags:     []cli.Flag{hostFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return &UsageError{Message: "name one request id or key"}
+			}
+			s := story{id: c.Args().First()}
+			for _, host := range c.StringSlice("host") {
+				s.read(ctx, host)
+			}
+			return s.tell(out)
+		},
+	}
+}
+
+// story gathers what several hosts remember of one request.
+type story struct {
+	id          string
+	lines       []recordLine
+	unreachable []string
+}
+
+func (s *story) read(ctx context.Context, host string) {
+	data, err := statusport.Get(ctx, host+"/record")
+	if err != nil {
+		s.unreachable = append(s.unreachable, host)
+		return
+	}
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		var line recordLine
+		if err := json.Unmarshal(scanner.Bytes(), &line); err == nil {
+			s.lines = append(s.lines, line)
+		}
+	}
+}
+
+func (s *story) tell(out io.Writer) error {
+	told := false
+	for _, line := range s.lines {
+		r := line.Request
+		if r == nil || (r.Request != s.id && r.Key != s.id) {
+			continue
+		}
+		told = true
+		s.tellDecisions(out, r.Attempts)
+		fmt.Fprintln(out, r.sentence())
+	}
+	if !told {
+		return &NotRecordedError{ID: s.id, Unreachable: s.unreachable}
+	}
+	for _, host := range s.unreachable {
+		fmt.Fprintf(out, "not reached: %s\n", host)
+	}
+	return nil
+}
+
+func (s *story) tellDecisions(out io.Writer, attempts []string) {
+	for _, line := range s.lines {
+		if line.Decision == nil {
+			continue
+		}
+		for _, a := range line.Decision.Actions {
+			if sentence := decisionSentence(line.Decision, a, attempts); sentence != "" {
+				fmt.Fprintln(out, sentence)
+			}
+		}
+	}
+}
+
+func decisionSentence(d *permit.Line, a permit.ActionLine, attempts []string) string {
+	switch a.Kind {
+	case "granted":
+		var g permit.Granted
+		if json.Unmarshal(a.Action, &g) != nil || !slices.Contains(attempts, g.ID) {
+			return ""
+		}
+		return fmt.Sprintf("owner %s, decision %d: after %v of waiting, on a %s event, endpoint %s had a free place and was expected to take %v",
+			d.Owner, d.Number, g.Waited.Round(time.Millisecond), d.Kind, g.Endpoint, g.Estimate.Round(time.Millisecond))
+	case "refused":
+		var r permit.Refused
+		if json.Unmarshal(a.Action, &r) != nil || !slices.Contains(attempts, r.ID) {
+			return ""
+		}
+		return fmt.Sprintf("owner %s, decision %d: after %v of waiting, on a %s event, it was refused for %s",
+			d.Owner, d.Number, r.Waited.Round(time.Millisecond), d.Kind, r.Reason)
+	}
+	return ""
+}
+
+func (r *finishedReport) sentence() string {
+	text := fmt.Sprintf("request %s of %s (tier %s) at host %s: %s", r.Request, r.Customer, r.Tier, r.Host, r.Outcome)
+	if r.Reason != "" {
+		text += ", for " + r.Reason
+	}
+	if r.Endpoint != "" {
+		text += ", last sent towards " + r.Endpoint
+	}
+	return text + fmt.Sprintf(", after %.0f ms of %.0f ms", r.Took, r.Deadline)
+}
--- /dev/null
+++ b/godwitmoor/pkg/commands/status.go
@@ -0,0 +1,32 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/godwitmoor/pkg/statusport"
+)
+
+func status(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the hosts and the configuration each has in force",
+		Flags: []cli.Flag{hostFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			view, err := statusport.Any(ctx, c.StringSlice("host"))
+			if err != nil {
+				return err
+			}
+			table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(table, "HOST\tDATA CENTRE\tPHASE\tVERSION\tSILENT")
+			for _, h := range view.Hosts {
+				fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%dms\n", h.Name, h.DataCentre, h.Phase, h.Version, h.SilenceMs)
+			}
+			fmt.Fprintf(table, "as seen by %s\n", view.Host)
+			return table.Flush()
+		},
+	}
+}
--- /dev/null
+++ b/godwitmoord/main.go
@@ -0,0 +1,6 @@
+// Command godwitmoord is the daemon that runs on every host.
+package main
+
+import "godwitmoor.example/godwitmoord/pkg/app"
+
+func main() { app.Main() }
--- /dev/null
+++ b/godwitmoord/pkg/app/app.go
@@ -0,0 +1,197 @@
+// Package app wires the daemon together and runs it from its start to a clean
+// stop.
+//
+// # Usage
+//
+//	godwitmoord --settings host.jsonc
+//
+// SIGTERM or SIGINT stops it: the host reports that it is not ready, keeps
+// taking requests until the balancer has had time to notice, finishes all that
+// it holds and exits with 0. A second signal changes nothing.
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/godwitmoord/pkg/claims"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/dispatch"
+	"godwitmoor.example/godwitmoord/pkg/front"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/peer"
+	"godwitmoor.example/godwitmoord/pkg/record"
+	"godwitmoor.example/godwitmoord/pkg/release"
+	"godwitmoor.example/godwitmoord/pkg/serving"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+	"godwitmoor.example/godwitmoord/pkg/status"
+)
+
+const (
+	readyInterval = 50 * time.Millisecond
+	// writeBehind bounds the wait for claims that are still to be written when
+	// all requests have ended; what is not written then is told as unknown.
+	writeBehind = 15 * time.Second
+)
+
+// Main runs the daemon and ends the process.
+func Main() {
+	command := &cli.Command{
+		Name:  "godwitmoord",
+		Usage: "schedule requests between callers and endpoints",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` of settings, JSON with comments"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "godwitmoord:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String("settings"))
+	if err != nil || c.Bool("check") {
+		return err
+	}
+	log, err := newLog(s)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	d := New(s, log)
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	received := <-signals
+	log.Info("stopping", zap.String("signal", received.String()))
+	n := &ignorer{log: log, signals: signals}
+	go n.run()
+	return d.Stop()
+}
+
+// ignorer says that a further signal does not hurry the stop.
+type ignorer struct {
+	log     *zap.Logger
+	signals <-chan os.Signal
+}
+
+func (n *ignorer) run() {
+	for received := range n.signals {
+		n.log.Warn("already stopping; requests in progress are finished first", zap.String("signal", received.String()))
+	}
+}
+
+func newLog(s settings.Settings) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	config.OutputPaths = []string{"stdout"}
+	// Sampling would drop lines that an explanation needs.
+	config.Sampling = nil
+	log, err := config.Build()
+	if err != nil {
+		return nil, errors.Wrap(err, "open the log")
+	}
+	return log.With(zap.String("host", s.Name)), nil
+}
+
+// Daemon is one host's process.
+type Daemon struct {
+	common  *common.Common
+	kernel  *kernel.Kernel
+	members *membership.Service
+	release *release.Service
+	status  *status.Service
+	cancel  context.CancelFunc
+}
+
+// New makes a daemon that Start sets to work.
+func New(s settings.Settings, log *zap.Logger) *Daemon {
+	k := kernel.New(log)
+	c := &common.Common{
+		Log:      log,
+		Settings: s,
+		Self:     host.Identity{Name: s.Name, Incarnation: time.Now().UnixMilli()},
+		Kernel:   k,
+		Metrics:  metrics.NewRegistry(),
+	}
+	store := &keyvalue.Client{URL: s.KeyValueURL}
+	d := &Daemon{common: c, kernel: k}
+	d.members = membership.New(c)
+	d.release = release.New(c, &configuration.Register{Store: store})
+	d.status = status.New(c)
+	owner := dispatch.NewOwner(c)
+	d.members.OnLost(owner.HostLost)
+	k.Register(kernel.Record, record.New(c))
+	k.Register(kernel.Peer, peer.New(c))
+	k.Register(kernel.Membership, d.members)
+	k.Register(kernel.Release, d.release)
+	k.Register(kernel.Claims, claims.New(c, store))
+	k.Register(kernel.Owner, owner)
+	k.Register(kernel.Dispatch, dispatch.NewEntry(c))
+	k.Register(kernel.Serving, serving.New(c))
+	k.Register(kernel.Front, front.New(c))
+	k.Register(kernel.Status, d.status)
+	return d
+}
+
+// Start starts the services; the host takes a role once it is ready.
+func (d *Daemon) Start(ctx context.Context) error {
+	ctx, d.cancel = context.WithCancel(ctx)
+	if err := d.kernel.Start(ctx); err != nil {
+		return err
+	}
+	go d.run(ctx)
+	d.common.Log.Info("started", zap.Int64("incarnation", d.common.Self.Incarnation))
+	return nil
+}
+
+// run takes the host's role up when it has a configuration.
+func (d *Daemon) run(ctx context.Context) {
+	for !d.release.Ready() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readyInterval):
+		}
+	}
+	d.members.SetPhase(membership.Ready)
+	d.common.Log.Info("ready")
+}
+
+// Stop leaves the fleet in good order and ends when nothing is in progress.
+func (d *Daemon) Stop() error {
+	d.status.BeginStop()
+	d.members.SetPhase(membership.Leaving)
+	time.Sleep(d.common.Settings.StopNotice.Std())
+	ctx, cancel := context.WithCancel(context.Background())
+	if bound := d.common.Settings.StopBound.Std(); bound > 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), bound)
+	}
+	defer cancel()
+	frontService, err := kernel.Lookup[*front.Service](d.kernel, kernel.Front)
+	if err != nil {
+		return err
+	}
+	err = frontService.Stop(ctx)
+	rest, cancelRest := context.WithTimeout(context.Background(), writeBehind)
+	defer cancelRest()
+	err = errors.CombineErrors(err, d.kernel.Stop(rest))
+	d.cancel()
+	d.common.Log.Info("stopped", zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -0,0 +1,344 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/peer"
+)
+
+const (
+	// watchInterval is how often a change of owners is looked for.
+	watchInterval = 100 * time.Millisecond
+	// repeatAfter is the age at which an unanswered ask is sent again.
+	repeatAfter = time.Second
+	// listInterval is how often an owner gets the list of permits held here.
+	listInterval = 2 * time.Second
+)
+
+// Grant is a permit as its entry holds it. Give it back with Done or Unused.
+type Grant struct {
+	Permit   permit.Permit
+	Estimate time.Duration
+	entry    *Entry
+	service  string
+	owner    string
+}
+
+// RefusedError says that the owner refused an ask, and why.
+type RefusedError struct {
+	Reason     permit.Reason
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("no place: %s; ask again in %v", e.Reason, e.RetryAfter)
+}
+
+// Entry asks owners for permits on behalf of the requests that wait here.
+type Entry struct {
+	common  *common.Common
+	members *membership.Service
+	owners  *Owner
+	outbox  peer.Outbox
+	ctx     context.Context
+
+	mu      sync.Mutex
+	waiting map[string]*pending
+	held    map[string]*Grant
+	asked   map[string]string
+	listed  time.Time
+}
+
+// pending is an ask without an answer.
+type pending struct {
+	service  string
+	ask      permit.Ask
+	deadline time.Time
+	sent     time.Time
+	owner    string
+	answered chan answer
+}
+
+type answer struct {
+	grant   *Grant
+	refused *RefusedError
+}
+
+// NewEntry makes the service.
+func NewEntry(c *common.Common) *Entry {
+	return &Entry{
+		common:  c,
+		waiting: map[string]*pending{},
+		held:    map[string]*Grant{},
+		asked:   map[string]string{},
+	}
+}
+
+// Start begins to watch owners.
+func (e *Entry) Start(ctx context.Context) error {
+	var err error
+	if e.members, err = kernel.Lookup[*membership.Service](e.common.Kernel, kernel.Membership); err != nil {
+		return err
+	}
+	if e.owners, err = kernel.Lookup[*Owner](e.common.Kernel, kernel.Owner); err != nil {
+		return err
+	}
+	peers, err := kernel.Lookup[*peer.Service](e.common.Kernel, kernel.Peer)
+	if err != nil {
+		return err
+	}
+	e.ctx = ctx
+	e.outbox = peer.Outbox{To: kernel.Owner, Service: peers, Address: e.members.Address, Failed: e.members.Avoid}
+	e.owners.local = e.accept
+	peers.Handle(kernel.Dispatch, peer.Inbox(e.accept))
+	go e.run(ctx)
+	return nil
+}
+
+// Stop has nothing to end beyond the context.
+func (e *Entry) Stop(context.Context) error { return nil }
+
+// Acquire waits for a permit until ctx ends. An error is a *RefusedError, or
+// that of ctx; either way the request holds no permit.
+func (e *Entry) Acquire(ctx context.Context, service string, ask permit.Ask, deadline time.Time) (*Grant, error) {
+	p := &pending{service: service, ask: ask, deadline: deadline, answered: make(chan answer, 1)}
+	e.mu.Lock()
+	e.waiting[ask.ID] = p
+	e.mu.Unlock()
+	e.sendAsk(p, e.ownerOf(service))
+	select {
+	case a := <-p.answered:
+		if a.refused != nil {
+			return nil, a.refused
+		}
+		return a.grant, nil
+	case <-ctx.Done():
+		e.giveUp(p)
+		return nil, ctx.Err()
+	}
+}
+
+func (e *Entry) giveUp(p *pending) {
+	e.mu.Lock()
+	delete(e.waiting, p.ask.ID)
+	owner := p.owner
+	e.mu.Unlock()
+	select {
+	case a := <-p.answered:
+		// The grant came in the same moment.
+		if a.grant != nil {
+			a.grant.Unused()
+		}
+	default:
+		e.send(owner, entryMessage{Kind: withdrawKind, Service: p.service, ID: p.ask.ID})
+	}
+}
+
+// Done gives a used permit back, with what the request took.
+func (g *Grant) Done(usage permit.Usage) {
+	g.giveBack(entryMessage{Kind: finishKind, Service: g.service, ID: g.Permit.ID, Usage: &usage})
+}
+
+// Unused gives a permit back that no request was sent with.
+func (g *Grant) Unused() {
+	g.giveBack(entryMessage{Kind: withdrawKind, Service: g.service, ID: g.Permit.ID})
+}
+
+func (g *Grant) giveBack(m entryMessage) {
+	e := g.entry
+	e.mu.Lock()
+	delete(e.held, g.Permit.ID)
+	e.mu.Unlock()
+	e.send(g.owner, m)
+	// A new owner that heard of the permit from the list waits for its end too.
+	if current := e.ownerOf(g.service); current != g.owner {
+		e.send(current, m)
+	}
+}
+
+func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.ReadyNames(), service) }
+
+func (e *Entry) sendAsk(p *pending, owner string) {
+	e.mu.Lock()
+	p.owner = owner
+	p.sent = time.Now()
+	e.mu.Unlock()
+	ask := p.ask
+	e.send(owner, entryMessage{Kind: askKind, Service: p.service, Ask: &ask, Budget: time.Until(p.deadline)})
+}
+
+func (e *Entry) send(owner string, m entryMessage) {
+	if owner != e.common.Self.Name {
+		if !e.outbox.Send(e.ctx, owner, m) {
+			e.common.Count("entry.messages.dropped")
+		}
+		return
+	}
+	data, err := cbor.Marshal(m)
+	if err == nil {
+		err = e.owners.accept(e.common.Self, data)
+	}
+	if err != nil {
+		e.common.Count("entry.messages.refused")
+	}
+}
+
+// accept takes one decision of an owner.
+func (e *Entry) accept(from host.Identity, message []byte) error {
+	var m ownerMessage
+	if err := cbor.Unmarshal(message, &m); err != nil || m.ID == "" {
+		return &peer.RefusedError{Why: "malformed decision"}
+	}
+	e.mu.Lock()
+	p := e.waiting[m.ID]
+	if p == nil {
+		held := e.held[m.ID]
+		e.mu.Unlock()
+		e.returnStray(from, m, held)
+		return nil
+	}
+	if m.Endpoint == "" && p.owner != from.Name {
+		// A former owner's refusal; the present one decides.
+		e.mu.Unlock()
+		return nil
+	}
+	delete(e.waiting, m.ID)
+	result := answer{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter}}
+	if m.Endpoint != "" {
+		result = answer{grant: &Grant{
+			Permit:   permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
+			Estimate: m.Estimate,
+			entry:    e,
+			service:  p.service,
+			owner:    from.Name,
+		}}
+		e.held[m.ID] = result.grant
+	}
+	asked := p.owner
+	e.mu.Unlock()
+	p.answered <- result
+	if asked != from.Name {
+		e.send(asked, entryMessage{Kind: withdrawKind, Service: p.service, ID: m.ID})
+	}
+	return nil
+}
+
+// returnStray gives back a grant that nothing waits for any more.
+func (e *Entry) returnStray(from host.Identity, m ownerMessage, held *Grant) {
+	if m.Endpoint == "" || (held != nil && held.owner == from.Name) {
+		return
+	}
+	service, known := e.serviceOf(m.Endpoint)
+	if known {
+		e.send(from.Name, entryMessage{Kind: withdrawKind, Service: service, ID: m.ID})
+	}
+}
+
+func (e *Entry) serviceOf(endpoint string) (string, bool) {
+	current := e.owners.release.Current()
+	for _, s := range current.Configuration.Services {
+		for _, other := range s.Endpoints {
+			if other.Name == endpoint {
+				return s.Name, true
+			}
+		}
+	}
+	return "", false
+}
+
+// run moves waiting requests to a new owner, repeats asks that got no answer,
+// and tells owners which permits are held here.
+func (e *Entry) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(watchInterval):
+		}
+		for _, service := range e.movedServices() {
+			e.sendList(service)
+		}
+		for _, p := range e.overdue() {
+			e.sendAsk(p, e.ownerOf(p.service))
+		}
+		if time.Since(e.listed) > listInterval {
+			e.listed = time.Now()
+			e.sendLists()
+		}
+	}
+}
+
+// movedServices gives the services in use here whose owner has changed.
+func (e *Entry) movedServices() []string {
+	ready := e.members.ReadyNames()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var moved []string
+	for service := range e.inUse() {
+		owner := ownerOf(ready, service)
+		if e.asked[service] != owner {
+			e.asked[service] = owner
+			moved = append(moved, service)
+		}
+	}
+	return moved
+}
+
+// inUse gives the services with requests here; e.mu is held.
+func (e *Entry) inUse() map[string]bool {
+	services := map[string]bool{}
+	for _, p := range e.waiting {
+		services[p.service] = true
+	}
+	for _, g := range e.held {
+		services[g.service] = true
+	}
+	return services
+}
+
+func (e *Entry) overdue() []*pending {
+	ready := e.members.ReadyNames()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var overdue []*pending
+	for _, p := range e.waiting {
+		if ownerOf(ready, p.service) != p.owner || time.Since(p.sent) > repeatAfter {
+			overdue = append(overdue, p)
+		}
+	}
+	return overdue
+}
+
+func (e *Entry) sendLists() {
+	e.mu.Lock()
+	services := e.inUse()
+	// Owners that were told of permits before hear of their end as well.
+	for service := range e.asked {
+		services[service] = true
+	}
+	e.mu.Unlock()
+	for service := range services {
+		e.sendList(service)
+	}
+}
+
+func (e *Entry) sendList(service string) {
+	e.mu.Lock()
+	permits := []permit.Permit{}
+	for _, g := range e.held {
+		if g.service == service {
+			permits = append(permits, g.Permit)
+		}
+	}
+	e.mu.Unlock()
+	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits})
+}
--- /dev/null
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -0,0 +1,294 @@
+// Package dispatch brings waiting requests and free places together.
+//
+// The host that holds a request, the entry, asks the owner of the service for a
+// permit and sends the request itself. The owner is the live host that comes
+// first by rendezvous hashing; it runs the decision core for the service and
+// keeps nothing that the entries could not tell a new owner. Two owners for a
+// while, or a lost message, can let in too many requests at once; they can never
+// run one twice, since an entry uses one permit for a request at a time.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/peer"
+	"godwitmoor.example/godwitmoord/pkg/record"
+	"godwitmoor.example/godwitmoord/pkg/release"
+	"godwitmoor.example/godwitmoord/pkg/ring"
+)
+
+const (
+	eventRing    = 16384
+	tickInterval = 50 * time.Millisecond
+	// settleTime is how long a new owner leaves room for permits that entries
+	// have not told it of yet.
+	settleTime = time.Second
+)
+
+// Owner decides for the services that this host owns.
+type Owner struct {
+	common  *common.Common
+	release *release.Service
+	members *membership.Service
+	record  *record.Service
+	outbox  peer.Outbox
+	// local takes the decisions for requests that wait on this host itself.
+	local func(from host.Identity, message []byte) error
+	ctx   context.Context
+
+	mu    sync.Mutex
+	seats map[string]*seat
+}
+
+// seat is this host's ownership of one service.
+type seat struct {
+	owner   *Owner
+	service string
+	epoch   int64
+	number  int64
+	core    permit.Core
+	events  ring.Ring[permit.Event]
+}
+
+// NewOwner makes the service.
+func NewOwner(c *common.Common) *Owner {
+	return &Owner{common: c, seats: map[string]*seat{}}
+}
+
+// Start begins to take messages from entries.
+func (o *Owner) Start(ctx context.Context) error {
+	var err error
+	if o.release, err = kernel.Lookup[*release.Service](o.common.Kernel, kernel.Release); err != nil {
+		return err
+	}
+	if o.members, err = kernel.Lookup[*membership.Service](o.common.Kernel, kernel.Membership); err != nil {
+		return err
+	}
+	if o.record, err = kernel.Lookup[*record.Service](o.common.Kernel, kernel.Record); err != nil {
+		return err
+	}
+	peers, err := kernel.Lookup[*peer.Service](o.common.Kernel, kernel.Peer)
+	if err != nil {
+		return err
+	}
+	changes, err := o.common.Kernel.Subscribe(ctx, kernel.ConfigurationChanged)
+	if err != nil {
+		return err
+	}
+	o.ctx = ctx
+	o.outbox = peer.Outbox{To: kernel.Dispatch, Service: peers, Address: o.members.Address, Failed: o.members.Avoid}
+	peers.Handle(kernel.Owner, peer.Inbox(o.accept))
+	go o.run(changes)
+	p := &poller{owner: o, client: newLoadClient(), failures: map[string]int{}, closed: map[string]string{}}
+	go p.run(ctx)
+	return nil
+}
+
+// Stop has nothing to hand over: entries tell the next owner.
+func (o *Owner) Stop(context.Context) error { return nil }
+
+// HostLost tells every seat that a host's life has ended.
+func (o *Owner) HostLost(life host.Identity) {
+	for _, s := range o.openSeats() {
+		s.events.Offer(permit.HostLost{At: instantNow(), Host: life.Name})
+	}
+}
+
+// run passes new configurations on to the seats.
+func (o *Owner) run(changes <-chan []byte) {
+	for range changes {
+		for _, s := range o.openSeats() {
+			s.configure()
+		}
+	}
+}
+
+func (o *Owner) openSeats() []*seat {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seats := make([]*seat, 0, len(o.seats))
+	for _, s := range o.seats {
+		seats = append(seats, s)
+	}
+	return seats
+}
+
+// accept takes one message of an entry.
+func (o *Owner) accept(from host.Identity, message []byte) error {
+	var m entryMessage
+	if err := cbor.Unmarshal(message, &m); err != nil {
+		return &peer.RefusedError{Why: "malformed message to an owner"}
+	}
+	event := m.event(from.Name)
+	if event == nil {
+		return &peer.RefusedError{Why: "unknown message to an owner"}
+	}
+	s := o.seat(m.Service)
+	if s == nil {
+		// The entry has a configuration that this host has not yet; it asks again.
+		o.common.Count("owner.events.unknown-service")
+		return nil
+	}
+	if !s.events.Offer(event) {
+		o.common.Count("owner.events.dropped")
+	}
+	return nil
+}
+
+func (m entryMessage) event(from string) permit.Event {
+	now := instantNow()
+	switch m.Kind {
+	case askKind:
+		if m.Ask == nil || m.Ask.ID == "" {
+			return nil
+		}
+		ask := *m.Ask
+		ask.Host = from
+		ask.Deadline = now.After(m.Budget)
+		return permit.Asked{At: now, Ask: ask}
+	case withdrawKind:
+		return permit.Withdrawn{At: now, ID: m.ID}
+	case finishKind:
+		if m.Usage == nil {
+			return nil
+		}
+		return permit.Finished{At: now, ID: m.ID, Usage: *m.Usage}
+	case listKind:
+		return permit.Listed{At: now, Host: from, Permits: m.Permits}
+	default:
+		return nil
+	}
+}
+
+// seat gives the seat for a service, and opens it at the first message: an
+// entry that takes this host for the owner may know better than this host.
+func (o *Owner) seat(service string) *seat {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s := o.seats[service]; s != nil {
+		return s
+	}
+	current := o.release.Current()
+	if current == nil {
+		return nil
+	}
+	if _, known := current.Configuration.Service(service); !known {
+		return nil
+	}
+	s := &seat{
+		owner:   o,
+		service: service,
+		epoch:   time.Now().UnixNano(),
+		events:  ring.New[permit.Event](eventRing),
+	}
+	o.seats[service] = s
+	s.configure()
+	go s.run(o.ctx)
+	return s
+}
+
+// configure queues the rules in force.
+func (s *seat) configure() {
+	current := s.owner.release.Current()
+	service, known := current.Configuration.Service(s.service)
+	if !known {
+		// A service that was removed keeps its last rules until its requests end.
+		return
+	}
+	event := permit.Configured{
+		At:         instantNow(),
+		Version:    current.Version,
+		Tiers:      len(current.Configuration.Tiers),
+		QueueLimit: service.QueueLimit,
+		Endpoints:  rulesOf(service),
+		Settle:     settleTime,
+	}
+	if !s.events.Offer(event) {
+		s.owner.common.Count("owner.events.dropped")
+	}
+}
+
+func rulesOf(service *configuration.Service) []permit.EndpointRules {
+	rules := make([]permit.EndpointRules, len(service.Endpoints))
+	for i, e := range service.Endpoints {
+		rules[i] = permit.EndpointRules{
+			Name:         e.Name,
+			Limit:        e.InFlightLimit,
+			PrefillSpeed: e.PrefillSpeed,
+			DecodeSpeed:  e.DecodeSpeed,
+			Leaving:      e.Leaving,
+		}
+	}
+	return rules
+}
+
+// run decides, one event at a time.
+func (s *seat) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-s.events.Slots():
+			s.step(event)
+		case <-ticker.C:
+			// Time changes nothing for a core that holds nothing.
+			if waiting, held := s.core.Load(); waiting+held > 0 {
+				s.step(permit.Ticked{At: instantNow()})
+			}
+		}
+	}
+}
+
+func (s *seat) step(event permit.Event) {
+	actions := s.core.Step(event)
+	s.number++
+	line := permit.Line{Service: s.service, Owner: s.owner.common.Self.Name, Epoch: s.epoch, Number: s.number}
+	line, err := line.WithDecision(event, actions)
+	if err != nil {
+		s.owner.common.Log.Error("decision cannot be recorded", zap.Error(err))
+	} else {
+		s.owner.record.Add(record.Line{Decision: &line})
+	}
+	for _, action := range actions {
+		s.announce(action)
+	}
+}
+
+// announce tells the entry what was decided.
+func (s *seat) announce(action permit.Action) {
+	switch a := action.(type) {
+	case permit.Granted:
+		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate})
+	case permit.Refused:
+		s.tell(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter})
+	}
+}
+
+func (s *seat) tell(name string, m ownerMessage) {
+	o := s.owner
+	if name != o.common.Self.Name {
+		if !o.outbox.Send(o.ctx, name, m) {
+			o.common.Count("owner.messages.dropped")
+		}
+		return
+	}
+	data, err := cbor.Marshal(m)
+	if err == nil {
+		err = o.local(o.common.Self, data)
+	}
+	if err != nil {
+		o.common.Log.Error("decision not delivered", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"godwitmoor.example/coordination/pkg/permit"
+)
+
+// entryKind says what an entry tells an owner.
+type entryKind uint8
+
+const (
+	askKind entryKind = iota + 1
+	withdrawKind
+	finishKind
+	listKind
+)
+
+// entryMessage goes from an entry to the owner of a service.
+type entryMessage struct {
+	Kind    entryKind       `cbor:"1,keyasint"`
+	Service string          `cbor:"2,keyasint"`
+	ID      string          `cbor:"3,keyasint,omitempty"`
+	Ask     *permit.Ask     `cbor:"4,keyasint,omitempty"`
+	Usage   *permit.Usage   `cbor:"5,keyasint,omitempty"`
+	Permits []permit.Permit `cbor:"6,keyasint,omitempty"`
+	// Budget is the time to the ask's deadline when the message was made: the
+	// owner adds it to its own clock, so that clocks need not agree.
+	Budget time.Duration `cbor:"7,keyasint,omitempty"`
+}
+
+// ownerMessage goes from the owner of a service to an entry.
+type ownerMessage struct {
+	ID string `cbor:"1,keyasint"`
+	// Endpoint is set for a grant.
+	Endpoint string `cbor:"2,keyasint,omitempty"`
+	// Reason is set for a refusal.
+	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Estimate   time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+func instantNow() permit.Instant { return permit.Instant(time.Now().UnixNano()) }
--- /dev/null
+++ b/godwitmoord/pkg/front/front.go
@@ -0,0 +1,301 @@
+// Package front meets the callers over HTTP.
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/claim"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/release"
+	"godwitmoor.example/godwitmoord/pkg/serving"
+	"godwitmoor.example/godwitmoord/pkg/text"
+)
+
+const (
+	maxHeaderBytes    = 32 << 10
+	readHeaderTimeout = 10 * time.Second
+	readBodyTimeout   = 30 * time.Second
+	idleTimeout       = 90 * time.Second
+	// bytesPerToken estimates a prompt's tokens where the caller does not tell.
+	bytesPerToken       = 4
+	defaultAnswerTokens = 256
+	maxAnswerTokens     = 1 << 20
+)
+
+// Headers that callers send.
+const (
+	keyHeader     = "Idempotency-Key"
+	tierHeader    = "Request-Tier"
+	timeoutHeader = "Request-Timeout"
+)
+
+// Service is the HTTP server for callers.
+type Service struct {
+	common  *common.Common
+	release *release.Service
+	serving *serving.Service
+	server  *http.Server
+}
+
+// New makes the service.
+func New(c *common.Common) *Service { return &Service{common: c} }
+
+// Start opens the listener.
+func (s *Service) Start(context.Context) error {
+	var err error
+	if s.release, err = kernel.Lookup[*release.Service](s.common.Kernel, kernel.Release); err != nil {
+		return err
+	}
+	if s.serving, err = kernel.Lookup[*serving.Service](s.common.Kernel, kernel.Serving); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.common.Settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers; set a free listen address")
+	}
+	router := chi.NewRouter()
+	router.HandleFunc("/*", s.serve)
+	s.server = &http.Server{
+		Handler:           router,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	go s.run(listener)
+	return nil
+}
+
+func (s *Service) run(listener net.Listener) {
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.common.Log.Error("the callers' listener ended", zap.Error(err))
+	}
+}
+
+// Stop takes no new connection and waits for every request in progress. When
+// ctx ends first, the rest is cut.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.common.Log.Warn("requests were cut by stop-bound", zap.Error(err))
+		return s.server.Close()
+	}
+	return nil
+}
+
+// fault is a request that cannot be served as it stands.
+type fault struct {
+	status int
+	reason text.Reason
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	current := s.release.Current()
+	if current == nil {
+		s.refuse(w, "", http.StatusServiceUnavailable, serving.Refused{Outcome: text.NotRun, Reason: text.NotReady, RetryAfter: time.Second})
+		return
+	}
+	request, wrong := s.read(w, r, &current.Configuration, arrived)
+	if wrong != nil {
+		s.common.Count("front.faults." + string(wrong.reason))
+		s.refuse(w, request.ID, wrong.status, serving.Refused{Outcome: text.NotRun, Reason: wrong.reason})
+		return
+	}
+	c := &caller{writer: w, control: http.NewResponseController(w), request: request.ID, host: s.common.Self.Name}
+	switch ending := s.serving.Serve(r.Context(), request, c).(type) {
+	case serving.Refused:
+		s.refuse(w, request.ID, statusOf(ending), ending)
+	case serving.Broken:
+		// Closing the connection inside the answer is the one sign that no HTTP
+		// client takes for a regular end.
+		panic(http.ErrAbortHandler)
+	case serving.Delivered:
+	}
+}
+
+// read makes a request of what the caller sent, or says what is wrong with it.
+func (s *Service) read(w http.ResponseWriter, r *http.Request, c *configuration.Configuration, arrived time.Time) (serving.Request, *fault) {
+	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Claims: c.Claims}
+	customer, known := customerOf(c, r)
+	if !known {
+		return request, &fault{http.StatusUnauthorized, text.Unauthorized}
+	}
+	request.Customer = customer.Name
+	service, path, found := c.Route(r.URL.Path)
+	if !found {
+		return request, &fault{http.StatusNotFound, text.NoSuchService}
+	}
+	request.Service = *service
+	request.Path = withQuery(path, r.URL.RawQuery)
+	rule := c.RuleFor(service.Name, r.Method, path)
+	request.Idempotent = rule.Idempotent
+	if wrong := setTier(&request, c, customer, rule, r.Header.Get(tierHeader)); wrong != nil {
+		return request, wrong
+	}
+	if wrong := setDeadline(&request, c, r.Header.Get(timeoutHeader)); wrong != nil {
+		return request, wrong
+	}
+	if wrong := setKey(&request, r.Header.Get(keyHeader)); wrong != nil {
+		return request, wrong
+	}
+	if wrong := readBody(&request, w, r); wrong != nil {
+		return request, wrong
+	}
+	request.Header = headerOf(r)
+	if service.Kind == configuration.Model {
+		request.PromptTokens, request.AnswerTokens = estimate(request.Body)
+	}
+	return request, nil
+}
+
+func customerOf(c *configuration.Configuration, r *http.Request) (configuration.Customer, bool) {
+	token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !bearer {
+		return configuration.Customer{}, false
+	}
+	digest := sha256.Sum256([]byte(token))
+	name := hex.EncodeToString(digest[:])
+	i := slices.IndexFunc(c.Customers, func(k configuration.Customer) bool { return k.TokenSHA256 == name })
+	if i < 0 {
+		return configuration.Customer{}, false
+	}
+	return c.Customers[i], true
+}
+
+func withQuery(path, query string) string {
+	if query == "" {
+		return path
+	}
+	return path + "?" + query
+}
+
+// setTier takes the tier asked for if it is granted to the customer, else that
+// of the rule, else the best one granted below it.
+func setTier(request *serving.Request, c *configuration.Configuration, customer configuration.Customer, rule configuration.Rule, asked string) *fault {
+	if asked != "" {
+		rank, known := c.TierRank(asked)
+		if !known {
+			return &fault{http.StatusBadRequest, text.UnknownTier}
+		}
+		if !slices.Contains(customer.Tiers, asked) {
+			return &fault{http.StatusForbidden, text.TierNotGranted}
+		}
+		request.Tier, request.Rank = asked, rank
+		return nil
+	}
+	least, _ := c.TierRank(rule.Tier)
+	for rank := least; rank < len(c.Tiers); rank++ {
+		if slices.Contains(customer.Tiers, c.Tiers[rank].Name) {
+			request.Tier, request.Rank = c.Tiers[rank].Name, rank
+			return nil
+		}
+	}
+	return &fault{http.StatusForbidden, text.TierNotGranted}
+}
+
+func setDeadline(request *serving.Request, c *configuration.Configuration, asked string) *fault {
+	allowed := c.Deadline(request.Rank)
+	if asked != "" {
+		timeout, err := time.ParseDuration(asked)
+		if err != nil || timeout <= 0 {
+			return &fault{http.StatusBadRequest, text.BadTimeout}
+		}
+		allowed = min(allowed, timeout)
+	}
+	request.Deadline = request.Arrived.Add(allowed)
+	return nil
+}
+
+func setKey(request *serving.Request, key string) *fault {
+	if request.Idempotent {
+		return nil
+	}
+	if key == "" {
+		return &fault{http.StatusBadRequest, text.KeyMissing}
+	}
+	// The published form of the header puts the key in quotes.
+	parsed, err := uuid.Parse(strings.Trim(key, `"`))
+	if err != nil {
+		return &fault{http.StatusBadRequest, text.KeyMalformed}
+	}
+	request.Key = parsed.String()
+	if _, err := (claim.Key{ID: request.Key}).Created(); err != nil {
+		return &fault{http.StatusBadRequest, text.KeyMalformed}
+	}
+	return nil
+}
+
+func readBody(request *serving.Request, w http.ResponseWriter, r *http.Request) *fault {
+	control := http.NewResponseController(w)
+	// A caller that sends its body too slowly is cut off; the deadline is lifted
+	// again, since the server reads on to notice callers that go away.
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, request.Service.BodyLimit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &fault{http.StatusRequestEntityTooLarge, text.BodyTooLarge}
+	}
+	if err != nil {
+		return &fault{http.StatusBadRequest, text.BadBody}
+	}
+	request.Body = body
+	return nil
+}
+
+// dropped are headers that concern the caller's own connection, or that only
+// this system may set towards an endpoint.
+var dropped = []string{
+	"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+	"Authorization", "Expect", keyHeader, "X-Idempotency-Key", tierHeader, timeoutHeader,
+	attempt.RequestHeader, attempt.AttemptHeader, attempt.KeyHeader, attempt.OffsetHeader,
+}
+
+func headerOf(r *http.Request) http.Header {
+	header := r.Header.Clone()
+	for _, name := range dropped {
+		header.Del(name)
+	}
+	return header
+}
+
+// sizes is what a model request says of its length.
+type sizes struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// estimate gives the tokens of a model request from its body.
+func estimate(body []byte) (prompt, answer int) {
+	var told sizes
+	// Bodies of another form are judged by their length alone.
+	_ = json.Unmarshal(body, &told)
+	length := len(told.Prompt)
+	if length == 0 {
+		length = len(body)
+	}
+	answer = defaultAnswerTokens
+	if told.MaxTokens > 0 {
+		answer = min(told.MaxTokens, maxAnswerTokens)
+	}
+	return max(1, length/bytesPerToken), answer
+}
--- /dev/null
+++ b/godwitmoord/pkg/peer/peer.go
@@ -0,0 +1,275 @@
+// Package peer carries calls between the hosts. Every call has a deadline; a
+// connection on which one call timed out is closed and never used again, as it
+// may be open and dead.
+//
+// # Usage
+//
+//	peers.Handle("owner", owner.handle)
+//	reply, err := peers.Call(ctx, address, "owner", body)
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/common"
+)
+
+const (
+	// protocolVersion is refused by hosts that do not know it.
+	protocolVersion = 1
+	callTimeout     = 2 * time.Second
+	dialTimeout     = time.Second
+	rpcName         = "Host"
+	rpcMethod       = "Host.Call"
+)
+
+// Handler answers a call of another host.
+type Handler func(from host.Identity, body []byte) ([]byte, error)
+
+// envelope is what one call carries.
+type envelope struct {
+	Version     int    `cbor:"1,keyasint"`
+	To          string `cbor:"2,keyasint"`
+	From        string `cbor:"3,keyasint"`
+	Incarnation int64  `cbor:"4,keyasint"`
+	Body        []byte `cbor:"5,keyasint"`
+}
+
+// RefusedError says that a call was turned down before it reached a service.
+type RefusedError struct{ Why string }
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("peer call refused: %s; run the same version on all hosts", e.Why)
+}
+
+// SilentError says that no reply came in time.
+type SilentError struct {
+	Address string
+	Cause   error
+}
+
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("host at %s does not reply (%v); see whether it is up", e.Address, e.Cause)
+}
+
+func (e *SilentError) Unwrap() error { return e.Cause }
+
+// Service is the host's end of all links to other hosts.
+type Service struct {
+	common   *common.Common
+	listener net.Listener
+	server   *rpc.Server
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	clients  map[string]*rpc.Client
+	accepted map[net.Conn]bool
+	closed   bool
+}
+
+// New makes the service.
+func New(c *common.Common) *Service {
+	return &Service{
+		common:   c,
+		server:   rpc.NewServer(),
+		handlers: map[string]Handler{},
+		clients:  map[string]*rpc.Client{},
+		accepted: map[net.Conn]bool{},
+	}
+}
+
+// Handle names the handler of calls to a service.
+func (s *Service) Handle(to string, handler Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[to] = handler
+}
+
+// receiver is what net/rpc sees: one method of bytes, as it drops methods whose
+// types are unexported.
+type receiver struct{ service *Service }
+
+// Call takes one encoded envelope.
+func (r *receiver) Call(request []byte, reply *[]byte) error {
+	body, err := r.service.receive(request)
+	*reply = body
+	return err
+}
+
+// Start opens the listener.
+func (s *Service) Start(context.Context) error {
+	if err := s.server.RegisterName(rpcName, &receiver{service: s}); err != nil {
+		return errors.Wrap(err, "register the peer receiver")
+	}
+	listener, err := net.Listen("tcp", s.common.Settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers; set a free peer-listen address")
+	}
+	s.listener = listener
+	go s.run()
+	return nil
+}
+
+// run accepts links from other hosts.
+func (s *Service) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.adopt(conn) {
+			return
+		}
+		link := &link{service: s, conn: conn}
+		go link.run()
+	}
+}
+
+func (s *Service) adopt(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.accepted[conn] = true
+	return true
+}
+
+// link serves one accepted connection.
+type link struct {
+	service *Service
+	conn    net.Conn
+}
+
+func (l *link) run() {
+	l.service.server.ServeCodec(serverCodec{newCodec(l.conn)})
+	l.service.mu.Lock()
+	delete(l.service.accepted, l.conn)
+	l.service.mu.Unlock()
+}
+
+// Stop closes all links.
+func (s *Service) Stop(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.accepted {
+		_ = conn.Close()
+	}
+	for _, client := range s.clients {
+		_ = client.Close()
+	}
+	if s.listener == nil {
+		return nil
+	}
+	return errors.Wrap(s.listener.Close(), "close the peer listener")
+}
+
+func (s *Service) receive(request []byte) ([]byte, error) {
+	var e envelope
+	if err := cbor.Unmarshal(request, &e); err != nil {
+		s.common.Count("peer.refused.malformed")
+		return nil, &RefusedError{Why: "malformed envelope"}
+	}
+	if e.Version != protocolVersion {
+		s.common.Count("peer.refused.version")
+		return nil, &RefusedError{Why: fmt.Sprintf("protocol version %d", e.Version)}
+	}
+	s.mu.Lock()
+	handler := s.handlers[e.To]
+	s.mu.Unlock()
+	if handler == nil || e.From == "" {
+		s.common.Count("peer.refused.address")
+		return nil, &RefusedError{Why: fmt.Sprintf("no service %q here", e.To)}
+	}
+	reply, err := handler(host.Identity{Name: e.From, Incarnation: e.Incarnation}, e.Body)
+	if err != nil {
+		s.common.Count("peer.refused.body")
+		s.common.Log.Warn("peer call refused", zap.String("from", e.From), zap.String("to", e.To), zap.Error(err))
+	}
+	return reply, err
+}
+
+// Call sends body to a service of the host at address and gives its reply.
+func (s *Service) Call(ctx context.Context, address, to string, body []byte) ([]byte, error) {
+	request, err := cbor.Marshal(envelope{
+		Version:     protocolVersion,
+		To:          to,
+		From:        s.common.Self.Name,
+		Incarnation: s.common.Self.Incarnation,
+		Body:        body,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode envelope")
+	}
+	client, err := s.client(address)
+	if err != nil {
+		return nil, &SilentError{Address: address, Cause: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply []byte
+	call := client.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		s.discard(address, client)
+		return nil, &SilentError{Address: address, Cause: ctx.Err()}
+	case <-call.Done:
+	}
+	var refused rpc.ServerError
+	if errors.As(call.Error, &refused) {
+		return nil, &RefusedError{Why: string(refused)}
+	}
+	if call.Error != nil {
+		s.discard(address, client)
+		return nil, &SilentError{Address: address, Cause: call.Error}
+	}
+	s.common.Count("peer.calls")
+	s.common.CountBytes("peer.bytes", len(request)+len(reply))
+	return reply, nil
+}
+
+func (s *Service) client(address string) (*rpc.Client, error) {
+	s.mu.Lock()
+	client := s.clients[address]
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
+	if client != nil {
+		return client, nil
+	}
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	fresh := rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if other := s.clients[address]; other != nil {
+		_ = fresh.Close()
+		return other, nil
+	}
+	s.clients[address] = fresh
+	return fresh, nil
+}
+
+func (s *Service) discard(address string, client *rpc.Client) {
+	s.mu.Lock()
+	if s.clients[address] == client {
+		delete(s.clients, address)
+	}
+	s.mu.Unlock()
+	_ = client.Close()
+}
--- /dev/null
+++ b/godwitmoord/pkg/serving/once.go
@@ -0,0 +1,251 @@
+package serving
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/claim"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/godwitmoord/pkg/dispatch"
+	"godwitmoor.example/godwitmoord/pkg/text"
+)
+
+const (
+	// claimTry bounds how long a request holds a place while the key-value
+	// service does not answer its claim.
+	claimTry = time.Second
+	// withdrawTry bounds the wait for the proof that a request did not run.
+	withdrawTry    = time.Second
+	firstLookPause = 25 * time.Millisecond
+	longLookPause  = 500 * time.Millisecond
+	replayHeader   = "Idempotent-Replayed"
+)
+
+// once serves a non-idempotent request: it is sent at most one time, by the
+// holder of the claim to its key.
+func (j *journey) once(ctx context.Context) Ending {
+	application := j.request.application(uuid.NewString())
+	waiting, cancel := context.WithDeadline(ctx, j.request.Deadline)
+	defer cancel()
+	for {
+		verdict, err := j.look(waiting, application)
+		if err != nil {
+			return j.claimFailed(application, err)
+		}
+		if !free(verdict) {
+			return j.report(waiting, application, verdict)
+		}
+		grant, ending := j.acquire(waiting)
+		if ending != nil {
+			return j.withdraw(ctx, application, ending)
+		}
+		verdict, err = j.claim(waiting, application)
+		if err != nil {
+			// The place goes to others; the next round finds out what became of
+			// the claim, and goes on under the same attempt.
+			grant.Unused()
+			if waiting.Err() != nil {
+				return j.claimFailed(application, err)
+			}
+			continue
+		}
+		held, ours := verdict.(claim.Held)
+		if !ours {
+			grant.Unused()
+			return j.report(waiting, application, verdict)
+		}
+		return j.sendHeld(ctx, waiting, held.Holding, grant)
+	}
+}
+
+// free tells whether the request may still be sent by this attempt.
+func free(v claim.Verdict) bool {
+	switch v.(type) {
+	case claim.Vacant, claim.Held:
+		return true
+	default:
+		return false
+	}
+}
+
+// look reads the claim until the service answers. So a repeated key is answered
+// without a place, and nothing holds a place while the service is down.
+func (j *journey) look(ctx context.Context, application claim.Application) (claim.Verdict, error) {
+	for pause := firstLookPause; ; pause = min(2*pause, longLookPause) {
+		verdict, err := j.service.claims.Look(ctx, application, j.retention())
+		if err == nil || permanent(err) {
+			return verdict, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(pause):
+		}
+	}
+}
+
+func permanent(err error) bool {
+	return errors.HasType(err, (*claim.ExpiredKeyError)(nil)) || errors.HasType(err, (*claim.MalformedKeyError)(nil))
+}
+
+func (j *journey) retention() time.Duration { return j.request.Claims.Retention.Std() }
+
+func (j *journey) claim(ctx context.Context, application claim.Application) (claim.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTry)
+	defer cancel()
+	return j.service.claims.Claim(ctx, application, j.retention())
+}
+
+// claimFailed ends a request whose claim could not be settled. This host sent
+// nothing and never will, but an earlier attempt under the same key may have
+// run elsewhere, so not-run would be a guess.
+func (j *journey) claimFailed(application claim.Application, err error) Ending {
+	switch {
+	case errors.HasType(err, (*claim.ExpiredKeyError)(nil)):
+		return Refused{Outcome: text.Unknown, Reason: text.KeyExpired}
+	case errors.HasType(err, (*claim.MalformedKeyError)(nil)):
+		return Refused{Outcome: text.NotRun, Reason: text.KeyMalformed}
+	default:
+		j.service.claims.WithdrawLater(application, j.retention())
+		return Refused{Outcome: text.Unknown, Reason: text.ClaimsUnreachable, RetryAfter: time.Second}
+	}
+}
+
+// withdraw turns a refusal into a certain one: it is told as not-run only after
+// the key was made impossible to run.
+func (j *journey) withdraw(ctx context.Context, application claim.Application, ending Ending) Ending {
+	refused, isRefusal := ending.(Refused)
+	if !isRefusal {
+		return ending
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTry)
+	defer cancel()
+	verdict, err := j.service.claims.Withdraw(ctx, application, j.retention())
+	if err != nil {
+		return j.claimFailed(application, err)
+	}
+	if _, withdrawn := verdict.(claim.NotRun); withdrawn {
+		return refused
+	}
+	return j.report(ctx, application, verdict)
+}
+
+// sendHeld sends a claimed request to the granted endpoint, and to others only
+// as long as no byte of it has gone out.
+func (j *journey) sendHeld(ctx, waiting context.Context, holding claim.Holding, grant *dispatch.Grant) Ending {
+	// A caller that goes away must not cut a request that may have run.
+	ctx = context.WithoutCancel(ctx)
+	for tries := 1; ; tries++ {
+		err := j.send(ctx, grant)
+		if err == nil {
+			j.service.claims.SettleLater(holding, j.keptAnswer())
+			return Delivered{}
+		}
+		j.service.common.Log.Info("attempt failed", zap.String("request", j.request.ID),
+			zap.String("endpoint", j.endpoint), zap.Error(err))
+		if j.sent {
+			j.service.claims.LoseLater(holding)
+			return j.lost(err)
+		}
+		j.avoid = append(j.avoid, j.endpoint)
+		if tries == maxAttempts {
+			j.service.claims.ReleaseLater(holding)
+			return Refused{Outcome: text.NotRun, Reason: text.NoEndpoint, RetryAfter: time.Second}
+		}
+		var ending Ending
+		if grant, ending = j.acquire(waiting); ending != nil {
+			// The claim is ours and nothing was sent: that nobody else can send
+			// it is certain, whether or not the release is written in time.
+			j.service.claims.ReleaseLater(holding)
+			return ending
+		}
+	}
+}
+
+func (j *journey) lost(err error) Ending {
+	if j.relay.begun {
+		return Broken{Reason: text.AnswerLost}
+	}
+	if errors.HasType(err, (*attempt.CrossedError)(nil)) {
+		return Refused{Outcome: text.Unknown, Reason: text.AnswerCrossed}
+	}
+	return Refused{Outcome: text.Unknown, Reason: text.AnswerLost}
+}
+
+func (j *journey) keptAnswer() claim.Answer {
+	kept := claim.Answer{Status: j.relay.status, ContentType: j.relay.contentType, Omitted: j.relay.tooLong}
+	if !kept.Omitted {
+		kept.Body = j.relay.kept.Bytes()
+	}
+	return kept
+}
+
+// report tells the caller what another attempt under the same key came to.
+func (j *journey) report(ctx context.Context, application claim.Application, verdict claim.Verdict) Ending {
+	if running, waits := verdict.(claim.InProgress); waits {
+		verdict = j.await(ctx, application, running.Holder)
+	}
+	switch v := verdict.(type) {
+	case claim.Answered:
+		return j.replay(v.Answer)
+	case claim.NotRun:
+		return Refused{Outcome: text.NotRun, Reason: text.KeyWithdrawn}
+	case claim.Conflict:
+		return Refused{Outcome: text.NotRun, Reason: text.KeyConflict}
+	case claim.InProgress:
+		if j.service.members.Gone(v.Holder) {
+			return Refused{Outcome: text.Unknown, Reason: text.HolderLost}
+		}
+		return Refused{Outcome: text.Unknown, Reason: text.StillRunning, RetryAfter: time.Second}
+	case claim.Unknown:
+		return Refused{Outcome: text.Unknown, Reason: unknownReason(v)}
+	default:
+		return Refused{Outcome: text.Unknown, Reason: text.AnswerLost}
+	}
+}
+
+func unknownReason(v claim.Unknown) text.Reason {
+	if v.AnswerOmitted {
+		return text.AnswerNotKept
+	}
+	return text.AnswerLost
+}
+
+// await reads the claim until the other attempt ends, its host is gone, or the
+// deadline comes.
+func (j *journey) await(ctx context.Context, application claim.Application, holder host.Identity) claim.Verdict {
+	for pause := firstLookPause; ; pause = min(2*pause, longLookPause) {
+		// Asked before the read: a holder that ended after it wrote its answer
+		// is then found answered.
+		gone := j.service.members.Gone(holder)
+		verdict, err := j.service.claims.Look(ctx, application, j.retention())
+		if err == nil {
+			if _, running := verdict.(claim.InProgress); !running || gone {
+				return verdict
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return claim.InProgress{Holder: holder}
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (j *journey) replay(a claim.Answer) Ending {
+	header := http.Header{}
+	if a.ContentType != "" {
+		header.Set("Content-Type", a.ContentType)
+	}
+	header.Set(replayHeader, "true")
+	j.relay.caller.Begin(a.Status, header)
+	if err := j.relay.caller.Part(a.Body); err != nil {
+		return Broken{Reason: text.AnswerLost}
+	}
+	return Delivered{}
+}
--- /dev/null
+++ b/godwitmoord/pkg/serving/relay.go
@@ -0,0 +1,163 @@
+package serving
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/attempt"
+)
+
+const (
+	readSize = 4 << 10
+	// maxEvent bounds one server-sent event, in bytes.
+	maxEvent    = 256 << 10
+	eventStream = "text/event-stream"
+)
+
+// errCallerGone ends a relay whose caller takes no more.
+var errCallerGone = errors.New("the caller is gone")
+
+// errShort says that a stream of events ended before its last event.
+var errShort = errors.New("the stream ended before its last event")
+
+// relay passes answers of one request on to its caller. A stream of events may
+// come from several attempts: only whole events are passed, so that the next
+// attempt can go on where the last one stopped.
+type relay struct {
+	caller Caller
+	kind   configuration.Kind
+	begun  bool
+	// status and contentType are those of the first answer.
+	status      int
+	contentType string
+	// events is the number of events passed on.
+	events int
+	// kept holds the body up to keepLimit bytes, for a repeated key.
+	kept      bytes.Buffer
+	keepLimit int
+	tooLong   bool
+	firstByte time.Time
+	// detached keeps reading when the caller is gone.
+	detached bool
+	gone     bool
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Proxy-Connection"}
+
+// pass hands one answer on, to its end. An error other than errCallerGone means
+// that the answer stopped short.
+func (l *relay) pass(a *attempt.Answer) error {
+	l.begin(a)
+	if l.kind == configuration.Model && strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
+		return l.passEvents(a.Body)
+	}
+	return l.passBytes(a.Body)
+}
+
+func (l *relay) begin(a *attempt.Answer) {
+	if l.begun {
+		return
+	}
+	header := http.Header{}
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	l.status, l.contentType = a.Status, a.Header.Get("Content-Type")
+	l.caller.Begin(a.Status, header)
+	l.begun = true
+}
+
+func (l *relay) passBytes(body io.Reader) error {
+	buffer := make([]byte, readSize)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if err := l.give(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (l *relay) passEvents(body io.Reader) error {
+	buffer := make([]byte, readSize)
+	var partial []byte
+	done := false
+	for {
+		n, err := body.Read(buffer)
+		partial = append(partial, buffer[:n]...)
+		whole := bytes.LastIndex(partial, []byte("\n\n"))
+		if whole >= 0 {
+			events := partial[:whole+2]
+			l.events += bytes.Count(events, []byte("\n\n"))
+			done = done || bytes.Contains(events, []byte("data: [DONE]"))
+			if err := l.give(events); err != nil {
+				return err
+			}
+			partial = append(partial[:0], partial[whole+2:]...)
+		}
+		switch {
+		case done:
+			return nil
+		case errors.Is(err, io.EOF):
+			return errShort
+		case err != nil:
+			return err
+		case len(partial) > maxEvent:
+			return errors.New("an event of the stream is too long")
+		}
+	}
+}
+
+func (l *relay) give(data []byte) error {
+	if l.firstByte.IsZero() {
+		l.firstByte = time.Now()
+	}
+	if l.keepLimit > 0 && !l.tooLong {
+		l.tooLong = l.kept.Len()+len(data) > l.keepLimit
+		if !l.tooLong {
+			l.kept.Write(data)
+		}
+	}
+	if l.gone {
+		return nil
+	}
+	if err := l.caller.Part(data); err != nil {
+		if !l.detached {
+			return errCallerGone
+		}
+		l.gone = true
+	}
+	return nil
+}
+
+// usage tells what an attempt that began at start and passed events from the
+// given one on has taken.
+func (l *relay) usage(r Request, start time.Time, from int) permit.Usage {
+	if l.firstByte.IsZero() {
+		return permit.Usage{}
+	}
+	u := permit.Usage{FirstByte: l.firstByte.Sub(start), Total: time.Since(start)}
+	if r.Service.Kind == configuration.Model {
+		u.PromptTokens = r.PromptTokens
+		// The last event carries no token.
+		u.AnswerTokens = max(l.events-from-1, 0)
+	}
+	return u
+}
--- /dev/null
+++ b/godwitmoord/pkg/serving/serving.go
@@ -0,0 +1,249 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/godwitmoord/pkg/claims"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/dispatch"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/record"
+	"godwitmoor.example/godwitmoord/pkg/release"
+	"godwitmoor.example/godwitmoord/pkg/text"
+)
+
+// maxAttempts bounds the endpoints that one request is sent to.
+const maxAttempts = 4
+
+// Service serves requests.
+type Service struct {
+	common  *common.Common
+	sender  attempt.Sender
+	release *release.Service
+	entry   *dispatch.Entry
+	claims  *claims.Service
+	members *membership.Service
+	record  *record.Service
+}
+
+// New makes the service.
+func New(c *common.Common) *Service { return &Service{common: c} }
+
+// Start finds the services that a request needs.
+func (s *Service) Start(context.Context) error {
+	var err error
+	if s.release, err = kernel.Lookup[*release.Service](s.common.Kernel, kernel.Release); err != nil {
+		return err
+	}
+	if s.entry, err = kernel.Lookup[*dispatch.Entry](s.common.Kernel, kernel.Dispatch); err != nil {
+		return err
+	}
+	if s.claims, err = kernel.Lookup[*claims.Service](s.common.Kernel, kernel.Claims); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
+		return err
+	}
+	s.record, err = kernel.Lookup[*record.Service](s.common.Kernel, kernel.Record)
+	return err
+}
+
+// Stop has nothing to end: requests end with the front.
+func (s *Service) Stop(context.Context) error { return nil }
+
+// Serve takes a request to its outcome. The caller has got the answer, or the
+// beginning of it, when Serve returns; a Refused ending is still to be told.
+func (s *Service) Serve(ctx context.Context, r Request, c Caller) Ending {
+	j := &journey{service: s, request: r}
+	j.relay = relay{caller: c, kind: r.Service.Kind}
+	var ending Ending
+	if r.Idempotent {
+		ending = j.repeatable(ctx)
+	} else {
+		j.relay.keepLimit = r.Claims.StoredAnswerLimit
+		j.relay.detached = true
+		ending = j.once(ctx)
+	}
+	s.finish(j, ending)
+	return ending
+}
+
+// journey is one request on its way.
+type journey struct {
+	service  *Service
+	request  Request
+	relay    relay
+	attempts []string
+	avoid    []string
+	endpoint string
+	// sent is set once any byte may have gone out.
+	sent bool
+}
+
+// repeatable serves an idempotent request: what fails before or within the
+// answer is sent to another endpoint, and a stream goes on where it stopped.
+func (j *journey) repeatable(ctx context.Context) Ending {
+	for range maxAttempts {
+		grant, ending := j.acquire(ctx)
+		if ending != nil {
+			return ending
+		}
+		err := j.send(ctx, grant)
+		switch {
+		case err == nil:
+			return Delivered{}
+		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
+			return Broken{Reason: text.AnswerLost}
+		case j.relay.begun && !j.resumable():
+			return Broken{Reason: text.AnswerLost}
+		}
+		j.service.common.Log.Info("attempt failed", zap.String("request", j.request.ID),
+			zap.String("endpoint", j.endpoint), zap.Error(err))
+		j.avoid = append(j.avoid, j.endpoint)
+	}
+	if j.relay.begun {
+		return Broken{Reason: text.AnswerLost}
+	}
+	return Refused{Outcome: j.unsent(), Reason: text.NoEndpoint, RetryAfter: time.Second}
+}
+
+// resumable tells whether another attempt can go on with the answer.
+func (j *journey) resumable() bool {
+	return j.request.Service.Resumes && j.relay.events > 0
+}
+
+// unsent tells what a refusal may claim.
+func (j *journey) unsent() text.Outcome {
+	if j.sent {
+		return text.Unknown
+	}
+	return text.NotRun
+}
+
+// acquire waits for a permit for one more attempt.
+func (j *journey) acquire(ctx context.Context) (*dispatch.Grant, Ending) {
+	deadline := j.request.Deadline
+	if j.relay.begun {
+		// The caller reads already: an answer that comes late beats a broken one.
+		deadline = time.Now().Add(j.request.Deadline.Sub(j.request.Arrived))
+	}
+	id := uuid.NewString()
+	j.attempts = append(j.attempts, id)
+	waiting, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.request.ask(id, j.avoid), deadline)
+	if err == nil {
+		j.endpoint = grant.Permit.Endpoint
+		return grant, nil
+	}
+	if j.relay.begun {
+		return nil, Broken{Reason: text.AnswerLost}
+	}
+	refused := Refused{Outcome: j.unsent(), Reason: text.Deadline, RetryAfter: time.Second}
+	var word *dispatch.RefusedError
+	if errors.As(err, &word) {
+		refused.Reason = reasonOf(word.Reason)
+		refused.RetryAfter = word.RetryAfter
+	}
+	return nil, refused
+}
+
+func reasonOf(r permit.Reason) text.Reason {
+	switch r {
+	case permit.QueueFull:
+		return text.QueueFull
+	case permit.Displaced:
+		return text.Displaced
+	default:
+		return text.Deadline
+	}
+}
+
+// send uses a permit for one attempt and gives it back.
+func (j *journey) send(ctx context.Context, grant *dispatch.Grant) error {
+	address, known := j.address(grant.Permit.Endpoint)
+	if !known {
+		grant.Unused()
+		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("it left the configuration")}
+	}
+	start, from := time.Now(), j.relay.events
+	parcel := j.request.parcel(grant.Permit.ID).WithAttempt(grant.Permit.ID, from)
+	j.relay.firstByte = time.Time{}
+	answer, err := j.service.sender.Send(ctx, address, parcel)
+	if err != nil {
+		j.sent = j.sent || !errors.HasType(err, (*attempt.NotSentError)(nil))
+		grant.Unused()
+		return err
+	}
+	j.sent = true
+	defer answer.Close()
+	err = j.relay.pass(answer)
+	if err != nil {
+		grant.Unused()
+		return err
+	}
+	grant.Done(j.relay.usage(j.request, start, from))
+	return nil
+}
+
+// address looks an endpoint up in the configuration in force, which may be
+// newer than the one the request came in under.
+func (j *journey) address(endpoint string) (string, bool) {
+	current := j.service.release.Current()
+	service, known := current.Configuration.Service(j.request.Service.Name)
+	if !known {
+		return "", false
+	}
+	for _, e := range service.Endpoints {
+		if e.Name == endpoint {
+			return e.Address, true
+		}
+	}
+	return "", false
+}
+
+// finish records how the request ended.
+func (s *Service) finish(j *journey, ending Ending) {
+	r := j.request
+	took := time.Since(r.Arrived)
+	line := record.Request{
+		Request:  r.ID,
+		Host:     s.common.Self.Name,
+		Customer: r.Customer,
+		Service:  r.Service.Name,
+		Tier:     r.Tier,
+		Key:      r.Key,
+		Attempts: j.attempts,
+		Endpoint: j.endpoint,
+		Took:     milliseconds(took),
+		Deadline: milliseconds(r.Deadline.Sub(r.Arrived)),
+	}
+	switch e := ending.(type) {
+	case Delivered:
+		line.Outcome = "answered"
+		line.InTime = !time.Now().After(r.Deadline)
+	case Refused:
+		line.Outcome, line.Reason = string(e.Outcome), string(e.Reason)
+	case Broken:
+		line.Outcome, line.Reason = string(text.BrokenOff), string(e.Reason)
+	}
+	s.record.Add(record.Line{Request: &line})
+	s.common.Log.Info("request finished", zap.String("request", r.ID), zap.Strings("attempts", j.attempts),
+		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason), zap.Float64("took-ms", line.Took))
+	payload, err := json.Marshal(line)
+	if err != nil {
+		s.common.Log.Error("finished request cannot be encoded", zap.Error(err))
+		return
+	}
+	s.common.Kernel.Announce(kernel.RequestFinished, payload)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/godwitmoord/pkg/settings/settings.go
@@ -0,0 +1,136 @@
+// Package settings is what one host is told at its start.
+//
+// # Usage
+//
+//	settings, err := settings.Load("host.jsonc")
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/document"
+)
+
+// Settings is the settings file, JSON with comments.
+type Settings struct {
+	// Name is the host's name, unique in the deployment.
+	Name string `json:"name"`
+	// DataCentre is where the host stands.
+	DataCentre string `json:"data-centre"`
+	// Listen is the address for callers, IP:PORT.
+	Listen string `json:"listen"`
+	// PeerListen is the address for the other hosts, IP:PORT.
+	PeerListen string `json:"peer-listen"`
+	// StatusListen is the address for health, metrics and operators, IP:PORT.
+	StatusListen string `json:"status-listen"`
+	// KeyValueURL is the platform's key-value service.
+	KeyValueURL string `json:"key-value-url"`
+	// HostListURL is the platform's host list.
+	HostListURL string `json:"host-list-url"`
+	// Heartbeat is the time between two heartbeats; default 500ms.
+	Heartbeat document.Duration `json:"heartbeat,omitempty"`
+	// SuspectAfter is the silence after which a host gets no new role; default 3s.
+	SuspectAfter document.Duration `json:"suspect-after,omitempty"`
+	// DeadAfter is the silence after which a host counts as gone; default 8s.
+	DeadAfter document.Duration `json:"dead-after,omitempty"`
+	// StopNotice is how long a stopping host still takes new requests, so that
+	// the balancer notices; default 3s.
+	StopNotice document.Duration `json:"stop-notice,omitempty"`
+	// StopBound cuts what still runs that long after the stop; zero never cuts.
+	StopBound document.Duration `json:"stop-bound,omitempty"`
+	// Record writes every decision to the log.
+	Record bool `json:"record,omitempty"`
+}
+
+const (
+	defaultHeartbeat    = 500 * time.Millisecond
+	defaultSuspectAfter = 3 * time.Second
+	defaultDeadAfter    = 8 * time.Second
+	defaultStopNotice   = 3 * time.Second
+)
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read the settings; name the file with --settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings that were read already.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	if err := document.Decode(file, data, &s); err != nil {
+		return Settings{}, err
+	}
+	s = s.withDefaults()
+	if problems := s.check(); len(problems) > 0 {
+		return Settings{}, &document.ProblemsError{Problems: document.Locate(file, data, problems)}
+	}
+	return s, nil
+}
+
+func (s Settings) withDefaults() Settings {
+	s.Heartbeat = orDefault(s.Heartbeat, defaultHeartbeat)
+	s.SuspectAfter = orDefault(s.SuspectAfter, defaultSuspectAfter)
+	s.DeadAfter = orDefault(s.DeadAfter, defaultDeadAfter)
+	s.StopNotice = orDefault(s.StopNotice, defaultStopNotice)
+	return s
+}
+
+func orDefault(d document.Duration, otherwise time.Duration) document.Duration {
+	if d == 0 {
+		return document.Duration(otherwise)
+	}
+	return d
+}
+
+func (s Settings) check() []document.Problem {
+	var problems []document.Problem
+	add := func(field, message, remedy string) {
+		problems = append(problems, document.Problem{Field: field, Message: message, Remedy: remedy})
+	}
+	if s.Name == "" {
+		add("/name", "is empty", "give the host a name of its own")
+	}
+	if s.DataCentre == "" {
+		add("/data-centre", "is empty", "name the data centre")
+	}
+	addresses := []struct{ field, value string }{
+		{"/listen", s.Listen}, {"/peer-listen", s.PeerListen}, {"/status-listen", s.StatusListen},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			add(a.field, fmt.Sprintf("%q is not an IP number with a port", a.value), `write it as "127.0.0.1:8080"`)
+		}
+	}
+	urls := []struct{ field, value string }{{"/key-value-url", s.KeyValueURL}, {"/host-list-url", s.HostListURL}}
+	for _, u := range urls {
+		parsed, err := url.Parse(u.value)
+		if err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+			add(u.field, fmt.Sprintf("%q is not an HTTP URL", u.value), `write it as "http://127.0.0.1:2379"`)
+		}
+	}
+	durations := []struct {
+		field string
+		value document.Duration
+	}{
+		{"/heartbeat", s.Heartbeat}, {"/suspect-after", s.SuspectAfter}, {"/dead-after", s.DeadAfter},
+		{"/stop-notice", s.StopNotice}, {"/stop-bound", s.StopBound},
+	}
+	for _, d := range durations {
+		if d.value < 0 {
+			add(d.field, "is below zero", `set a duration such as "3s"`)
+		}
+	}
+	if s.SuspectAfter < 2*s.Heartbeat || s.DeadAfter < s.SuspectAfter {
+		add("/suspect-after", "does not fit the heartbeat", "keep 2 x heartbeat <= suspect-after <= dead-after")
+	}
+	return problems
+}
--- /dev/null
+++ b/godwitmoord/pkg/status/status.go
@@ -0,0 +1,174 @@
+// Package status shows operators and the balancer how the host is.
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/record"
+	"godwitmoor.example/godwitmoord/pkg/release"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	sampleSize        = 1028
+	sampleAlpha       = 0.015
+)
+
+// Service serves the status port.
+type Service struct {
+	common   *common.Common
+	members  *membership.Service
+	release  *release.Service
+	record   *record.Service
+	server   *http.Server
+	stopping atomic.Bool
+}
+
+type hostLine struct {
+	Name        string `json:"name"`
+	Incarnation int64  `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	Phase       string `json:"phase"`
+	Version     int64  `json:"version"`
+	SilenceMs   int64  `json:"silence-ms"`
+}
+
+type statusReply struct {
+	Host    string     `json:"host"`
+	Ready   bool       `json:"ready"`
+	Version int64      `json:"version"`
+	Hosts   []hostLine `json:"hosts"`
+}
+
+// New makes the service.
+func New(c *common.Common) *Service { return &Service{common: c} }
+
+// Start opens the status port and follows finished requests.
+func (s *Service) Start(ctx context.Context) error {
+	var err error
+	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
+		return err
+	}
+	if s.release, err = kernel.Lookup[*release.Service](s.common.Kernel, kernel.Release); err != nil {
+		return err
+	}
+	if s.record, err = kernel.Lookup[*record.Service](s.common.Kernel, kernel.Record); err != nil {
+		return err
+	}
+	finished, err := s.common.Kernel.Subscribe(ctx, kernel.RequestFinished)
+	if err != nil {
+		return err
+	}
+	go s.loop(finished)
+	listener, err := net.Listen("tcp", s.common.Settings.StatusListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators; set a free status-listen address")
+	}
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	go s.run(listener)
+	return nil
+}
+
+func (s *Service) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", s.healthz)
+	r.Get("/readyz", s.readyz)
+	r.Get("/status", s.status)
+	r.Get("/metrics", s.metrics)
+	r.Get("/record", s.kept)
+	return r
+}
+
+func (s *Service) run(listener net.Listener) {
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.common.Log.Error("the status listener ended", zap.Error(err))
+	}
+}
+
+// loop counts finished requests by tier and outcome.
+func (s *Service) loop(finished <-chan []byte) {
+	for payload := range finished {
+		var line record.Request
+		if err := json.Unmarshal(payload, &line); err != nil {
+			s.common.Log.Error("finished request cannot be read", zap.Error(err))
+			continue
+		}
+		s.common.Count("requests." + line.Tier + "." + line.Outcome)
+		if line.InTime {
+			s.common.Count("requests." + line.Tier + ".in-time")
+		}
+		sample := func() metrics.Histogram {
+			return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+		}
+		histogram, isHistogram := s.common.Metrics.GetOrRegister("requests."+line.Tier+".took-us", sample).(metrics.Histogram)
+		if isHistogram {
+			histogram.Update(int64(line.Took * float64(time.Millisecond/time.Microsecond)))
+		}
+	}
+}
+
+// Stop closes the port.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	return errors.Wrap(s.server.Shutdown(ctx), "close the status port")
+}
+
+// BeginStop makes the host not ready, so that the balancer sends no more.
+func (s *Service) BeginStop() { s.stopping.Store(true) }
+
+func (s *Service) ready() bool { return !s.stopping.Load() && s.release.Ready() }
+
+func (s *Service) healthz(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Service) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Service) status(w http.ResponseWriter, _ *http.Request) {
+	reply := statusReply{Host: s.common.Self.Name, Ready: s.ready()}
+	if current := s.release.Current(); current != nil {
+		reply.Version = current.Version
+	}
+	for _, m := range s.members.Members() {
+		reply.Hosts = append(reply.Hosts, hostLine{
+			Name:        m.Identity.Name,
+			Incarnation: m.Identity.Incarnation,
+			DataCentre:  m.DataCentre,
+			Phase:       m.Phase.String(),
+			Version:     m.Version,
+			SilenceMs:   m.Silence.Milliseconds(),
+		})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func (s *Service) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(s.common.Metrics, w)
+}
+
+func (s *Service) kept(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	_, _ = w.Write(s.record.Kept())
+}
--- /dev/null
+++ b/replay/pkg/app/app.go
@@ -0,0 +1,133 @@
+// Package app is the command line of the replay program.
+//
+// # Usage
+//
+//	replay try --bin bin --out out/try
+//	replay run --bin bin replay/traces/lunch-3x.jsonc
+//	replay audit out/try
+package app
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+	"godwitmoor.example/replay/pkg/audit"
+	"godwitmoor.example/replay/pkg/trace"
+	"godwitmoor.example/replay/pkg/trial"
+	"godwitmoor.example/replay/traces"
+)
+
+// Main runs the command and ends the process.
+func Main() { os.Exit(execute()) }
+
+func execute() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:     "replay",
+		Usage:    "send traces to a deployment and judge what came of them",
+		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand()},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "replay:", err)
+		return 1
+	}
+	return 0
+}
+
+// BrokenError says that a run broke a promise or missed its stated outcome.
+type BrokenError struct{ What []string }
+
+func (e *BrokenError) Error() string {
+	return "stated outcome missed: " + strings.Join(e.What, "; ") + "; see the files of the run"
+}
+
+func binFlag() cli.Flag {
+	return &cli.StringFlag{Name: "bin", Value: "bin", Usage: "`FOLDER` of the programs"}
+}
+
+func outFlag() cli.Flag {
+	return &cli.StringFlag{Name: "out", Value: "out", Usage: "`FOLDER` that gets the files of each run"}
+}
+
+func tryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "try",
+		Usage: "run the short mixed trace that comes with the program",
+		Flags: []cli.Flag{binFlag(), outFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			t, err := trace.Parse("try.jsonc", traces.Try)
+			if err != nil {
+				return err
+			}
+			return play(ctx, c, t, t.Seed)
+		},
+	}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "run",
+		Usage:     "run traces by file name",
+		ArgsUsage: "FILE ...",
+		Flags:     []cli.Flag{binFlag(), outFlag(), &cli.Uint64Flag{Name: "seed", Usage: "another seed than the trace's own"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var failed error
+			for _, file := range c.Args().Slice() {
+				t, err := trace.Load(file)
+				if err != nil {
+					return err
+				}
+				seed := t.Seed
+				if c.IsSet("seed") {
+					seed = c.Uint64("seed")
+				}
+				failed = errors.CombineErrors(failed, play(ctx, c, t, seed))
+			}
+			return failed
+		},
+	}
+}
+
+func auditCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "audit",
+		Usage:     "judge the files of an earlier run",
+		ArgsUsage: "FOLDER",
+		Action: func(_ context.Context, c *cli.Command) error {
+			evidence, err := audit.Read(c.Args().First())
+			if err != nil {
+				return err
+			}
+			return audit.Judge(evidence).Print(os.Stdout)
+		},
+	}
+}
+
+func play(ctx context.Context, c *cli.Command, t trace.Trace, seed uint64) error {
+	out := filepath.Join(c.String("out"), t.Name)
+	run := trial.Trial{Trace: t, Seed: seed, Bin: c.String("bin"), Out: out}
+	judgement, err := run.Run(ctx, os.Stderr)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("trace %s, seed %d, files in %s\n\n", t.Name, seed, out)
+	missed := judgement.Missed(t.Expect)
+	for _, what := range missed {
+		fmt.Println("missed:", what)
+	}
+	if err := judgement.Print(os.Stdout); err != nil {
+		return err
+	}
+	if len(missed) > 0 {
+		return &BrokenError{What: missed}
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/pkg/audit/judge.go
@@ -0,0 +1,367 @@
+package audit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"godwitmoor.example/replay/pkg/caller"
+	"godwitmoor.example/standin/pkg/runlog"
+)
+
+const (
+	// leavingBound is the time after which a leaving endpoint gets no new work.
+	leavingBound = 3 * time.Second
+	// configurationBound is the time in which a change is in force everywhere.
+	configurationBound = 5 * time.Second
+	maxExamples        = 3
+)
+
+// Standing is how a promise stands after a run.
+type Standing string
+
+// The standings.
+const (
+	Held      Standing = "held"
+	Broken    Standing = "broken"
+	NotJudged Standing = "not judged"
+)
+
+// Verdict is the judgement of one promise.
+type Verdict struct {
+	Number   int
+	Promise  string
+	Standing Standing
+	// Seen counts the cases judged, Against those that broke the promise.
+	Seen     int
+	Against  int
+	Examples []string
+}
+
+// Tier is what came of one tier's requests.
+type Tier struct {
+	Name     string
+	Sent     int
+	InTime   int
+	Late     int
+	NotRun   int
+	Unknown  int
+	BrokeOff int
+	Failed   int
+}
+
+// Judgement is the whole result of an audit.
+type Judgement struct {
+	Verdicts []Verdict
+	Tiers    []Tier
+	// Prefilled and Wasted count prompt tokens computed, and thrown away.
+	Prefilled int
+	Wasted    int
+}
+
+// judge holds the evidence by what it is looked up by.
+type judge struct {
+	evidence Evidence
+	tiers    []string
+	services map[string]string
+	started  []runlog.Line
+	byKey    map[string][]runlog.Line
+	byID     map[string][]runlog.Line
+}
+
+// Judge gives the verdict on each of the eight promises.
+func Judge(e Evidence) Judgement {
+	j := newJudge(e)
+	result := Judgement{
+		Verdicts: []Verdict{
+			j.dispatchedOnce(),
+			j.highTiersFirst(),
+			j.wholeAnswers(),
+			j.notRunIsTrue(),
+			j.runOnce(),
+			j.leavingEndpoints(),
+			j.cleanStops(),
+			j.configuration(),
+		},
+		Tiers: j.goodput(),
+	}
+	result.Prefilled, result.Wasted = j.prefill()
+	return result
+}
+
+func newJudge(e Evidence) *judge {
+	j := &judge{evidence: e, byKey: map[string][]runlog.Line{}, byID: map[string][]runlog.Line{}}
+	for _, event := range e.Timeline {
+		if event.Kind == Deployed {
+			j.tiers, j.services = event.Tiers, event.Services
+		}
+	}
+	for _, run := range e.Runs {
+		if run.Phase != runlog.Started {
+			continue
+		}
+		j.started = append(j.started, run)
+		if run.Key != "" {
+			j.byKey[run.Key] = append(j.byKey[run.Key], run)
+		}
+		j.byID[run.Request] = append(j.byID[run.Request], run)
+	}
+	return j
+}
+
+func (v Verdict) settled() Verdict {
+	switch {
+	case v.Against > 0:
+		v.Standing = Broken
+	case v.Seen > 0:
+		v.Standing = Held
+	default:
+		v.Standing = NotJudged
+	}
+	return v
+}
+
+func (v *Verdict) against(format string, values ...any) {
+	v.Against++
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, values...))
+	}
+}
+
+// dispatchedOnce judges orders: the endpoints' logs show each at most once.
+func (j *judge) dispatchedOnce() Verdict {
+	v := Verdict{Number: 1, Promise: "an order is dispatched at most once"}
+	for key, runs := range j.byKey {
+		if runs[0].Method != "POST" {
+			continue
+		}
+		v.Seen++
+		if len(runs) > 1 {
+			v.against("key %s was dispatched %d times", key, len(runs))
+		}
+	}
+	return v.settled()
+}
+
+// runOnce judges every keyed request, of whatever method, and that no caller
+// was answered for one that never ran.
+func (j *judge) runOnce() Verdict {
+	v := Verdict{Number: 5, Promise: "a non-idempotent request runs at most once"}
+	judged := map[string]bool{}
+	for _, o := range j.evidence.Outcomes {
+		if o.Key == "" {
+			continue
+		}
+		if !judged[o.Key] {
+			judged[o.Key] = true
+			v.Seen++
+			if n := len(j.byKey[o.Key]); n > 1 {
+				v.against("key %s ran %d times", o.Key, n)
+			}
+		}
+		if o.Told == "answered" && len(j.byKey[o.Key]) == 0 {
+			v.against("key %s was answered and never ran", o.Key)
+		}
+	}
+	return v.settled()
+}
+
+func (j *judge) rank(tier string) int { return slices.Index(j.tiers, tier) }
+
+// highTiersFirst looks at every request that was refused or answered late: no
+// request of a lower tier of the same service may have started meanwhile.
+func (j *judge) highTiersFirst() Verdict {
+	v := Verdict{Number: 2, Promise: "no higher tier is shed while a lower one is served"}
+	for _, o := range j.evidence.Outcomes {
+		rank := j.rank(o.Tier)
+		if rank < 0 || rank == len(j.tiers)-1 || o.Key != "" {
+			continue
+		}
+		v.Seen++
+		end, shed := shedAt(o)
+		if !shed {
+			continue
+		}
+		service := j.serviceOf(o)
+		for _, run := range j.started {
+			lower := j.services[run.Endpoint] == service && j.rank(run.Tier) > rank
+			if lower && run.At.After(o.SentAt) && run.At.Before(end) {
+				v.against("request %d (%s, %s) while %s started at %s", o.Number, o.Tier, o.Told, run.Tier, run.Endpoint)
+				break
+			}
+		}
+	}
+	return v.settled()
+}
+
+// shedAt tells whether, and until when, a request went without its answer.
+func shedAt(o caller.Outcome) (time.Time, bool) {
+	if o.Told == "answered" && !o.DoneAt.After(o.Deadline) {
+		return time.Time{}, false
+	}
+	if o.DoneAt.Before(o.Deadline) {
+		return o.DoneAt, true
+	}
+	return o.Deadline, true
+}
+
+// serviceOf finds the service of a request by its path's first part, as the
+// deployed services are told by prefix.
+func (j *judge) serviceOf(o caller.Outcome) string {
+	for prefix, service := range j.services {
+		if len(prefix) > 0 && prefix[0] == '/' && len(o.Path) > len(prefix) && o.Path[:len(prefix)+1] == prefix+"/" {
+			return service
+		}
+	}
+	return ""
+}
+
+func (j *judge) wholeAnswers() Verdict {
+	v := Verdict{Number: 3, Promise: "every answer is whole and its caller's own"}
+	for _, o := range j.evidence.Outcomes {
+		if o.Told != "answered" {
+			continue
+		}
+		v.Seen++
+		if !o.Whole {
+			v.against("request %d at %s: %s", o.Number, o.Host, o.Reason)
+		}
+	}
+	return v.settled()
+}
+
+func (j *judge) notRunIsTrue() Verdict {
+	v := Verdict{Number: 4, Promise: "what is told as not run did not run"}
+	for _, o := range j.evidence.Outcomes {
+		if o.Told != "not-run" {
+			continue
+		}
+		v.Seen++
+		runs := j.byID[o.Request]
+		if o.Key != "" {
+			runs = j.byKey[o.Key]
+		}
+		if len(runs) > 0 {
+			v.against("request %d (key %q) ran at %s", o.Number, o.Key, runs[0].Endpoint)
+		}
+	}
+	return v.settled()
+}
+
+func (j *judge) leavingEndpoints() Verdict {
+	v := Verdict{Number: 6, Promise: "a leaving endpoint gets no new work after 3 s"}
+	for _, event := range j.evidence.Timeline {
+		if event.Kind != EndpointLeaving {
+			continue
+		}
+		v.Seen++
+		for _, run := range j.started {
+			if run.Endpoint == event.Target && run.At.After(event.At.Add(leavingBound)) {
+				v.against("%s got work %v after it began to leave", event.Target, run.At.Sub(event.At))
+			}
+		}
+	}
+	return v.settled()
+}
+
+// cleanStops judges requests in progress at a host between the word to stop and
+// its exit: none may be cut, and the exit must be clean.
+func (j *judge) cleanStops() Verdict {
+	v := Verdict{Number: 7, Promise: "a planned stop cuts no request"}
+	for _, stopping := range j.evidence.Timeline {
+		if stopping.Kind != HostStopping {
+			continue
+		}
+		stopped, found := j.exitOf(stopping)
+		if !found || stopped.ExitStatus != 0 {
+			v.Seen++
+			v.against("%s did not exit cleanly: %s", stopping.Target, stopped.Note)
+			continue
+		}
+		for _, o := range j.evidence.Outcomes {
+			open := o.Host == stopping.Target && o.DoneAt.After(stopping.At) && o.SentAt.Before(stopped.At)
+			if !open {
+				continue
+			}
+			v.Seen++
+			if o.Told == "broken-off" || o.Told == "failed" {
+				v.against("request %d at %s: %s %s", o.Number, o.Host, o.Told, o.Reason)
+			}
+		}
+	}
+	return v.settled()
+}
+
+func (j *judge) exitOf(stopping Event) (Event, bool) {
+	for _, event := range j.evidence.Timeline {
+		if event.Kind == HostStopped && event.Target == stopping.Target && event.At.After(stopping.At) {
+			return event, true
+		}
+	}
+	return Event{Note: "it never ended"}, false
+}
+
+// configuration judges that versions only rise on each host, and that each
+// accepted one is in force on every observed host in time.
+func (j *judge) configuration() Verdict {
+	v := Verdict{Number: 8, Promise: "an accepted configuration is everywhere in 5 s and never reverts"}
+	latest := map[string]int64{}
+	for _, event := range j.evidence.Timeline {
+		switch event.Kind {
+		case Observed:
+			v.Seen++
+			if event.Version < latest[event.Target] {
+				v.against("%s went back from version %d to %d", event.Target, latest[event.Target], event.Version)
+			}
+			latest[event.Target] = event.Version
+		case Accepted:
+			for _, other := range j.evidence.Timeline {
+				late := other.Kind == Observed && other.At.After(event.At.Add(configurationBound))
+				if late && other.Version < event.Version {
+					v.against("%s still had version %d, %v after version %d", other.Target, other.Version, other.At.Sub(event.At), event.Version)
+				}
+			}
+		}
+	}
+	return v.settled()
+}
+
+func (j *judge) goodput() []Tier {
+	tiers := make([]Tier, len(j.tiers))
+	for i, name := range j.tiers {
+		tiers[i].Name = name
+	}
+	for _, o := range j.evidence.Outcomes {
+		rank := j.rank(o.Tier)
+		if rank < 0 {
+			continue
+		}
+		t := &tiers[rank]
+		t.Sent++
+		switch {
+		case o.Told == "answered" && o.Whole && !o.DoneAt.After(o.Deadline):
+			t.InTime++
+		case o.Told == "answered":
+			t.Late++
+		case o.Told == "not-run":
+			t.NotRun++
+		case o.Told == "unknown":
+			t.Unknown++
+		case o.Told == "broken-off":
+			t.BrokeOff++
+		default:
+			t.Failed++
+		}
+	}
+	return tiers
+}
+
+func (j *judge) prefill() (computed, wasted int) {
+	for _, run := range j.evidence.Runs {
+		computed += run.Prefilled
+		if run.Phase == runlog.Cancelled {
+			wasted += run.Prefilled
+		}
+	}
+	return computed, wasted
+}
--- /dev/null
+++ b/replay/pkg/caller/caller.go
@@ -0,0 +1,327 @@
+// Package caller sends the requests of a trace as callers would, through what
+// stands for the platform's balancer, and notes what each caller was told.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/replay/pkg/trace"
+	"godwitmoor.example/standin/pkg/answer"
+	"godwitmoor.example/standin/pkg/application"
+)
+
+const (
+	balancerInterval = 250 * time.Millisecond
+	balancerTimeout  = 500 * time.Millisecond
+	// patience is how long after its deadline a caller still listens.
+	patience     = 60 * time.Second
+	maxLine      = 1 << 20
+	idlePerHost  = 256
+	requestIDKey = "Request-Id"
+)
+
+// Outcome is what one caller was told, a line of the callers' log.
+type Outcome struct {
+	Number   int       `json:"number"`
+	Request  string    `json:"request,omitempty"`
+	Host     string    `json:"host"`
+	Tier     string    `json:"tier"`
+	Path     string    `json:"path"`
+	Key      string    `json:"key,omitempty"`
+	SentAt   time.Time `json:"sent-at"`
+	DoneAt   time.Time `json:"done-at"`
+	Deadline time.Time `json:"deadline"`
+	// FirstAt is when the first part of the answer came.
+	FirstAt time.Time `json:"first-at,omitzero"`
+	Status  int       `json:"status,omitempty"`
+	// Told is "answered", "not-run", "unknown", "broken-off", or "failed" where
+	// the connection gave no answer at all.
+	Told   string `json:"told"`
+	Reason string `json:"reason,omitempty"`
+	// Whole says that the answer was the whole one to this request.
+	Whole    bool `json:"whole,omitempty"`
+	Replayed bool `json:"replayed,omitempty"`
+}
+
+// Host is one entry host as the balancer sees it.
+type Host struct {
+	Name   string
+	Listen string
+	Status string
+}
+
+// Balancer spreads requests over the hosts that report ready.
+type Balancer struct {
+	hosts  []Host
+	client *http.Client
+
+	mu    sync.Mutex
+	ready []Host
+	next  int
+}
+
+// NewBalancer makes a balancer over hosts; Run keeps it up to date.
+func NewBalancer(hosts []Host) *Balancer {
+	return &Balancer{hosts: hosts, client: &http.Client{Timeout: balancerTimeout}}
+}
+
+// Start begins the health checks, until ctx ends.
+func (b *Balancer) Start(ctx context.Context) { go b.run(ctx) }
+
+func (b *Balancer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		ready := make([]Host, 0, len(b.hosts))
+		for _, h := range b.hosts {
+			response, err := b.client.Get("http://" + h.Status + "/readyz")
+			if err != nil {
+				continue
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				ready = append(ready, h)
+			}
+		}
+		b.mu.Lock()
+		b.ready = ready
+		b.mu.Unlock()
+		time.Sleep(balancerInterval)
+	}
+}
+
+// Ready gives the number of hosts that report ready.
+func (b *Balancer) Ready() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.ready)
+}
+
+// Pick gives the next ready host.
+func (b *Balancer) Pick() (Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return Host{}, false
+	}
+	b.next++
+	return b.ready[b.next%len(b.ready)], true
+}
+
+// Callers send requests and log outcomes.
+type Callers struct {
+	balancer *Balancer
+	token    func(customer string) string
+	client   *http.Client
+
+	mu  sync.Mutex
+	log io.Writer
+}
+
+// New makes callers that write a JSON line to log for each outcome.
+func New(b *Balancer, token func(customer string) string, log io.Writer) *Callers {
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
+	return &Callers{balancer: b, token: token, client: &http.Client{Transport: transport}, log: log}
+}
+
+// Send sends all the requests at their times after start and returns when the
+// last one has ended. Progress is called about once a second.
+func (c *Callers) Send(ctx context.Context, requests []trace.Request, start time.Time, progress func(sent int)) {
+	var open sync.WaitGroup
+	key := ""
+	shown := start
+	for i, r := range requests {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(start.Add(r.At))):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if r.Keyed && !r.Twin {
+			key = trace.NewKey()
+		}
+		call := &call{callers: c, request: r, open: &open}
+		if r.Keyed {
+			call.key = key
+		}
+		open.Add(1)
+		go call.run(ctx)
+		if time.Since(shown) > time.Second {
+			shown = time.Now()
+			progress(i + 1)
+		}
+	}
+	open.Wait()
+	progress(len(requests))
+}
+
+// call is one request on its way.
+type call struct {
+	callers *Callers
+	request trace.Request
+	key     string
+	open    *sync.WaitGroup
+}
+
+func (c *call) run(ctx context.Context) {
+	defer c.open.Done()
+	host, ready := c.callers.balancer.Pick()
+	now := time.Now()
+	o := Outcome{
+		Number: c.request.Number, Host: host.Name, Tier: c.request.Tier, Path: c.request.Path,
+		Key: c.key, SentAt: now, Deadline: now.Add(c.request.Deadline), Told: "failed",
+	}
+	if ready {
+		if err := c.exchange(ctx, host, &o); err != nil {
+			o.Reason = err.Error()
+		}
+	} else {
+		o.Reason = "no host is ready"
+	}
+	o.DoneAt = time.Now()
+	c.callers.write(o)
+}
+
+func (c *Callers) write(o Outcome) {
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, err := c.log.Write(append(data, '\n')); err != nil {
+		// An outcome that is not in the log would falsify every judgement.
+		panic(err)
+	}
+}
+
+type completion struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (c *call) body() ([]byte, error) {
+	if c.request.Method == http.MethodGet {
+		return nil, nil
+	}
+	if c.request.Keyed {
+		return []byte(c.request.Prompt), nil
+	}
+	return json.Marshal(completion{Prompt: c.request.Prompt, MaxTokens: c.request.Answer})
+}
+
+func (c *call) exchange(ctx context.Context, host Host, o *Outcome) error {
+	ctx, cancel := context.WithTimeout(ctx, c.request.Deadline+patience)
+	defer cancel()
+	body, err := c.body()
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+host.Listen+c.request.Path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.callers.token(c.request.Customer))
+	request.Header.Set("Request-Tier", c.request.Tier)
+	request.Header.Set("Request-Timeout", c.request.Deadline.String())
+	if c.key != "" {
+		request.Header.Set("Idempotency-Key", c.key)
+	}
+	response, err := c.callers.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	o.Status = response.StatusCode
+	o.Request = response.Header.Get(requestIDKey)
+	o.Replayed = response.Header.Get("Idempotent-Replayed") == "true"
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "application/problem+json") {
+		return readProblem(response.Body, o)
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readEvents(response.Body, o)
+	}
+	return c.readReceipt(response.Body, body, o)
+}
+
+type problem struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+func readProblem(body io.Reader, o *Outcome) error {
+	var p problem
+	if err := json.NewDecoder(body).Decode(&p); err != nil {
+		return errors.Wrap(err, "read the refusal")
+	}
+	o.Told, o.Reason = p.Outcome, p.Reason
+	return nil
+}
+
+type chunk struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+// readEvents takes a stream and compares it, token by token, with the one
+// answer that this prompt has.
+func (c *call) readEvents(body io.Reader, o *Outcome) error {
+	o.Told = "broken-off"
+	digest := answer.Digest(c.request.Prompt)
+	next, right := 0, true
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		data, event := strings.CutPrefix(scanner.Text(), "data: ")
+		if !event {
+			continue
+		}
+		if o.FirstAt.IsZero() {
+			o.FirstAt = time.Now()
+		}
+		if data == "[DONE]" {
+			o.Told = "answered"
+			o.Whole = right && next == c.request.Answer
+			if !o.Whole {
+				o.Reason = fmt.Sprintf("%d of %d tokens, right: %v", next, c.request.Answer, right)
+			}
+			continue
+		}
+		var part chunk
+		if err := json.Unmarshal([]byte(data), &part); err != nil {
+			return errors.Wrap(err, "read an event")
+		}
+		right = right && part.Index == next && part.Text == answer.Token(digest, next)
+		next++
+	}
+	return scanner.Err()
+}
+
+type receipt struct {
+	Digest string `json:"digest"`
+}
+
+func (c *call) readReceipt(body io.Reader, sent []byte, o *Outcome) error {
+	o.Told = "broken-off"
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	o.FirstAt = time.Now()
+	o.Told = "answered"
+	var got receipt
+	if err := json.Unmarshal(data, &got); err != nil {
+		return errors.Wrap(err, "read the receipt")
+	}
+	o.Whole = got.Digest == application.Digest(sent)
+	return nil
+}
--- /dev/null
+++ b/replay/pkg/trial/trial.go
@@ -0,0 +1,278 @@
+// Package trial runs a trace against a deployment of real processes on loopback
+// and has the auditor judge it.
+//
+// # Usage
+//
+//	judgement, err := trial.Trial{Trace: t, Bin: "bin", Out: "out/try"}.Run(ctx, os.Stderr)
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/replay/pkg/audit"
+	"godwitmoor.example/replay/pkg/caller"
+	"godwitmoor.example/replay/pkg/fleet"
+	"godwitmoor.example/replay/pkg/trace"
+)
+
+const (
+	readyTimeout   = 20 * time.Second
+	readyInterval  = 50 * time.Millisecond
+	observeTimeout = time.Second
+	stopTimeout    = 90 * time.Second
+)
+
+// Trial is one run of one trace.
+type Trial struct {
+	Trace trace.Trace
+	// Seed makes the requests.
+	Seed uint64
+	// Bin is the folder of the programs, Out gets all files of the run.
+	Bin string
+	Out string
+}
+
+// Run plays the trace and gives the judgement. All processes that it started
+// have ended when it returns.
+func (t Trial) Run(ctx context.Context, progress io.Writer) (audit.Judgement, error) {
+	if err := os.RemoveAll(t.Out); err != nil {
+		return audit.Judgement{}, errors.Wrap(err, "empty the output folder")
+	}
+	if err := os.MkdirAll(t.Out, 0o755); err != nil {
+		return audit.Judgement{}, errors.Wrap(err, "make the output folder")
+	}
+	if err := t.play(ctx, progress); err != nil {
+		return audit.Judgement{}, err
+	}
+	evidence, err := audit.Read(t.Out)
+	if err != nil {
+		return audit.Judgement{}, err
+	}
+	return audit.Judge(evidence), nil
+}
+
+func (t Trial) play(ctx context.Context, progress io.Writer) error {
+	f := fleet.New(t.Bin, t.Out)
+	defer f.Stop()
+	line, err := newTimeline(f.Path(audit.TimelineFile))
+	if err != nil {
+		return err
+	}
+	log, err := os.Create(f.Path(audit.CallersFile))
+	if err != nil {
+		return errors.Wrap(err, "make the callers' log")
+	}
+	defer log.Close()
+	d, err := deploy(f, t.Trace.Deployment, t.Trace.Hosts, line)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	balancer := caller.NewBalancer(d.hosts())
+	balancer.Start(ctx)
+	if err := awaitReady(ctx, balancer, t.Trace.Hosts); err != nil {
+		return err
+	}
+	fmt.Fprintf(progress, "%s: %d hosts are ready\n", t.Trace.Name, t.Trace.Hosts)
+	o := &observer{deployment: d, client: &http.Client{Timeout: observeTimeout}, ended: make(chan struct{})}
+	go o.run(ctx)
+	start := time.Now()
+	j := &faults{deployment: d, list: t.Trace.Faults, start: start, progress: progress}
+	j.open.Add(1)
+	go j.run(ctx)
+	requests := t.Trace.Requests(t.Seed)
+	caller.New(balancer, d.token, log).Send(ctx, requests, start, func(sent int) {
+		fmt.Fprintf(progress, "%5.1fs  %d of %d requests sent\n", time.Since(start).Seconds(), sent, len(requests))
+	})
+	j.open.Wait()
+	cancel()
+	<-o.ended
+	return errors.CombineErrors(j.failed, line.close())
+}
+
+func awaitReady(ctx context.Context, b *caller.Balancer, hosts int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for b.Ready() < hosts {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("%d of %d hosts are ready after %v; see their logs", b.Ready(), hosts, readyTimeout)
+		case <-time.After(readyInterval):
+		}
+	}
+	return nil
+}
+
+// faults carries out what a trace says goes wrong.
+type faults struct {
+	deployment *deployment
+	list       []trace.Fault
+	start      time.Time
+	progress   io.Writer
+	open       sync.WaitGroup
+
+	mu     sync.Mutex
+	failed error
+}
+
+func (f *faults) run(ctx context.Context) {
+	defer f.open.Done()
+	for _, fault := range f.list {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(f.start.Add(fault.At.Std()))):
+		}
+		fmt.Fprintf(f.progress, "%5.1fs  %s %s\n", time.Since(f.start).Seconds(), fault.Kind, fault.Target)
+		if err := f.carryOut(fault); err != nil {
+			f.fail(errors.Wrapf(err, "fault %s %s", fault.Kind, fault.Target))
+		}
+	}
+}
+
+func (f *faults) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = errors.CombineErrors(f.failed, err)
+}
+
+func (f *faults) carryOut(fault trace.Fault) error {
+	d := f.deployment
+	switch fault.Kind {
+	case "stop-host":
+		return f.stopHost(fault.Target)
+	case "kill-host", "kill-endpoint":
+		return f.signal(fault, syscall.SIGKILL)
+	case "freeze-host":
+		if err := f.signal(fault, syscall.SIGSTOP); err != nil {
+			return err
+		}
+		return f.later(fault, func() error { return f.signal(fault, syscall.SIGCONT) })
+	case "leave-by-operator":
+		d.declared = d.declared.WithEndpointLeaving(fault.Target)
+		err := d.apply()
+		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "operator"})
+		return err
+	case "leave-by-report":
+		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "own report"})
+		return f.set(fault.Target, `{"leaving":true}`)
+	case "leave-by-list":
+		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "host list", At: time.Now().Add(2 * time.Second)})
+		return d.list(fault.Target, listedHost{Address: d.endpoints[fault.Target], Role: "endpoint", State: "leaving"})
+	case "leave-by-refusing":
+		return f.set(fault.Target, `{"refuse":true}`)
+	case "freeze-endpoint":
+		return f.setFor(fault, `{"freeze":true}`)
+	case "slow-endpoint":
+		return f.setFor(fault, `{"slow":8}`)
+	case "keyvalue-down":
+		return f.setFor(fault, `{"down":true}`)
+	case "keyvalue-slow":
+		return f.setFor(fault, `{"delay-millis":400}`)
+	case "keyvalue-lose-replies":
+		return f.set("keyvalue", `{"lose-replies":20}`)
+	default:
+		return errors.Newf("there is no fault %q; see docs/TRACES.md", fault.Kind)
+	}
+}
+
+func (f *faults) signal(fault trace.Fault, s syscall.Signal) error {
+	process := f.deployment.processes[fault.Target]
+	if process == nil {
+		return errors.New("there is no such process")
+	}
+	f.deployment.timeline.add(audit.Event{Kind: audit.Fault, Target: fault.Target, Note: fault.Kind + " " + s.String()})
+	return process.Signal(s)
+}
+
+func (f *faults) set(target, body string) error {
+	url := "http://" + f.deployment.endpoints[target]
+	if target == "keyvalue" {
+		url = f.deployment.keyValue
+	}
+	return f.deployment.call(http.MethodPost, url+"/faults", rawJSON(body))
+}
+
+// rawJSON is a body that is written as it stands.
+type rawJSON string
+
+// MarshalJSON gives the text itself.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
+
+func (f *faults) setFor(fault trace.Fault, body string) error {
+	target := fault.Target
+	if target == "" {
+		target = "keyvalue"
+	}
+	f.deployment.timeline.add(audit.Event{Kind: audit.Fault, Target: target, Note: fault.Kind})
+	if err := f.set(target, body); err != nil {
+		return err
+	}
+	return f.later(fault, func() error { return f.set(target, `{}`) })
+}
+
+// later ends a fault after its time, beside those that follow it.
+func (f *faults) later(fault trace.Fault, end func() error) error {
+	if fault.For <= 0 {
+		return nil
+	}
+	f.open.Add(1)
+	l := &ending{faults: f, after: fault.For.Std(), end: end}
+	go l.run()
+	return nil
+}
+
+type ending struct {
+	faults *faults
+	after  time.Duration
+	end    func() error
+}
+
+func (l *ending) run() {
+	defer l.faults.open.Done()
+	time.Sleep(l.after)
+	if err := l.end(); err != nil {
+		l.faults.fail(err)
+	}
+}
+
+func (f *faults) stopHost(name string) error {
+	m, err := f.deployment.member(name)
+	if err != nil {
+		return err
+	}
+	f.deployment.timeline.add(audit.Event{Kind: audit.HostStopping, Target: name})
+	if err := m.process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	f.open.Add(1)
+	w := &exit{faults: f, member: m}
+	go w.run()
+	return nil
+}
+
+// exit waits for the end of a stopping host.
+type exit struct {
+	faults *faults
+	member *member
+}
+
+func (w *exit) run() {
+	defer w.faults.open.Done()
+	err := w.member.process.Wait(stopTimeout)
+	event := audit.Event{Kind: audit.HostStopped, Target: w.member.name}
+	if err != nil {
+		event.ExitStatus = 1
+		event.Note = err.Error()
+	}
+	w.faults.deployment.timeline.add(event)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,7 @@
+// Command standin plays the outside systems that godwitmoor works with: model
+// engines, application services, the key-value service and the host list.
+package main
+
+import "godwitmoor.example/standin/pkg/app"
+
+func main() { app.Main() }
--- /dev/null
+++ b/standin/pkg/application/application.go
@@ -0,0 +1,151 @@
+// Package application is a stand-in for a plain service, such as an order desk.
+package application
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"godwitmoor.example/standin/pkg/runlog"
+)
+
+const maxBody = 4 << 20
+
+// Faults is what can be made to go wrong.
+type Faults struct {
+	// Cut runs the request and closes the connection without an answer.
+	Cut bool `json:"cut"`
+	// CutUnread closes the connection after reading the request, without running it.
+	CutUnread bool `json:"cut-unread"`
+	// Refuse answers 503 with the header Not-Run without running the request.
+	Refuse bool `json:"refuse"`
+	// Crossed answers with the attempt id of another request.
+	Crossed bool `json:"crossed"`
+	// Leaving is reported with the load.
+	Leaving bool `json:"leaving"`
+	// Silent runs the request and never answers.
+	Silent bool `json:"silent"`
+}
+
+// Service is one application worker.
+type Service struct {
+	work time.Duration
+	log  *runlog.Log
+
+	mu      sync.Mutex
+	faults  Faults
+	running int
+	orders  int
+}
+
+// New makes a worker that takes the given time for each request.
+func New(work time.Duration, log *runlog.Log) *Service {
+	return &Service{work: work, log: log}
+}
+
+type receipt struct {
+	Order  int    `json:"order"`
+	Digest string `json:"digest"`
+}
+
+type loadReply struct {
+	Running int  `json:"running"`
+	Leaving bool `json:"leaving"`
+}
+
+// Handler serves the worker.
+func (s *Service) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/faults", s.setFaults)
+	r.Get("/load", s.load)
+	r.HandleFunc("/*", s.run)
+	return r
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	reply := loadReply{Running: s.running, Leaving: s.faults.Leaving}
+	s.mu.Unlock()
+	writeJSON(w, reply)
+}
+
+func (s *Service) run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	faults := s.begin()
+	defer s.end()
+	if faults.CutUnread {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Refuse {
+		w.Header().Set("Not-Run", "true")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	s.log.Write(runlog.Of(r, runlog.Started))
+	time.Sleep(s.work)
+	s.log.Write(runlog.Of(r, runlog.Finished))
+	if faults.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	attempt := r.Header.Get(runlog.AttemptHeader)
+	if faults.Crossed {
+		attempt = "another-" + attempt
+	}
+	w.Header().Set(runlog.AttemptHeader, attempt)
+	writeJSON(w, receipt{Order: s.number(), Digest: Digest(body)})
+}
+
+func (s *Service) begin() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	return s.faults
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Service) number() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders++
+	return s.orders
+}
+
+// Digest gives what a receipt says of the body it answers.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that is gone needs no answer.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/pkg/engine/engine.go
@@ -0,0 +1,360 @@
+// Package engine is a stand-in for a model engine. It batches continuously,
+// admits all that arrives, knows no priorities, keeps a limited prefix cache
+// and reports its load late.
+//
+// It serves POST /v1/completions as a stream of server-sent events. The header
+// Resume-Offset starts the answer at a later token; closing the connection
+// cancels the run.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"godwitmoor.example/standin/pkg/answer"
+	"godwitmoor.example/standin/pkg/runlog"
+)
+
+const (
+	maxBody       = 16 << 20
+	defaultTokens = 16
+	// prefillChunk is how many prompt tokens one step takes in at most.
+	prefillChunk = 2048
+	idleStep     = 2 * time.Millisecond
+	loadSample   = 100 * time.Millisecond
+)
+
+// Speeds is how fast an engine works.
+type Speeds struct {
+	// Prefill is in prompt tokens/s.
+	Prefill float64
+	// Step is the time of a decode step of one request; StepEach is what each
+	// further one adds.
+	Step     time.Duration
+	StepEach time.Duration
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// LoadLag is the age of the load that is reported.
+	LoadLag time.Duration
+}
+
+// Faults is what can be made to go wrong.
+type Faults struct {
+	// CutAfter closes each stream after that many tokens.
+	CutAfter int `json:"cut-after"`
+	// Slow multiplies the time of each step.
+	Slow float64 `json:"slow"`
+	// Freeze stops all steps while connections stay open.
+	Freeze bool `json:"freeze"`
+	// Refuse answers 503 with the header Not-Run.
+	Refuse bool `json:"refuse"`
+	// Crossed answers with the attempt id of another request.
+	Crossed bool `json:"crossed"`
+	// Leaving is reported with the load.
+	Leaving bool `json:"leaving"`
+}
+
+// Engine is one model worker.
+type Engine struct {
+	speeds Speeds
+	log    *runlog.Log
+
+	mu      sync.Mutex
+	faults  Faults
+	arrived []*sequence
+	running int
+	history []loadPoint
+	cache   prefixCache
+}
+
+type loadPoint struct {
+	at      time.Time
+	running int
+}
+
+// sequence is one request in the batch.
+type sequence struct {
+	digest    uint64
+	prompt    int
+	prefill   int
+	next      int
+	limit     int
+	prefilled atomic.Int64
+	tokens    chan int
+	gone      <-chan struct{}
+}
+
+// New makes an engine; Start sets it to work.
+func New(speeds Speeds, log *runlog.Log) *Engine {
+	return &Engine{speeds: speeds, log: log, cache: prefixCache{limit: speeds.CacheTokens}}
+}
+
+// Start begins the steps of the batch, until ctx ends.
+func (e *Engine) Start(ctx context.Context) {
+	go e.loop(ctx)
+	go e.run(ctx)
+}
+
+// run samples the load that is reported later.
+func (e *Engine) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(loadSample):
+		}
+		e.mu.Lock()
+		e.history = append(e.history, loadPoint{at: time.Now(), running: e.running})
+		for len(e.history) > 1 && time.Since(e.history[1].at) > e.speeds.LoadLag {
+			e.history = e.history[1:]
+		}
+		e.mu.Unlock()
+	}
+}
+
+// loop steps the batch.
+func (e *Engine) loop(ctx context.Context) {
+	var batch []*sequence
+	for ctx.Err() == nil {
+		var faults Faults
+		batch, faults = e.admit(batch)
+		if len(batch) == 0 || faults.Freeze {
+			time.Sleep(idleStep)
+			continue
+		}
+		time.Sleep(e.stepTime(batch, faults))
+		batch = e.step(batch)
+	}
+}
+
+func (e *Engine) admit(batch []*sequence) ([]*sequence, Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	batch = append(batch, e.arrived...)
+	e.arrived = nil
+	return batch, e.faults
+}
+
+// stepTime takes in part of the prompts, which stalls everyone in the batch.
+func (e *Engine) stepTime(batch []*sequence, faults Faults) time.Duration {
+	room := prefillChunk
+	for _, s := range batch {
+		part := min(room, s.prefill)
+		s.prefill -= part
+		s.prefilled.Add(int64(part))
+		room -= part
+	}
+	prefill := float64(prefillChunk-room) / e.speeds.Prefill
+	d := e.speeds.Step + time.Duration(len(batch)-1)*e.speeds.StepEach + time.Duration(prefill*float64(time.Second))
+	if faults.Slow > 1 {
+		d = time.Duration(float64(d) * faults.Slow)
+	}
+	return d
+}
+
+func (e *Engine) step(batch []*sequence) []*sequence {
+	kept := batch[:0]
+	for _, s := range batch {
+		select {
+		case <-s.gone:
+			close(s.tokens)
+			continue
+		default:
+		}
+		if s.prefill == 0 {
+			s.tokens <- s.next
+			s.next++
+		}
+		if s.next >= s.limit {
+			close(s.tokens)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	return kept
+}
+
+type completionRequest struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+type completionChunk struct {
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+type loadReply struct {
+	Running int  `json:"running"`
+	Leaving bool `json:"leaving"`
+}
+
+// Handler serves the engine.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/faults", e.setFaults)
+	r.Get("/load", e.load)
+	r.Post("/v1/completions", e.complete)
+	return r
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	reply := loadReply{Leaving: e.faults.Leaving}
+	if len(e.history) > 0 {
+		reply.Running = e.history[0].running
+	}
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request completionRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var offset int
+	if text := r.Header.Get("Resume-Offset"); text != "" {
+		if _, err := fmt.Sscan(text, &offset); err != nil || offset < 0 {
+			http.Error(w, "Resume-Offset is no number", http.StatusBadRequest)
+			return
+		}
+	}
+	if request.MaxTokens <= 0 {
+		request.MaxTokens = defaultTokens
+	}
+	s, faults := e.enter(r, request, offset)
+	if s == nil {
+		w.Header().Set("Not-Run", "true")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	e.log.Write(runlog.Of(r, runlog.Started))
+	e.stream(w, r, s, faults)
+}
+
+func (e *Engine) enter(r *http.Request, request completionRequest, offset int) (*sequence, Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Refuse {
+		return nil, e.faults
+	}
+	tokens := answer.PromptTokens(request.Prompt)
+	s := &sequence{
+		digest:  answer.Digest(request.Prompt),
+		prompt:  tokens,
+		prefill: tokens - e.cache.take(request.Prompt, tokens),
+		next:    min(offset, request.MaxTokens-1),
+		limit:   request.MaxTokens,
+		tokens:  make(chan int, request.MaxTokens),
+		gone:    r.Context().Done(),
+	}
+	e.arrived = append(e.arrived, s)
+	e.running++
+	return s, e.faults
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, faults Faults) {
+	attempt := r.Header.Get(runlog.AttemptHeader)
+	if faults.Crossed {
+		attempt = "another-" + attempt
+	}
+	w.Header().Set(runlog.AttemptHeader, attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	generated := 0
+	for {
+		select {
+		case <-r.Context().Done():
+			e.leave(r, s, runlog.Cancelled, generated)
+			return
+		case index, more := <-s.tokens:
+			if !more {
+				if r.Context().Err() != nil {
+					e.leave(r, s, runlog.Cancelled, generated)
+					return
+				}
+				e.leave(r, s, runlog.Finished, generated)
+				fmt.Fprint(w, "data: [DONE]\n\n")
+				return
+			}
+			generated++
+			data, err := json.Marshal(completionChunk{Index: index, Text: answer.Token(s.digest, index)})
+			if err != nil {
+				panic(err)
+			}
+			fmt.Fprintf(w, "data: %s\n\n", data)
+			_ = control.Flush()
+			if faults.CutAfter > 0 && generated >= faults.CutAfter {
+				e.leave(r, s, runlog.Cancelled, generated)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+func (e *Engine) leave(r *http.Request, s *sequence, phase runlog.Phase, generated int) {
+	e.mu.Lock()
+	e.running--
+	prefilled := int(s.prefilled.Load())
+	e.mu.Unlock()
+	line := runlog.Of(r, phase)
+	line.Prefilled = prefilled
+	line.Generated = generated
+	e.log.Write(line)
+}
+
+// prefixCache remembers the prompts taken in last, up to a number of tokens.
+type prefixCache struct {
+	limit  int
+	used   int
+	recent []cachedPrompt
+}
+
+type cachedPrompt struct {
+	digest uint64
+	tokens int
+}
+
+// take gives how many tokens of the prompt are cached, and caches it.
+func (p *prefixCache) take(prompt string, tokens int) int {
+	digest := answer.Digest(prompt)
+	hit := 0
+	for i, c := range p.recent {
+		if c.digest == digest {
+			hit = c.tokens
+			p.used -= c.tokens
+			p.recent = append(p.recent[:i], p.recent[i+1:]...)
+			break
+		}
+	}
+	p.recent = append(p.recent, cachedPrompt{digest: digest, tokens: tokens})
+	p.used += tokens
+	for p.used > p.limit && len(p.recent) > 0 {
+		p.used -= p.recent[0].tokens
+		p.recent = p.recent[1:]
+	}
+	return min(hit, tokens)
+}
--- /dev/null
+++ b/standin/pkg/hostlist/hostlist.go
@@ -0,0 +1,98 @@
+// Package hostlist is a stand-in for the platform's list of live and leaving
+// hosts. What it shows is old by a settable lag.
+package hostlist
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const maxCall = 1 << 20
+
+// Host is one line of the list.
+type Host struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	// Role is "entry" for hosts of the system, "endpoint" for the rest.
+	Role string `json:"role"`
+	// State is "live" or "leaving"; hosts that are gone are not listed.
+	State string `json:"state"`
+}
+
+// List is the whole list with its past.
+type List struct {
+	lag time.Duration
+
+	mu     sync.Mutex
+	hosts  map[string]Host
+	shown  []Host
+	coming []snapshot
+}
+
+type snapshot struct {
+	at    time.Time
+	hosts []Host
+}
+
+// New makes an empty list that shows changes after lag.
+func New(lag time.Duration) *List {
+	return &List{lag: lag, hosts: map[string]Host{}}
+}
+
+// Handler serves GET /hosts, PUT /hosts/{name} and DELETE /hosts/{name}.
+func (l *List) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/hosts", l.show)
+	r.Put("/hosts/{name}", l.put)
+	r.Delete("/hosts/{name}", l.remove)
+	return r
+}
+
+func (l *List) show(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	for len(l.coming) > 0 && time.Since(l.coming[0].at) >= l.lag {
+		l.shown = l.coming[0].hosts
+		l.coming = l.coming[1:]
+	}
+	shown := l.shown
+	l.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(shown)
+}
+
+func (l *List) put(w http.ResponseWriter, r *http.Request) {
+	var host Host
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxCall)).Decode(&host); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	host.Name = chi.URLParam(r, "name")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts[host.Name] = host
+	l.change()
+}
+
+func (l *List) remove(_ http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.hosts, chi.URLParam(r, "name"))
+	l.change()
+}
+
+func (l *List) change() {
+	hosts := make([]Host, 0, len(l.hosts))
+	for _, h := range l.hosts {
+		hosts = append(hosts, h)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	l.coming = append(l.coming, snapshot{at: time.Now(), hosts: hosts})
+}
