--- /dev/null
+++ b/coordination/pkg/configuration/configuration_test.go
@@ -0,0 +1,171 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/coordination/pkg/keyvalue/keyvaluetest"
+)
+
+// small is a configuration with a line for each thing that a test replaces.
+const small = `{
+  "goodput-weight": 0.5,
+  "tiers": [{"name": "bench", "deadline": "2s"}, {"name": "review", "deadline": "10m"}],
+  "customers": [{"name": "shop", "token-sha256": "ba4a3eb3d6b294ceaf5c52c175abe698943d560b8df1441175a3afc58fda2cbd", "tiers": ["bench"]}],
+  // the model workers
+  "services": [{"name": "atelier", "prefix": "/atelier", "kind": "model", "queue-limit": 10, "body-limit": 1000, "first-byte-timeout": "5s", "gap-timeout": "2s",
+    "endpoints": [{"name": "e1", "address": "127.0.0.1:1", "data-centre": "lorient", "in-flight-limit": 4}]}],
+  "rules": [{"service": "atelier", "methods": ["POST"], "path": "/v1/**", "idempotent": true, "tier": "review"}],
+  "claims": {"retention": "24h", "stored-answer-limit": 100},
+}`
+
+func TestEveryFaultNamesItsPlaceAndRemedy(t *testing.T) {
+	cases := []struct{ old, put, want string }{
+		{`"tiers": [{`, `"tierz": [{`, "small:3: /tierz: unknown field; remove it"},
+		{`"2s"}, {"name": "rev`, `"fast"}, {"name": "rev`, `small:3: /tiers/0/deadline: "fast" is not a duration`},
+		{`"goodput-weight": 0.5`, `"goodput-weight": 2`, "small:2: /goodput-weight: is outside 0 to 1; set"},
+		{`"in-flight-limit": 4`, `"in-flight-limit": 0`, "small:7: /services/0/endpoints/0/in-flight-limit: 0 is outside 1 to 4096"},
+		{`127.0.0.1:1`, `localhost:1`, "small:7: /services/0/endpoints/0/address"},
+		{`"tier": "review"}]`, `"tier": "later"}]`, `small:8: /rules/0/tier: there is no tier "later"; name one`},
+		{`"kind": "model"`, `"kind": "modem"`, "small:6: /services/0/kind"},
+		{`"queue-limit": 10, `, ``, "small:6: /services/0/queue-limit: 0 is outside"},
+		{`"24h"`, `"1s"`, "small:9: /claims/retention: 1s is outside"},
+		{`"name": "review"`, `"name": "bench"`, `small:3: /tiers/1/name: "bench" is used twice`},
+		{`"goodput-weight": 0.5,`, `"goodput-weight": 0.5,,`, "small:2: /: hujson"},
+	}
+	for _, c := range cases {
+		t.Run(c.put, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(strings.Count(small, c.old), 1) // the case changes one place
+			_, err := configuration.Parse("small", []byte(strings.Replace(small, c.old, c.put, 1)))
+			is.True(err != nil)
+			t.Log(err)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+	_, err := configuration.Parse("small", []byte(small))
+	is.New(t).NoErr(err)
+}
+
+func TestRulesAndRoutes(t *testing.T) {
+	is := is.New(t)
+	c, err := configuration.Parse("small", []byte(small))
+	is.NoErr(err)
+	service, rest, found := c.Route("/atelier/v1/completions")
+	is.True(found)
+	is.Equal(service.Name, "atelier")
+	is.Equal(rest, "/v1/completions")
+	_, _, found = c.Route("/ateliers/v1")
+	is.True(!found) // a prefix ends at a slash
+	is.True(c.RuleFor("atelier", "POST", "/v1/completions").Idempotent)
+	is.True(!c.RuleFor("atelier", "POST", "/v2/x").Idempotent) // what no rule names runs once
+	is.True(c.RuleFor("atelier", "GET", "/v2/x").Idempotent)
+	is.Equal(c.RuleFor("atelier", "PUT", "/").Tier, "review")
+}
+
+func TestDifferencesNameItemsByName(t *testing.T) {
+	is := is.New(t)
+	before, err := configuration.Parse("small", []byte(small))
+	is.NoErr(err)
+	differences, err := configuration.Differences(before, before.WithEndpointLeaving("e1"))
+	is.NoErr(err)
+	is.Equal(fmt.Sprint(differences), "[+ /services/atelier/endpoints/e1/leaving = true]")
+	is.True(!before.Services[0].Endpoints[0].Leaving) // the old value stays as it was
+}
+
+func change(id, by string, base int64) configuration.Change {
+	return configuration.Change{ID: id, By: by, Text: small, Base: base}
+}
+
+func TestOfTwoOperatorsAtOnceOneWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store keyvaluetest.Store
+		results := make(chan configuration.Result, 2)
+		for _, by := range []string{"mei", "yann"} {
+			register := &configuration.Register{Store: store.Link(func(keyvaluetest.Call) error {
+				time.Sleep(time.Millisecond)
+				return nil
+			})}
+			go func() {
+				r, err := register.Apply(t.Context(), change("change-of-"+by, by, 0))
+				is.NoErr(err)
+				results <- r
+			}()
+		}
+		var won, lost int
+		var winner string
+		for range 2 {
+			switch r := (<-results).(type) {
+			case configuration.Applied:
+				won++
+				is.Equal(r.Version, int64(1))
+			case configuration.Overtaken:
+				lost++
+				winner = r.By
+			}
+		}
+		is.Equal(won, 1)
+		is.Equal(lost, 1)
+		current, err := (&configuration.Register{Store: store.Link(nil)}).Current(t.Context())
+		is.NoErr(err)
+		is.Equal(current.By, winner) // the one who lost is told whose change it met
+	})
+}
+
+func TestLostReplyOfAnApplyIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store keyvaluetest.Store
+		other := &configuration.Register{Store: store.Link(nil)}
+		lose := true
+		register := &configuration.Register{Store: store.Link(func(c keyvaluetest.Call) error {
+			if c.Stage != keyvaluetest.After || c.Operation != "create" || !lose {
+				return nil
+			}
+			lose = false
+			// Before the operator can read back, another change is applied.
+			r, err := other.Apply(context.Background(), change("later", "yann", 1))
+			is.NoErr(err)
+			is.Equal(r, configuration.Applied{Version: 2})
+			return keyvaluetest.ErrCut
+		})}
+		r, err := register.Apply(t.Context(), change("first", "mei", 0))
+		is.NoErr(err)
+		is.Equal(r, configuration.Applied{Version: 1}) // found among the changes before
+	})
+}
+
+func TestApplyWithoutAReplySaysThatItDoesNotKnow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store keyvaluetest.Store
+		register := &configuration.Register{Store: store.Link(func(c keyvaluetest.Call) error {
+			if c.Stage == keyvaluetest.After {
+				return keyvaluetest.ErrCut
+			}
+			return nil
+		})}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := register.Apply(ctx, change("first", "mei", 0))
+		_, unsettled := err.(*configuration.UnsettledError)
+		is.True(unsettled)
+		is.True(strings.Contains(err.Error(), "--change-id first"))
+	})
+}
+
+func TestProblemsKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	var empty configuration.Configuration
+	problems := document.Locate("f", []byte("{}"), empty.Check())
+	is.True(len(problems) >= 2) // no tier, no retention
+	is.Equal(problems[0].Line, 1)
+}
--- /dev/null
+++ b/coordination/pkg/keyvalue/keyvaluetest/store.go
@@ -0,0 +1,162 @@
+// Package keyvaluetest is a key-value store in memory for tests, with the
+// failures that the platform's service has: down, slow, and replies that are
+// lost after a write has taken effect.
+//
+// # Usage
+//
+//	store := &keyvaluetest.Store{}
+//	host := &claim.Book{Store: store.Link(func(call keyvaluetest.Call) error { … })}
+package keyvaluetest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+)
+
+// ErrCut is the cause of the errors that the fake makes.
+var ErrCut = errors.New("cut by the test")
+
+// Stage says where in a call a link's hook runs.
+type Stage int
+
+// The stages of a call.
+const (
+	// Before is before the call takes effect; an error prevents the effect.
+	Before Stage = iota
+	// After is after the effect; an error loses the reply.
+	After
+)
+
+// Call is one call as a hook sees it.
+type Call struct {
+	Stage     Stage
+	Operation string
+	Key       string
+}
+
+// Store holds entries and leases by the runtime's clock. The zero value works.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]stored
+	leases   map[keyvalue.Lease]time.Time
+}
+
+type stored struct {
+	entry keyvalue.Entry
+	lease keyvalue.Lease
+}
+
+// Link is one host's way to the store.
+type Link struct {
+	store *Store
+	hook  func(Call) error
+}
+
+// Link makes a way to the store; hook may be nil, may sleep, and may fail calls.
+func (s *Store) Link(hook func(Call) error) *Link { return &Link{store: s, hook: hook} }
+
+func (l *Link) call(operation, key string, effect func()) error {
+	for _, stage := range []Stage{Before, After} {
+		if l.hook != nil {
+			if err := l.hook(Call{Stage: stage, Operation: operation, Key: key}); err != nil {
+				return &keyvalue.UnreachableError{Operation: operation, Cause: err}
+			}
+		}
+		if stage == Before {
+			l.store.mu.Lock()
+			l.store.expire()
+			effect()
+			l.store.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+func (s *Store) expire() {
+	for lease, end := range s.leases {
+		if time.Now().Before(end) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, e := range s.entries {
+			if e.lease == lease {
+				delete(s.entries, key)
+			}
+		}
+	}
+}
+
+// Read is keyvalue.Store's.
+func (l *Link) Read(_ context.Context, key string) (keyvalue.Entry, error) {
+	var entry keyvalue.Entry
+	err := l.call("read", key, func() { entry = l.store.entries[key].entry })
+	return entry, err
+}
+
+// Create is keyvalue.Store's.
+func (l *Link) Create(_ context.Context, c keyvalue.Creation) (keyvalue.Outcome, error) {
+	var outcome keyvalue.Outcome
+	var refused error
+	err := l.call("create", c.Key, func() {
+		s := l.store
+		if found, exists := s.entries[c.Key]; exists {
+			outcome.Current = found.entry
+			return
+		}
+		if _, guarded := s.entries[c.Guard]; c.Guard != "" && !guarded {
+			outcome.GuardLost = true
+			return
+		}
+		outcome.Revision, refused = s.put(c.Key, c.Value, c.Lease)
+		outcome.Applied = refused == nil
+	})
+	return outcome, errors.CombineErrors(err, refused)
+}
+
+// Swap is keyvalue.Store's.
+func (l *Link) Swap(_ context.Context, key string, value []byte, revision int64, lease keyvalue.Lease) (keyvalue.Outcome, error) {
+	var outcome keyvalue.Outcome
+	var refused error
+	err := l.call("swap", key, func() {
+		s := l.store
+		if found := s.entries[key]; found.entry.Revision != revision {
+			outcome.Current = found.entry
+			return
+		}
+		outcome.Revision, refused = s.put(key, value, lease)
+		outcome.Applied = refused == nil
+	})
+	return outcome, errors.CombineErrors(err, refused)
+}
+
+func (s *Store) put(key string, value []byte, lease keyvalue.Lease) (int64, error) {
+	if _, alive := s.leases[lease]; lease != 0 && !alive {
+		return 0, &keyvalue.LeaseExpiredError{Lease: lease}
+	}
+	if s.entries == nil {
+		s.entries = map[string]stored{}
+	}
+	s.revision++
+	s.entries[key] = stored{entry: keyvalue.Entry{Key: key, Value: value, Revision: s.revision}, lease: lease}
+	return s.revision, nil
+}
+
+// Grant is keyvalue.Store's.
+func (l *Link) Grant(_ context.Context, life time.Duration) (keyvalue.Lease, error) {
+	var lease keyvalue.Lease
+	err := l.call("grant", "", func() {
+		s := l.store
+		if s.leases == nil {
+			s.leases = map[keyvalue.Lease]time.Time{}
+		}
+		s.revision++
+		lease = keyvalue.Lease(s.revision)
+		s.leases[lease] = time.Now().Add(life)
+	})
+	return lease, err
+}
--- /dev/null
+++ b/coordination/pkg/permit/core_test.go
@@ -0,0 +1,199 @@
+package permit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/permit"
+)
+
+const start = permit.Instant(1_000_000_000_000)
+
+func at(d time.Duration) permit.Instant { return start.After(d) }
+
+// desk is a core with two places at a fast endpoint and one at a slow one.
+func desk(endpoints ...permit.EndpointRules) *permit.Core {
+	if len(endpoints) == 0 {
+		endpoints = []permit.EndpointRules{
+			{Name: "fast", Limit: 2, PrefillSpeed: 1000, DecodeSpeed: 100},
+			{Name: "slow", Limit: 1, PrefillSpeed: 100, DecodeSpeed: 10},
+		}
+	}
+	var core permit.Core
+	core.Step(permit.Configured{At: start, Tiers: 3, QueueLimit: 4, Endpoints: endpoints})
+	return &core
+}
+
+func asked(d time.Duration, id string, tier int, answer int, deadline time.Duration) permit.Asked {
+	return permit.Asked{At: at(d), Ask: permit.Ask{
+		ID: id, Request: "r-" + id, Host: "entry-1", Tier: tier,
+		Deadline: at(deadline), PromptTokens: 10, AnswerTokens: answer,
+	}}
+}
+
+// told puts decisions into words, for comparison.
+func told(actions []permit.Action) string {
+	words := ""
+	for _, action := range actions {
+		switch a := action.(type) {
+		case permit.Granted:
+			words += fmt.Sprintf("%s to %s;", a.ID, a.Endpoint)
+		case permit.Refused:
+			words += fmt.Sprintf("%s refused for %s;", a.ID, a.Reason)
+		}
+	}
+	return words
+}
+
+func TestFreePlaceGoesToTheHighestTierFirst(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1, DecodeSpeed: 100})
+	is.Equal(told(core.Step(asked(0, "running", 2, 100, time.Minute))), "running to only;")
+	is.Equal(told(core.Step(asked(1, "plan", 2, 100, 5*time.Second))), "")
+	is.Equal(told(core.Step(asked(2, "question", 1, 100, time.Minute))), "")
+	is.Equal(told(core.Step(asked(3, "allergen", 0, 100, time.Minute))), "")
+	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "running"})), "allergen to only;")
+	is.Equal(told(core.Step(permit.Finished{At: at(2 * time.Second), ID: "allergen"})), "question to only;")
+	is.Equal(told(core.Step(permit.Finished{At: at(3 * time.Second), ID: "question"})), "plan to only;")
+}
+
+func TestWithinATierTheOneThatCanWaitLeastGoesFirst(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1, DecodeSpeed: 100})
+	core.Step(asked(0, "running", 1, 100, time.Minute))
+	core.Step(asked(1, "patient", 1, 100, 50*time.Second))
+	core.Step(asked(2, "urgent", 1, 100, 10*time.Second))
+	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "running"})), "urgent to only;")
+}
+
+func TestStartsOnlyWhereItCanFinish(t *testing.T) {
+	is := is.New(t)
+	core := desk()
+	// 100 tokens take 1 s on the fast endpoint and 10 s on the slow one.
+	is.Equal(told(core.Step(asked(0, "a", 0, 100, 3*time.Second))), "a to fast;")
+	is.Equal(told(core.Step(asked(0, "b", 0, 100, 3*time.Second))), "b to fast;")
+	is.Equal(told(core.Step(asked(0, "c", 0, 100, 3*time.Second))), "") // the slow place is free and no use
+	is.Equal(told(core.Step(asked(0, "d", 2, 100, time.Minute))), "d to slow;")
+	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "a"})), "c to fast;")
+}
+
+func TestRefusesAsSoonAsNoEndpointCanFinishIt(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1, DecodeSpeed: 100})
+	core.Step(asked(0, "running", 0, 100, time.Minute))
+	core.Step(asked(0, "late", 0, 100, 3*time.Second))
+	is.Equal(told(core.Step(permit.Ticked{At: at(1900 * time.Millisecond)})), "")
+	is.Equal(told(core.Step(permit.Ticked{At: at(2100 * time.Millisecond)})), "late refused for deadline;")
+	is.Equal(told(core.Step(permit.Finished{At: at(2200 * time.Millisecond), ID: "running"})), "")
+}
+
+func TestFullQueueGivesUpTheLowestTier(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1, DecodeSpeed: 100})
+	core.Step(asked(0, "running", 2, 100, time.Hour))
+	for i := range 4 {
+		core.Step(asked(0, fmt.Sprint("plan-", i), 2, 100, time.Hour))
+	}
+	is.Equal(told(core.Step(asked(1, "plan-4", 2, 100, time.Hour))), "plan-4 refused for queue-full;")
+	is.Equal(told(core.Step(asked(1, "allergen", 0, 100, time.Hour))), "plan-3 refused for displaced;")
+}
+
+func TestNeverMoreThanTheLimit(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 3})
+	granted := 0
+	for i := range 4 {
+		for _, action := range core.Step(asked(0, fmt.Sprint(i), 0, 10, time.Hour)) {
+			if _, grant := action.(permit.Granted); grant {
+				granted++
+			}
+		}
+	}
+	is.Equal(granted, 3)
+}
+
+func TestRepeatedAskGetsTheSamePermitAgain(t *testing.T) {
+	is := is.New(t)
+	core := desk()
+	is.Equal(told(core.Step(asked(0, "a", 0, 100, time.Minute))), "a to fast;")
+	is.Equal(told(core.Step(asked(time.Second, "a", 0, 100, time.Minute))), "a to fast;")
+	_, held := core.Load()
+	is.Equal(held, 1)
+}
+
+func TestNewOwnerLeavesRoomForPermitsItHasNotHeardOf(t *testing.T) {
+	is := is.New(t)
+	var core permit.Core
+	rules := []permit.EndpointRules{{Name: "only", Limit: 4}}
+	core.Step(permit.Configured{At: start, Tiers: 1, QueueLimit: 100, Endpoints: rules, Settle: time.Second})
+	core.Step(permit.Listed{At: at(1), Host: "entry-2", Permits: []permit.Permit{
+		{ID: "old-1", Endpoint: "only"}, {ID: "old-2", Endpoint: "only"},
+	}})
+	is.Equal(told(core.Step(asked(2, "a", 0, 10, time.Minute))), "") // half of 4 is taken by the old ones
+	is.Equal(told(core.Step(permit.Ticked{At: at(1100 * time.Millisecond)})), "a to only;")
+	is.Equal(told(core.Step(asked(1200*time.Millisecond, "b", 0, 10, time.Minute))), "b to only;")
+	is.Equal(told(core.Step(asked(1300*time.Millisecond, "c", 0, 10, time.Minute))), "") // all 4 are counted
+}
+
+func TestPermitsThatTheirHostForgotAreTakenBack(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1})
+	core.Step(asked(0, "a", 0, 10, time.Minute))
+	core.Step(asked(0, "b", 0, 10, time.Minute))
+	empty := permit.Listed{At: at(time.Second), Host: "entry-1"}
+	is.Equal(told(core.Step(empty)), "") // the grant may still be under way
+	empty.At = at(4 * time.Second)
+	is.Equal(told(core.Step(empty)), "b to only;")
+}
+
+func TestLostHostFreesItsPlacesAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 1})
+	core.Step(asked(0, "a", 0, 10, time.Minute))
+	core.Step(asked(0, "dead", 0, 10, time.Minute))
+	other := asked(0, "b", 1, 10, time.Minute)
+	other.Ask.Host = "entry-2"
+	core.Step(other)
+	core.Step(permit.HostLost{At: at(time.Second), Host: "entry-1"})
+	is.Equal(told(core.Step(permit.Ticked{At: at(2 * time.Second)})), "") // its request may still run
+	is.Equal(told(core.Step(permit.Ticked{At: at(7 * time.Second)})), "b to only;")
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 2})
+	core.Step(permit.Marked{At: at(1), Endpoint: "only", Open: false})
+	is.Equal(told(core.Step(asked(2, "a", 0, 10, time.Minute))), "")
+	is.Equal(told(core.Step(permit.Marked{At: at(3), Endpoint: "only", Open: true})), "a to only;")
+}
+
+func TestLateLoadReportDoesNotHidePlacesTwice(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 2})
+	core.Step(asked(0, "a", 0, 10, time.Minute))
+	core.Step(permit.Finished{At: at(1), ID: "a"})
+	core.Step(permit.Reported{At: at(2), Endpoint: "only", Running: 1}) // still counts a
+	is.Equal(told(core.Step(asked(3, "b", 0, 10, time.Minute))), "b to only;")
+	core.Step(permit.Reported{At: at(4), Endpoint: "only", Running: 2}) // one of them is not ours
+	is.Equal(told(core.Step(asked(5, "c", 0, 10, time.Minute))), "")
+}
+
+func TestSpeedsAreLearned(t *testing.T) {
+	is := is.New(t)
+	core := desk(
+		permit.EndpointRules{Name: "a", Limit: 9, DecodeSpeed: 100},
+		permit.EndpointRules{Name: "b", Limit: 9, DecodeSpeed: 90},
+	)
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		core.Step(asked(0, id, 0, 100, time.Hour))
+		core.Step(permit.Finished{At: at(time.Second), ID: id, Usage: permit.Usage{
+			PromptTokens: 10, AnswerTokens: 100, FirstByte: time.Millisecond, Total: 5 * time.Second,
+		}})
+	}
+	// Both were found to take 5 s where 1 s was promised, so a request with 3 s
+	// left can finish at neither.
+	is.Equal(told(core.Step(asked(time.Minute, "late", 0, 100, 63*time.Second))), "late refused for deadline;")
+}
