--- a/coordination/pkg/claim/book_test.go
+++ b/coordination/pkg/claim/book_test.go
@@ -149,7 +149,7 @@
 		time.Sleep(time.Second)
 		verdict, err := bookOf(&store, "entry-2", nil).Withdraw(t.Context(), order(key, "b"), retention)
 		is.NoErr(err)
-		is.Equal(verdict, claim.NotRun{})  // the caller is told that it did not run
+		is.Equal(verdict, claim.NotRun{}) // the caller is told that it did not run
 		is.Equal(<-woken, claim.NotRun{}) // so the frozen host must not send it
 	})
 }
--- a/coordination/pkg/operator/operator.go
+++ b/coordination/pkg/operator/operator.go
@@ -126,6 +126,22 @@
 	return d
 }
 
+// WithEndpoint adds an endpoint at an address to a service, with the limits and
+// the data centre of the service's first one.
+func (d Deployment) WithEndpoint(service, name, address string) Deployment {
+	d.configuration.Services = slices.Clone(d.configuration.Services)
+	for i := range d.configuration.Services {
+		s := &d.configuration.Services[i]
+		if s.Name != service || len(s.Endpoints) == 0 {
+			continue
+		}
+		added := s.Endpoints[0]
+		added.Name, added.Address = name, address
+		s.Endpoints = append(slices.Clip(s.Endpoints), added)
+	}
+	return d
+}
+
 // WithRule adds a rule after those added before; the first that matches counts.
 func (d Deployment) WithRule(r configuration.Rule, note string) Deployment {
 	field := fmt.Sprintf("rules/%d", len(d.configuration.Rules))
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -401,9 +401,10 @@
 func (c *Core) bestFor(a Ask) *endpoint {
 	var best *endpoint
 	var bestScore time.Duration
+	avoids := c.canAvoid(a)
 	for _, e := range c.free {
 		estimate := e.estimate(a)
-		if c.now.After(estimate) > a.Deadline || slices.Contains(a.Avoid, e.rules.Name) {
+		if c.now.After(estimate) > a.Deadline || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
 			continue
 		}
 		score := e.score(estimate)
@@ -414,6 +415,17 @@
 	return best
 }
 
+// canAvoid tells whether an open endpoint is left that the request does not
+// avoid. Where all have failed it once, another try there beats none.
+func (c *Core) canAvoid(a Ask) bool {
+	if len(a.Avoid) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(c.order, func(e *endpoint) bool {
+		return e.open() && !slices.Contains(a.Avoid, e.rules.Name)
+	})
+}
+
 func (c *Core) grant(w *waiter, e *endpoint) {
 	estimate := e.estimate(w.ask)
 	c.hold(w.ask, e, estimate)
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -169,6 +169,16 @@
 	is.Equal(told(core.Step(permit.Marked{At: at(3), Endpoint: "only", Open: true})), "a to only;")
 }
 
+func TestAvoidedEndpointIsUsedOnlyWhereNoOtherIsLeft(t *testing.T) {
+	is := is.New(t)
+	core := desk()
+	again := asked(0, "a", 0, 10, time.Minute)
+	again.Ask = again.Ask.WithAvoid("a", "fast")
+	is.Equal(told(core.Step(again)), "a to slow;")
+	again.Ask = again.Ask.WithAvoid("b", "slow")
+	is.Equal(told(core.Step(again)), "b to fast;")
+}
+
 func TestLateLoadReportDoesNotHidePlacesTwice(t *testing.T) {
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 2})
--- a/godwitmoord/pkg/serving/once.go
+++ b/godwitmoord/pkg/serving/once.go
@@ -98,6 +98,7 @@
 func (j *journey) claim(ctx context.Context, application claim.Application) (claim.Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTry)
 	defer cancel()
+	j.claimTried = true
 	return j.service.claims.Claim(ctx, application, j.retention())
 }
 
@@ -111,7 +112,11 @@
 	case errors.HasType(err, (*claim.MalformedKeyError)(nil)):
 		return Refused{Outcome: text.NotRun, Reason: text.KeyMalformed}
 	default:
-		j.service.claims.WithdrawLater(application, j.retention())
+		// Only a claim that was tried may stand there by now. Without one the
+		// key stays free, and the caller's next try can run.
+		if j.claimTried {
+			j.service.claims.WithdrawLater(application, j.retention())
+		}
 		return Refused{Outcome: text.Unknown, Reason: text.ClaimsUnreachable, RetryAfter: time.Second}
 	}
 }
@@ -125,6 +130,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTry)
 	defer cancel()
+	j.claimTried = true
 	verdict, err := j.service.claims.Withdraw(ctx, application, j.retention())
 	if err != nil {
 		return j.claimFailed(application, err)
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -86,6 +86,8 @@
 	endpoint string
 	// sent is set once any byte may have gone out.
 	sent bool
+	// claimTried is set once a write of the request's claim may be under way.
+	claimTried bool
 }
 
 // repeatable serves an idempotent request: what fails before or within the
