Move requests off silent endpoints while another can still answer

Ruled out: the load poll (it answered throughout) and the owner (grants went on within milliseconds). Change: the head of an answer goes out with its first part; an idempotent request waits for silence no longer than half of what its deadline leaves beside the estimate; a failed permit makes the endpoint rest, doubling from 1 s to 30 s, and prove itself with one request.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -91,6 +91,8 @@
 		c.withdraw(e.ID)
 	case Finished:
 		c.finish(e.ID, e.Usage)
+	case Failed:
+		c.fail(e.ID)
 	case Listed:
 		c.reconcile(e)
 	case Reported:
@@ -234,10 +236,20 @@
 	if h == nil {
 		return
 	}
+	if usage.Total > 0 {
+		h.endpoint.succeed()
+	}
 	h.endpoint.learn(usage)
 	c.release(id, h)
 }
 
+func (c *Core) fail(id string) {
+	if h := c.held[id]; h != nil {
+		h.endpoint.fail(c.now)
+		c.release(id, h)
+	}
+}
+
 func (c *Core) release(id string, h *holding) {
 	h.endpoint.held--
 	delete(c.held, id)
@@ -390,14 +402,15 @@
 	c.free = c.free[:0]
 	settling := c.now < c.settled
 	for _, e := range c.order {
-		if e.hasPlace(settling) {
+		if e.hasPlace(c.now, settling) {
 			c.free = append(c.free, e)
 		}
 	}
 }
 
 // bestFor gives the free endpoint that would answer soonest, or nil if the
-// request could finish in time at none of them.
+// request could finish in time at none of them. One that failed lately is taken
+// only where no other will do.
 func (c *Core) bestFor(a Ask) *endpoint {
 	var best *endpoint
 	var bestScore time.Duration
@@ -408,7 +421,7 @@
 			continue
 		}
 		score := e.score(estimate)
-		if best == nil || score < bestScore {
+		if best == nil || e.betterThan(best, score, bestScore) {
 			best, bestScore = e, score
 		}
 	}
@@ -436,7 +449,7 @@
 		Waited:   c.now.Since(w.since),
 		Estimate: estimate,
 	})
-	if !e.hasPlace(c.now < c.settled) {
+	if !e.hasPlace(c.now, c.now < c.settled) {
 		c.free = slices.DeleteFunc(c.free, func(other *endpoint) bool { return other == e })
 	}
 }
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -179,6 +179,22 @@
 	is.Equal(told(core.Step(again)), "b to fast;")
 }
 
+func TestFailingEndpointRestsAndThenProvesItself(t *testing.T) {
+	is := is.New(t)
+	core := desk(permit.EndpointRules{Name: "only", Limit: 3})
+	core.Step(asked(0, "a", 0, 10, time.Hour))
+	core.Step(permit.Failed{At: at(1), ID: "a"})
+	is.Equal(told(core.Step(asked(2, "b", 0, 10, time.Hour))), "")
+	is.Equal(told(core.Step(asked(3, "c", 0, 10, time.Hour))), "")
+	is.Equal(told(core.Step(permit.Ticked{At: at(1100 * time.Millisecond)})), "b to only;") // one, as a proof
+	is.Equal(told(core.Step(permit.Failed{At: at(1200 * time.Millisecond), ID: "b"})), "")
+	is.Equal(told(core.Step(permit.Ticked{At: at(2500 * time.Millisecond)})), "") // the second rest is longer
+	is.Equal(told(core.Step(permit.Ticked{At: at(3300 * time.Millisecond)})), "c to only;")
+	core.Step(permit.Finished{At: at(4 * time.Second), ID: "c", Usage: permit.Usage{Total: time.Millisecond}})
+	is.Equal(told(core.Step(asked(4*time.Second, "d", 0, 10, time.Hour))), "d to only;")
+	is.Equal(told(core.Step(asked(4*time.Second, "e", 0, 10, time.Hour))), "e to only;")
+}
+
 func TestLateLoadReportDoesNotHidePlacesTwice(t *testing.T) {
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 2})
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -5,6 +5,10 @@
 const (
 	// learningRate is the weight of the newest measurement of a speed.
 	learningRate = 0.2
+	// firstBackoff is how long an endpoint gets no work after a failure; each
+	// further one doubles it, up to longBackoff.
+	firstBackoff = time.Second
+	longBackoff  = 30 * time.Second
 )
 
 // endpoint is what the core knows of one endpoint.
@@ -14,6 +18,10 @@
 	// the configuration says.
 	closed bool
 	held   int
+	// failures counts the failures since the last answer; until restUntil the
+	// endpoint gets no work, and then one request at a time until it answers.
+	failures  int
+	restUntil Instant
 	// peak is the most permits held since the last load report; foreign is the
 	// load beyond it that the report showed.
 	peak    int
@@ -39,14 +47,43 @@
 
 // hasPlace tells whether one more request may be sent. While a new owner
 // settles, half of each limit is left for permits it has not heard of yet.
-func (e *endpoint) hasPlace(settling bool) bool {
+func (e *endpoint) hasPlace(now Instant, settling bool) bool {
 	limit := e.rules.Limit
+	if e.failures > 0 {
+		limit = 1
+	}
+	if now < e.restUntil {
+		return false
+	}
 	if settling {
 		limit = (limit + 1) / 2
 	}
 	return e.open() && e.held+e.foreign < limit
 }
 
+func (e *endpoint) fail(now Instant) {
+	if now < e.restUntil {
+		// The requests that were open at the first failure tell nothing new.
+		return
+	}
+	backoff := firstBackoff << min(e.failures, 10)
+	e.failures++
+	e.restUntil = now.After(min(backoff, longBackoff))
+}
+
+func (e *endpoint) succeed() {
+	e.failures = 0
+	e.restUntil = 0
+}
+
+// betterThan prefers endpoints without a recent failure, then the lower score.
+func (e *endpoint) betterThan(other *endpoint, score, otherScore time.Duration) bool {
+	if (e.failures > 0) != (other.failures > 0) {
+		return e.failures == 0
+	}
+	return score < otherScore
+}
+
 func (e *endpoint) take() {
 	e.held++
 	e.peak = max(e.peak, e.held)
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -70,7 +70,7 @@
 }
 
 // Event is what the core is told. It is one of Configured, Asked, Withdrawn,
-// Finished, Listed, Reported, Marked, HostLost and Ticked.
+// Finished, Failed, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -100,6 +100,12 @@
 		ID    string  `json:"id"`
 		Usage Usage   `json:"usage"`
 	}
+	// Failed gives back a permit whose endpoint refused, was silent or cut the
+	// answer short.
+	Failed struct {
+		At Instant `json:"at"`
+		ID string  `json:"id"`
+	}
 	// Listed gives all the permits that a host holds, for what messages lost.
 	Listed struct {
 		At      Instant  `json:"at"`
@@ -134,6 +140,7 @@
 func (e Asked) at() Instant      { return e.At }
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
+func (e Failed) at() Instant     { return e.At }
 func (e Listed) at() Instant     { return e.At }
 func (e Reported) at() Instant   { return e.At }
 func (e Marked) at() Instant     { return e.At }
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -63,6 +63,8 @@
 		return decode[Withdrawn](l.Event)
 	case "finished":
 		return decode[Finished](l.Event)
+	case "failed":
+		return decode[Failed](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
 	case "reported":
@@ -94,6 +96,8 @@
 		return "withdrawn"
 	case Finished:
 		return "finished"
+	case Failed:
+		return "failed"
 	case Listed:
 		return "listed"
 	case Reported:
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -153,6 +153,11 @@
 	g.giveBack(entryMessage{Kind: withdrawKind, Service: g.service, ID: g.Permit.ID})
 }
 
+// Failed gives a permit back whose endpoint did not answer as it should.
+func (g *Grant) Failed() {
+	g.giveBack(entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID})
+}
+
 func (g *Grant) giveBack(m entryMessage) {
 	e := g.entry
 	e.mu.Lock()
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -163,6 +163,8 @@
 			return nil
 		}
 		return permit.Finished{At: now, ID: m.ID, Usage: *m.Usage}
+	case failKind:
+		return permit.Failed{At: now, ID: m.ID}
 	case listKind:
 		return permit.Listed{At: now, Host: from, Permits: m.Permits}
 	default:
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -14,6 +14,7 @@
 	withdrawKind
 	finishKind
 	listKind
+	failKind
 )
 
 // entryMessage goes from an entry to the owner of a service.
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -31,6 +31,7 @@
 // attempt can go on where the last one stopped.
 type relay struct {
 	caller Caller
+	answer *attempt.Answer
 	kind   configuration.Kind
 	begun  bool
 	// status and contentType are those of the first answer.
@@ -54,17 +55,20 @@
 // pass hands one answer on, to its end. An error other than errCallerGone means
 // that the answer stopped short.
 func (l *relay) pass(a *attempt.Answer) error {
-	l.begin(a)
+	l.answer = a
 	if l.kind == configuration.Model && strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
 		return l.passEvents(a.Body)
 	}
 	return l.passBytes(a.Body)
 }
 
-func (l *relay) begin(a *attempt.Answer) {
+// begin sends the head of the answer, as late as its first part: until then
+// another endpoint can still answer in its place.
+func (l *relay) begin() {
 	if l.begun {
 		return
 	}
+	a := l.answer
 	header := http.Header{}
 	for name, values := range a.Header {
 		header[name] = values
@@ -87,6 +91,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			l.begin()
 			return nil
 		}
 		if err != nil {
@@ -126,6 +131,7 @@
 }
 
 func (l *relay) give(data []byte) error {
+	l.begin()
 	if l.firstByte.IsZero() {
 		l.firstByte = time.Now()
 	}
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -20,8 +20,12 @@
 	"godwitmoor.example/godwitmoord/pkg/text"
 )
 
-// maxAttempts bounds the endpoints that one request is sent to.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the endpoints that one request is sent to.
+	maxAttempts = 4
+	// leastSilence is how long every endpoint may be silent.
+	leastSilence = 500 * time.Millisecond
+)
 
 // Service serves requests.
 type Service struct {
@@ -178,24 +182,51 @@
 	}
 	start, from := time.Now(), j.relay.events
 	parcel := j.request.parcel(grant.Permit.ID).WithAttempt(grant.Permit.ID, from)
+	parcel.FirstByteTimeout = j.silenceBound(parcel.FirstByteTimeout, grant.Estimate)
+	parcel.GapTimeout = j.silenceBound(parcel.GapTimeout, grant.Estimate)
 	j.relay.firstByte = time.Time{}
 	answer, err := j.service.sender.Send(ctx, address, parcel)
 	if err != nil {
 		j.sent = j.sent || !errors.HasType(err, (*attempt.NotSentError)(nil))
-		grant.Unused()
+		j.giveBack(ctx, grant)
 		return err
 	}
 	j.sent = true
 	defer answer.Close()
 	err = j.relay.pass(answer)
-	if err != nil {
+	if errors.Is(err, errCallerGone) {
 		grant.Unused()
 		return err
 	}
+	if err != nil {
+		j.giveBack(ctx, grant)
+		return err
+	}
 	grant.Done(j.relay.usage(j.request, start, from))
 	return nil
 }
 
+// giveBack returns the permit of a failed attempt. A caller that went away says
+// nothing about the endpoint.
+func (j *journey) giveBack(ctx context.Context, grant *dispatch.Grant) {
+	if ctx.Err() != nil {
+		grant.Unused()
+		return
+	}
+	grant.Failed()
+}
+
+// silenceBound gives how long an attempt may be silent. The service's timeouts
+// hold for all; an idempotent request moves on earlier, while what is left of
+// its time still lets another endpoint finish it.
+func (j *journey) silenceBound(timeout, estimate time.Duration) time.Duration {
+	if !j.request.Idempotent {
+		return timeout
+	}
+	spare := time.Until(j.request.Deadline) - estimate
+	return min(timeout, max(spare/2, leastSilence))
+}
+
 // address looks an endpoint up in the configuration in force, which may be
 // newer than the one the request came in under.
 func (j *journey) address(endpoint string) (string, bool) {
--- a/replay/pkg/caller/caller.go
+++ b/replay/pkg/caller/caller.go
@@ -24,15 +24,20 @@
 	balancerInterval = 250 * time.Millisecond
 	balancerTimeout  = 500 * time.Millisecond
 	// patience is how long after its deadline a caller still listens.
-	patience     = 60 * time.Second
-	maxLine      = 1 << 20
-	idlePerHost  = 256
+	patience    = 60 * time.Second
+	maxLine     = 1 << 20
+	idlePerHost = 256
+	// retries is how often a caller in doubt sends a keyed request again.
+	retries      = 3
+	retryPause   = 400 * time.Millisecond
 	requestIDKey = "Request-Id"
 )
 
 // Outcome is what one caller was told, a line of the callers' log.
 type Outcome struct {
-	Number   int       `json:"number"`
+	Number int `json:"number"`
+	// Try counts from 0 the times that a caller in doubt sent a key again.
+	Try      int       `json:"try,omitempty"`
 	Request  string    `json:"request,omitempty"`
 	Host     string    `json:"host"`
 	Tier     string    `json:"tier"`
@@ -174,10 +179,26 @@
 
 func (c *call) run(ctx context.Context) {
 	defer c.open.Done()
+	for try := 0; ; try++ {
+		o := c.try(ctx, try)
+		c.callers.write(o)
+		if c.key == "" || try == retries || !inDoubt(o) {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// inDoubt tells whether a caller with a key would send its request again.
+func inDoubt(o Outcome) bool {
+	return o.Told == "failed" || o.Told == "broken-off" || o.Told == "unknown"
+}
+
+func (c *call) try(ctx context.Context, number int) Outcome {
 	host, ready := c.callers.balancer.Pick()
 	now := time.Now()
 	o := Outcome{
-		Number: c.request.Number, Host: host.Name, Tier: c.request.Tier, Path: c.request.Path,
+		Number: c.request.Number, Try: number, Host: host.Name, Tier: c.request.Tier, Path: c.request.Path,
 		Key: c.key, SentAt: now, Deadline: now.Add(c.request.Deadline), Told: "failed",
 	}
 	if ready {
@@ -188,7 +209,7 @@
 		o.Reason = "no host is ready"
 	}
 	o.DoneAt = time.Now()
-	c.callers.write(o)
+	return o
 }
 
 func (c *Callers) write(o Outcome) {
