Measure the path: time added, requests per core, bytes per open request

Change: the command replay measure, before real processes; the deployment that traces run against moved to a package of its own, to be shared.

--- a/coordination/pkg/operator/operator.go
+++ b/coordination/pkg/operator/operator.go
@@ -142,6 +142,22 @@
 	return d
 }
 
+// WithInFlightLimit sets the limit of every endpoint of a service.
+func (d Deployment) WithInFlightLimit(service string, limit int) Deployment {
+	d.configuration.Services = slices.Clone(d.configuration.Services)
+	for i := range d.configuration.Services {
+		s := &d.configuration.Services[i]
+		if s.Name != service {
+			continue
+		}
+		s.Endpoints = slices.Clone(s.Endpoints)
+		for n := range s.Endpoints {
+			s.Endpoints[n].InFlightLimit = limit
+		}
+	}
+	return d
+}
+
 // WithRule adds a rule after those added before; the first that matches counts.
 func (d Deployment) WithRule(r configuration.Rule, note string) Deployment {
 	field := fmt.Sprintf("rules/%d", len(d.configuration.Rules))
--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"godwitmoor.example/replay/pkg/audit"
+	"godwitmoor.example/replay/pkg/measure"
 	"godwitmoor.example/replay/pkg/trace"
 	"godwitmoor.example/replay/pkg/trial"
 	"godwitmoor.example/replay/traces"
@@ -33,7 +34,7 @@
 	root := &cli.Command{
 		Name:     "replay",
 		Usage:    "send traces to a deployment and judge what came of them",
-		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand()},
+		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand(), measureCommand(), capacityCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
@@ -111,6 +112,32 @@
 	}
 }
 
+func settingOf(c *cli.Command) measure.Setting {
+	return measure.Setting{Bin: c.String("bin"), Out: filepath.Join(c.String("out"), "measure"), Print: os.Stdout}
+}
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "measure what the path through a host adds",
+		Flags: []cli.Flag{binFlag(), outFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return measure.Path(ctx, settingOf(c))
+		},
+	}
+}
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure what hosts spend for control as their number grows",
+		Flags: []cli.Flag{binFlag(), outFlag(), &cli.IntSliceFlag{Name: "hosts", Value: []int{9, 30, 100}, Usage: "numbers of hosts"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return measure.Capacity(ctx, settingOf(c), c.IntSlice("hosts"))
+		},
+	}
+}
+
 func play(ctx context.Context, c *cli.Command, t trace.Trace, seed uint64) error {
 	out := filepath.Join(c.String("out"), t.Name)
 	run := trial.Trial{Trace: t, Seed: seed, Bin: c.String("bin"), Out: out}
--- /dev/null
+++ b/replay/pkg/deployment/deployment.go
@@ -0,0 +1,320 @@
+// Package deployment starts a whole deployment as processes on loopback: the
+// platform, the endpoints, the hosts, and the configuration in force on them.
+package deployment
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/coordination/pkg/operator"
+	"godwitmoor.example/examples/pkg/hsu"
+	"godwitmoor.example/examples/pkg/kerbrat"
+	"godwitmoor.example/replay/pkg/audit"
+	"godwitmoor.example/replay/pkg/caller"
+	"godwitmoor.example/replay/pkg/fleet"
+)
+
+const (
+	hostLag  = "2s"
+	loadLag  = "1s"
+	httpWait = 5 * time.Second
+)
+
+// Generation is one kind of accelerator. Prefill and Decode are in tokens/s.
+type Generation struct {
+	Prefill  float64
+	Decode   float64
+	Step     time.Duration
+	StepEach time.Duration
+}
+
+// Generations are four hardware generations, the fastest first.
+var Generations = []Generation{
+	{Prefill: 16000, Decode: 140, Step: 6 * time.Millisecond, StepEach: 200 * time.Microsecond},
+	{Prefill: 10000, Decode: 90, Step: 9 * time.Millisecond, StepEach: 300 * time.Microsecond},
+	{Prefill: 6000, Decode: 60, Step: 14 * time.Millisecond, StepEach: 400 * time.Microsecond},
+	{Prefill: 3500, Decode: 40, Step: 22 * time.Millisecond, StepEach: 600 * time.Microsecond},
+}
+
+// Plan says what to deploy.
+type Plan struct {
+	// Kind is "hsu" or "kerbrat".
+	Kind    string
+	Hosts   int
+	Engines int
+	Desks   int
+	// Generations are the engines' kinds, in turn.
+	Generations []Generation
+	// InFlight is the limit of each engine; zero keeps the deployment's own.
+	InFlight int
+}
+
+// Today is the size of today's deployments.
+func Today(kind string, hosts int) Plan {
+	return Plan{Kind: kind, Hosts: hosts, Engines: 10, Desks: 3, Generations: Generations}
+}
+
+// Host is one entry host.
+type Host struct {
+	Name    string
+	Listen  string
+	Peer    string
+	Status  string
+	Process *fleet.Process
+}
+
+// Deployment is everything that runs.
+type Deployment struct {
+	plan      Plan
+	fleet     *fleet.Fleet
+	Timeline  *Timeline
+	Declared  operator.Deployment
+	Token     func(string) string
+	KeyValue  string
+	hostList  string
+	Hosts     []*Host
+	Endpoints map[string]string
+	Processes map[string]*fleet.Process
+	changes   int
+	client    *http.Client
+}
+
+// hostSettings is the settings file of a daemon.
+type hostSettings struct {
+	Name         string            `json:"name"`
+	DataCentre   string            `json:"data-centre"`
+	Listen       string            `json:"listen"`
+	PeerListen   string            `json:"peer-listen"`
+	StatusListen string            `json:"status-listen"`
+	KeyValueURL  string            `json:"key-value-url"`
+	HostListURL  string            `json:"host-list-url"`
+	StopNotice   document.Duration `json:"stop-notice"`
+}
+
+// ListedHost is a line of the platform's host list.
+type ListedHost struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	Role       string `json:"role"`
+	State      string `json:"state"`
+}
+
+// Deploy starts the platform, the endpoints and the hosts, and applies the
+// configuration through the operators' command.
+func Deploy(f *fleet.Fleet, plan Plan, t *Timeline) (*Deployment, error) {
+	d := &Deployment{
+		plan: plan, fleet: f, Timeline: t,
+		Endpoints: map[string]string{}, Processes: map[string]*fleet.Process{},
+		client: &http.Client{Timeout: httpWait},
+	}
+	steps := []func() error{
+		d.startPlatform,
+		d.startEndpoints,
+		d.startHosts,
+		d.Apply,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) startPlatform() error {
+	addresses, err := fleet.Addresses(2)
+	if err != nil {
+		return err
+	}
+	d.KeyValue, d.hostList = "http://"+addresses[0], "http://"+addresses[1]
+	if _, err := d.fleet.Start("keyvalue", "standin", "keyvalue", "--listen", addresses[0]); err != nil {
+		return err
+	}
+	if _, err := d.fleet.Start("hostlist", "standin", "hostlist", "--listen", addresses[1], "--lag", hostLag); err != nil {
+		return err
+	}
+	return fleet.AwaitListening(addresses...)
+}
+
+func (d *Deployment) startEndpoints() error {
+	addresses, err := fleet.Addresses(d.plan.Engines + d.plan.Desks)
+	if err != nil {
+		return err
+	}
+	models, plain := addresses[:d.plan.Engines], addresses[d.plan.Engines:]
+	if d.plan.Kind == "kerbrat" {
+		d.Declared, d.Token = kerbrat.Deployment(models, plain), kerbrat.Token
+	} else {
+		d.Declared, d.Token = hsu.Deployment(d.hsuEngines(models), plain), hsu.Token
+	}
+	if d.plan.InFlight > 0 {
+		for _, name := range []string{hsu.Assistant, kerbrat.Atelier} {
+			d.Declared = d.Declared.WithInFlightLimit(name, d.plan.InFlight)
+		}
+	}
+	configuration := d.Declared.Configuration()
+	deployed := audit.Event{Kind: audit.Deployed, Services: map[string]string{}}
+	for _, tier := range configuration.Tiers {
+		deployed.Tiers = append(deployed.Tiers, tier.Name)
+	}
+	for _, service := range configuration.Services {
+		deployed.Services[service.Prefix] = service.Name
+		for i, e := range service.Endpoints {
+			deployed.Services[e.Name] = service.Name
+			if err := d.startEndpoint(string(service.Kind), i, e.Name, e.Address, e.DataCentre); err != nil {
+				return err
+			}
+		}
+	}
+	d.Timeline.Add(deployed)
+	return fleet.AwaitListening(addresses...)
+}
+
+func (d *Deployment) generation(number int) Generation {
+	return d.plan.Generations[number%len(d.plan.Generations)]
+}
+
+func (d *Deployment) hsuEngines(addresses []string) []hsu.Engine {
+	made := make([]hsu.Engine, len(addresses))
+	for i, address := range addresses {
+		g := d.generation(i)
+		made[i] = hsu.Engine{Address: address, PrefillSpeed: g.Prefill, DecodeSpeed: g.Decode}
+	}
+	return made
+}
+
+func (d *Deployment) startEndpoint(kind string, number int, name, address, dataCentre string) error {
+	args := []string{"application", "--work", "20ms"}
+	if kind == "model" {
+		g := d.generation(number)
+		args = []string{
+			"engine", "--prefill-speed", fmt.Sprint(g.Prefill), "--step", g.Step.String(),
+			"--step-each", g.StepEach.String(), "--load-lag", loadLag,
+		}
+	}
+	args = append(args, "--listen", address, "--name", name, "--run-log", d.fleet.Path(name+audit.RunLogSuffix))
+	process, err := d.fleet.Start(name, "standin", args...)
+	if err != nil {
+		return err
+	}
+	d.Endpoints[name] = address
+	d.Processes[name] = process
+	return d.List(name, ListedHost{Address: address, DataCentre: dataCentre, Role: "endpoint", State: "live"})
+}
+
+func (d *Deployment) startHosts() error {
+	for i := range d.plan.Hosts {
+		addresses, err := fleet.Addresses(3)
+		if err != nil {
+			return err
+		}
+		m := &Host{Name: fmt.Sprintf("entry-%d", i+1), Listen: addresses[0], Peer: addresses[1], Status: addresses[2]}
+		if err := d.startHost(m, hsu.DataCentres[i%len(hsu.DataCentres)]); err != nil {
+			return err
+		}
+		d.Hosts = append(d.Hosts, m)
+	}
+	return nil
+}
+
+func (d *Deployment) startHost(m *Host, dataCentre string) error {
+	data, err := json.MarshalIndent(hostSettings{
+		Name: m.Name, DataCentre: dataCentre, Listen: m.Listen, PeerListen: m.Peer, StatusListen: m.Status,
+		KeyValueURL: d.KeyValue, HostListURL: d.hostList, StopNotice: document.Duration(2 * time.Second),
+	}, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	file := d.fleet.Path(m.Name + ".jsonc")
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	if m.Process, err = d.fleet.Start(m.Name, "godwitmoord", "--settings", file); err != nil {
+		return err
+	}
+	d.Processes[m.Name] = m.Process
+	return d.List(m.Name, ListedHost{Address: m.Peer, DataCentre: dataCentre, Role: "entry", State: "live"})
+}
+
+// List puts a line into the platform's host list.
+func (d *Deployment) List(name string, line ListedHost) error {
+	return d.Call(http.MethodPut, d.hostList+"/hosts/"+name, line)
+}
+
+// Call sends a JSON body to a stand-in.
+func (d *Deployment) Call(method, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode a call")
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return errors.Wrap(err, "prepare a call")
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "call a stand-in")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers %s", url, response.Status)
+	}
+	return nil
+}
+
+// Apply brings what is declared into force through the operators' command.
+func (d *Deployment) Apply() error {
+	d.changes++
+	name := fmt.Sprintf("apply-%d", d.changes)
+	file := d.fleet.Path(name + ".jsonc")
+	var page bytes.Buffer
+	if err := d.Declared.Print(&page); err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, page.Bytes(), 0o644); err != nil {
+		return errors.Wrap(err, "write the configuration")
+	}
+	args := []string{"apply", "--key-value", d.KeyValue, "--by", "trial", "--wait"}
+	for _, m := range d.Hosts {
+		args = append(args, "--host", "http://"+m.Status)
+	}
+	began := time.Now()
+	process, err := d.fleet.Start(name, "godwitmoor", append(args, file)...)
+	if err != nil {
+		return err
+	}
+	err = process.Wait(time.Minute)
+	if err != nil {
+		return errors.Wrapf(err, "%s; see its log", name)
+	}
+	d.Timeline.Add(audit.Event{At: began, Kind: audit.Accepted, Version: int64(d.changes)})
+	return nil
+}
+
+// Callers gives the hosts as a balancer needs them.
+func (d *Deployment) Callers() []caller.Host {
+	hosts := make([]caller.Host, len(d.Hosts))
+	for i, m := range d.Hosts {
+		hosts[i] = caller.Host{Name: m.Name, Listen: m.Listen, Status: m.Status}
+	}
+	return hosts
+}
+
+// Host gives a host by name.
+func (d *Deployment) Host(name string) (*Host, error) {
+	for _, m := range d.Hosts {
+		if m.Name == name {
+			return m, nil
+		}
+	}
+	return nil, errors.Newf("the trace names host %q, which the deployment does not have", name)
+}
+
+// Plan gives what was asked to be deployed.
+func (d *Deployment) Plan() Plan { return d.plan }
--- /dev/null
+++ b/replay/pkg/measure/capacity.go
@@ -0,0 +1,95 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"godwitmoor.example/replay/pkg/deployment"
+)
+
+const (
+	settlePause  = 8 * time.Second
+	idleDuration = 10 * time.Second
+	// Bounds of a node's control, from the letter.
+	coreBound   = 2.6
+	memoryBound = 32.0
+	bytesBound  = 21.0
+)
+
+// Capacity measures what an idle host spends for control as the fleet grows.
+func Capacity(ctx context.Context, s Setting, sizes []int) error {
+	r := &report{out: s.Print}
+	for _, size := range sizes {
+		if err := idle(ctx, s, r, size); err != nil {
+			return err
+		}
+	}
+	return r.err()
+}
+
+// spent is the mean over all hosts.
+type spent struct {
+	core     float64
+	resident float64
+	bytes    float64
+	calls    float64
+}
+
+func idle(ctx context.Context, s Setting, r *report, size int) error {
+	plan := deployment.Plan{Kind: "hsu", Hosts: size, Engines: 1, Desks: 1, Generations: deployment.Generations}
+	run, err := start(ctx, s, fmt.Sprintf("idle-%d", size), plan)
+	if err != nil {
+		return err
+	}
+	defer run.stop()
+	time.Sleep(settlePause)
+	before, err := sample(run)
+	if err != nil {
+		return err
+	}
+	callsBefore, err := run.calls()
+	if err != nil {
+		return err
+	}
+	time.Sleep(idleDuration)
+	after, err := sample(run)
+	if err != nil {
+		return err
+	}
+	callsAfter, err := run.calls()
+	if err != nil {
+		return err
+	}
+	seconds, hosts := idleDuration.Seconds(), float64(size)
+	mean := spent{
+		core:     100 * (after.core - before.core) / seconds / hosts,
+		resident: after.resident / hosts / megabyte,
+		bytes:    (after.bytes - before.bytes) / seconds / hosts / kilobyteFloat,
+		calls:    float64(callsAfter.Reads-callsBefore.Reads) / seconds,
+	}
+	name := fmt.Sprintf("idle, %d hosts: ", size)
+	r.target(name+"share of a core", mean.core, coreBound, "%")
+	r.target(name+"resident memory", mean.resident, memoryBound, " MB")
+	r.target(name+"calls made to peers", mean.bytes, bytesBound/2, " KB/s")
+	r.figure(name+"key-value reads, all hosts", "%.1f/s", mean.calls)
+	return nil
+}
+
+func sample(run *running) (spent, error) {
+	var sum spent
+	for _, h := range run.Hosts {
+		u, err := usageOf(h.Process.Pid())
+		if err != nil {
+			return sum, err
+		}
+		m, err := metricsOf(h)
+		if err != nil {
+			return sum, err
+		}
+		sum.core += u.cpu.Seconds()
+		sum.resident += float64(u.resident)
+		sum.bytes += float64(m.PeerBytes.Count)
+	}
+	return sum, nil
+}
--- a/replay/pkg/trial/trial.go
+++ b/replay/pkg/trial/trial.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"godwitmoor.example/replay/pkg/audit"
 	"godwitmoor.example/replay/pkg/caller"
+	"godwitmoor.example/replay/pkg/deployment"
 	"godwitmoor.example/replay/pkg/fleet"
 	"godwitmoor.example/replay/pkg/trace"
 )
@@ -62,7 +63,7 @@
 func (t Trial) play(ctx context.Context, progress io.Writer) error {
 	f := fleet.New(t.Bin, t.Out)
 	defer f.Stop()
-	line, err := newTimeline(f.Path(audit.TimelineFile))
+	line, err := deployment.NewTimeline(f.Path(audit.TimelineFile))
 	if err != nil {
 		return err
 	}
@@ -71,32 +72,32 @@
 		return errors.Wrap(err, "make the callers' log")
 	}
 	defer log.Close()
-	d, err := deploy(f, t.Trace.Deployment, t.Trace.Hosts, line)
+	d, err := deployment.Deploy(f, deployment.Today(t.Trace.Deployment, t.Trace.Hosts), line)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	balancer := caller.NewBalancer(d.hosts())
+	balancer := caller.NewBalancer(d.Callers())
 	balancer.Start(ctx)
 	if err := awaitReady(ctx, balancer, t.Trace.Hosts); err != nil {
 		return err
 	}
 	fmt.Fprintf(progress, "%s: %d hosts are ready\n", t.Trace.Name, t.Trace.Hosts)
-	o := &observer{deployment: d, client: &http.Client{Timeout: observeTimeout}, ended: make(chan struct{})}
-	go o.run(ctx)
+	o := deployment.NewObserver(d)
+	o.Start(ctx)
 	start := time.Now()
-	j := &faults{deployment: d, list: t.Trace.Faults, start: start, progress: progress}
+	j := &faults{target: d, list: t.Trace.Faults, start: start, progress: progress}
 	j.open.Add(1)
 	go j.run(ctx)
 	requests := t.Trace.Requests(t.Seed)
-	caller.New(balancer, d.token, log).Send(ctx, requests, start, func(sent int) {
+	caller.New(balancer, d.Token, log).Send(ctx, requests, start, func(sent int) {
 		fmt.Fprintf(progress, "%5.1fs  %d of %d requests sent\n", time.Since(start).Seconds(), sent, len(requests))
 	})
 	j.open.Wait()
 	cancel()
-	<-o.ended
-	return errors.CombineErrors(j.failed, line.close())
+	o.Wait()
+	return errors.CombineErrors(j.failed, line.Close())
 }
 
 func awaitReady(ctx context.Context, b *caller.Balancer, hosts int) error {
@@ -114,11 +115,11 @@
 
 // faults carries out what a trace says goes wrong.
 type faults struct {
-	deployment *deployment
-	list       []trace.Fault
-	start      time.Time
-	progress   io.Writer
-	open       sync.WaitGroup
+	target   *deployment.Deployment
+	list     []trace.Fault
+	start    time.Time
+	progress io.Writer
+	open     sync.WaitGroup
 
 	mu     sync.Mutex
 	failed error
@@ -146,7 +147,7 @@
 }
 
 func (f *faults) carryOut(fault trace.Fault) error {
-	d := f.deployment
+	d := f.target
 	switch fault.Kind {
 	case "stop-host":
 		return f.stopHost(fault.Target)
@@ -158,16 +159,15 @@
 		}
 		return f.later(fault, func() error { return f.signal(fault, syscall.SIGCONT) })
 	case "leave-by-operator":
-		d.declared = d.declared.WithEndpointLeaving(fault.Target)
-		err := d.apply()
-		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "operator"})
-		return err
+		d.Declared = d.Declared.WithEndpointLeaving(fault.Target)
+		d.Timeline.Add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "operator"})
+		return d.Apply()
 	case "leave-by-report":
-		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "own report"})
+		d.Timeline.Add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "own report"})
 		return f.set(fault.Target, `{"leaving":true}`)
 	case "leave-by-list":
-		d.timeline.add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "host list", At: time.Now().Add(2 * time.Second)})
-		return d.list(fault.Target, listedHost{Address: d.endpoints[fault.Target], Role: "endpoint", State: "leaving"})
+		d.Timeline.Add(audit.Event{Kind: audit.EndpointLeaving, Target: fault.Target, Note: "host list", At: time.Now().Add(2 * time.Second)})
+		return d.List(fault.Target, deployment.ListedHost{Address: d.Endpoints[fault.Target], Role: "endpoint", State: "leaving"})
 	case "leave-by-refusing":
 		return f.set(fault.Target, `{"refuse":true}`)
 	case "freeze-endpoint":
@@ -186,20 +186,20 @@
 }
 
 func (f *faults) signal(fault trace.Fault, s syscall.Signal) error {
-	process := f.deployment.processes[fault.Target]
+	process := f.target.Processes[fault.Target]
 	if process == nil {
 		return errors.New("there is no such process")
 	}
-	f.deployment.timeline.add(audit.Event{Kind: audit.Fault, Target: fault.Target, Note: fault.Kind + " " + s.String()})
+	f.target.Timeline.Add(audit.Event{Kind: audit.Fault, Target: fault.Target, Note: fault.Kind + " " + s.String()})
 	return process.Signal(s)
 }
 
 func (f *faults) set(target, body string) error {
-	url := "http://" + f.deployment.endpoints[target]
+	url := "http://" + f.target.Endpoints[target]
 	if target == "keyvalue" {
-		url = f.deployment.keyValue
+		url = f.target.KeyValue
 	}
-	return f.deployment.call(http.MethodPost, url+"/faults", rawJSON(body))
+	return f.target.Call(http.MethodPost, url+"/faults", rawJSON(body))
 }
 
 // rawJSON is a body that is written as it stands.
@@ -213,7 +213,7 @@
 	if target == "" {
 		target = "keyvalue"
 	}
-	f.deployment.timeline.add(audit.Event{Kind: audit.Fault, Target: target, Note: fault.Kind})
+	f.target.Timeline.Add(audit.Event{Kind: audit.Fault, Target: target, Note: fault.Kind})
 	if err := f.set(target, body); err != nil {
 		return err
 	}
@@ -246,12 +246,12 @@
 }
 
 func (f *faults) stopHost(name string) error {
-	m, err := f.deployment.member(name)
+	m, err := f.target.Host(name)
 	if err != nil {
 		return err
 	}
-	f.deployment.timeline.add(audit.Event{Kind: audit.HostStopping, Target: name})
-	if err := m.process.Signal(syscall.SIGTERM); err != nil {
+	f.target.Timeline.Add(audit.Event{Kind: audit.HostStopping, Target: name})
+	if err := m.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	f.open.Add(1)
@@ -263,16 +263,16 @@
 // exit waits for the end of a stopping host.
 type exit struct {
 	faults *faults
-	member *member
+	member *deployment.Host
 }
 
 func (w *exit) run() {
 	defer w.faults.open.Done()
-	err := w.member.process.Wait(stopTimeout)
-	event := audit.Event{Kind: audit.HostStopped, Target: w.member.name}
+	err := w.member.Process.Wait(stopTimeout)
+	event := audit.Event{Kind: audit.HostStopped, Target: w.member.Name}
 	if err != nil {
 		event.ExitStatus = 1
 		event.Note = err.Error()
 	}
-	w.faults.deployment.timeline.add(event)
+	w.faults.target.Timeline.Add(event)
 }
--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -189,6 +189,10 @@
 type completionChunk struct {
 	Index int    `json:"index"`
 	Text  string `json:"text"`
+	// ArrivedAt and At are the engine's clock, in nanoseconds since 1970, when
+	// the request came and when the token goes out. Measurements subtract them.
+	ArrivedAt int64 `json:"arrived-at"`
+	At        int64 `json:"at"`
 }
 
 type loadReply struct {
@@ -284,6 +288,7 @@
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	_ = control.Flush()
+	arrived := time.Now().UnixNano()
 	generated := 0
 	for {
 		select {
@@ -301,7 +306,9 @@
 				return
 			}
 			generated++
-			data, err := json.Marshal(completionChunk{Index: index, Text: answer.Token(s.digest, index)})
+			data, err := json.Marshal(completionChunk{
+				Index: index, Text: answer.Token(s.digest, index), ArrivedAt: arrived, At: time.Now().UnixNano(),
+			})
 			if err != nil {
 				panic(err)
 			}
