Hold less for each open request

Cause: 18.9 KB of a waiting request's 42.9 KB was stack: decoding JSON and encoding CBOR in the caller's own goroutine grew it to 16 KB for as long as the request waited. Each waiting request was asked again every second. The heap grew by its live size between collections.

--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -31,6 +31,7 @@
 	"godwitmoor.example/godwitmoord/pkg/front"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/memory"
 	"godwitmoor.example/godwitmoord/pkg/peer"
 	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/release"
@@ -136,6 +137,7 @@
 	d.status = status.New(c)
 	owner := dispatch.NewOwner(c)
 	d.members.OnLost(owner.HostLost)
+	k.Register(kernel.Memory, &memory.Service{})
 	k.Register(kernel.Record, record.New(c))
 	k.Register(kernel.Peer, peer.New(c))
 	k.Register(kernel.Membership, d.members)
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -26,6 +26,10 @@
 	dialTimeout  = time.Second
 	idlePerHost  = 64
 	idleLifetime = 30 * time.Second
+	// Buffers of a connection to an endpoint, in bytes: a token is far smaller,
+	// and a host holds one connection for each stream.
+	readBuffer  = 2 << 10
+	writeBuffer = 1 << 10
 	// notRunHeader is how an endpoint says that it refused without running.
 	notRunHeader = "Not-Run"
 )
@@ -124,6 +128,8 @@
 		DisableKeepAlives:   !idempotent,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleLifetime,
+		ReadBufferSize:      readBuffer,
+		WriteBufferSize:     writeBuffer,
 	})
 	return slot.Load()
 }
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -18,8 +18,10 @@
 const (
 	// watchInterval is how often a change of owners is looked for.
 	watchInterval = 100 * time.Millisecond
-	// repeatAfter is the age at which an unanswered ask is sent again.
-	repeatAfter = time.Second
+	// firstRepeat is when an unanswered ask is sent again, in case a message was
+	// lost; each further time comes after twice as long, up to longRepeat.
+	firstRepeat = time.Second
+	longRepeat  = 16 * time.Second
 	// listInterval is how often an owner gets the list of permits held here.
 	listInterval = 2 * time.Second
 )
@@ -64,6 +66,7 @@
 	ask      permit.Ask
 	deadline time.Time
 	sent     time.Time
+	repeat   time.Duration
 	owner    string
 	answered chan answer
 }
@@ -98,7 +101,7 @@
 	}
 	e.ctx = ctx
 	e.outbox = peer.Outbox{To: kernel.Owner, Service: peers, Address: e.members.Address, Failed: e.members.Avoid}
-	e.owners.local = e.accept
+	e.owners.local = e.take
 	peers.Handle(kernel.Dispatch, peer.Inbox(e.accept))
 	go e.run(ctx)
 	return nil
@@ -174,8 +177,12 @@
 
 func (e *Entry) sendAsk(p *pending, owner string) {
 	e.mu.Lock()
+	if p.owner != owner {
+		p.repeat = 0
+	}
 	p.owner = owner
 	p.sent = time.Now()
+	p.repeat = min(max(2*p.repeat, firstRepeat), longRepeat)
 	e.mu.Unlock()
 	ask := p.ask
 	e.send(owner, entryMessage{Kind: askKind, Service: p.service, Ask: &ask, Budget: time.Until(p.deadline)})
@@ -188,33 +195,34 @@
 		}
 		return
 	}
-	data, err := cbor.Marshal(m)
-	if err == nil {
-		err = e.owners.accept(e.common.Self, data)
-	}
-	if err != nil {
+	if err := e.owners.take(e.common.Self, m); err != nil {
 		e.common.Count("entry.messages.refused")
 	}
 }
 
-// accept takes one decision of an owner.
+// accept takes one decision of an owner on another host.
 func (e *Entry) accept(from host.Identity, message []byte) error {
 	var m ownerMessage
 	if err := cbor.Unmarshal(message, &m); err != nil || m.ID == "" {
 		return &peer.RefusedError{Why: "malformed decision"}
 	}
+	e.take(from, m)
+	return nil
+}
+
+func (e *Entry) take(from host.Identity, m ownerMessage) {
 	e.mu.Lock()
 	p := e.waiting[m.ID]
 	if p == nil {
 		held := e.held[m.ID]
 		e.mu.Unlock()
 		e.returnStray(from, m, held)
-		return nil
+		return
 	}
 	if m.Endpoint == "" && p.owner != from.Name {
 		// A former owner's refusal; the present one decides.
 		e.mu.Unlock()
-		return nil
+		return
 	}
 	delete(e.waiting, m.ID)
 	result := answer{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter}}
@@ -234,7 +242,6 @@
 	if asked != from.Name {
 		e.send(asked, entryMessage{Kind: withdrawKind, Service: p.service, ID: m.ID})
 	}
-	return nil
 }
 
 // returnStray gives back a grant that nothing waits for any more.
@@ -316,7 +323,7 @@
 	defer e.mu.Unlock()
 	var overdue []*pending
 	for _, p := range e.waiting {
-		if ownerOf(ready, p.service) != p.owner || time.Since(p.sent) > repeatAfter {
+		if ownerOf(ready, p.service) != p.owner || time.Since(p.sent) > p.repeat {
 			overdue = append(overdue, p)
 		}
 	}
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -43,7 +43,7 @@
 	record  *record.Service
 	outbox  peer.Outbox
 	// local takes the decisions for requests that wait on this host itself.
-	local func(from host.Identity, message []byte) error
+	local func(from host.Identity, m ownerMessage)
 	ctx   context.Context
 
 	mu    sync.Mutex
@@ -123,12 +123,16 @@
 	return seats
 }
 
-// accept takes one message of an entry.
+// accept takes one message of an entry on another host.
 func (o *Owner) accept(from host.Identity, message []byte) error {
 	var m entryMessage
 	if err := cbor.Unmarshal(message, &m); err != nil {
 		return &peer.RefusedError{Why: "malformed message to an owner"}
 	}
+	return o.take(from, m)
+}
+
+func (o *Owner) take(from host.Identity, m entryMessage) error {
 	event := m.event(from.Name)
 	if event == nil {
 		return &peer.RefusedError{Why: "unknown message to an owner"}
@@ -286,11 +290,5 @@
 		}
 		return
 	}
-	data, err := cbor.Marshal(m)
-	if err == nil {
-		err = o.local(o.common.Self, data)
-	}
-	if err != nil {
-		o.common.Log.Error("decision not delivered", zap.Error(err))
-	}
+	o.local(o.common.Self, m)
 }
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
+	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/configuration"
@@ -278,24 +278,16 @@
 	return header
 }
 
-// sizes is what a model request says of its length.
-type sizes struct {
-	Prompt    string `json:"prompt"`
-	MaxTokens int    `json:"max_tokens"`
-}
-
 // estimate gives the tokens of a model request from its body.
 func estimate(body []byte) (prompt, answer int) {
-	var told sizes
 	// Bodies of another form are judged by their length alone.
-	_ = json.Unmarshal(body, &told)
-	length := len(told.Prompt)
+	length := len(gjson.GetBytes(body, "prompt").Raw)
 	if length == 0 {
 		length = len(body)
 	}
 	answer = defaultAnswerTokens
-	if told.MaxTokens > 0 {
-		answer = min(told.MaxTokens, maxAnswerTokens)
+	if told := gjson.GetBytes(body, "max_tokens").Int(); told > 0 {
+		answer = int(min(told, maxAnswerTokens))
 	}
 	return max(1, length/bytesPerToken), answer
 }
--- a/godwitmoord/pkg/kernel/kernel.go
+++ b/godwitmoord/pkg/kernel/kernel.go
@@ -22,6 +22,7 @@
 
 // Names of the services.
 const (
+	Memory     = "memory"
 	Peer       = "peer"
 	Membership = "membership"
 	Release    = "release"
--- a/godwitmoord/pkg/peer/outbox.go
+++ b/godwitmoord/pkg/peer/outbox.go
@@ -38,15 +38,13 @@
 type lane struct {
 	outbox *Outbox
 	name   string
-	ring   ring.Ring[[]byte]
+	ring   ring.Ring[any]
 }
 
-// Send queues a message for a host; false means that it was dropped.
+// Send queues a message for a host; false means that it was dropped. It is
+// encoded by the lane's thread: a caller's stack that once grew for it would
+// stay large as long as the caller waits.
 func (o *Outbox) Send(ctx context.Context, name string, message any) bool {
-	data, err := cbor.Marshal(message)
-	if err != nil {
-		return false
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lanes == nil {
@@ -54,16 +52,17 @@
 	}
 	l := o.lanes[name]
 	if l == nil {
-		l = &lane{outbox: o, name: name, ring: ring.New[[]byte](outboxSize)}
+		l = &lane{outbox: o, name: name, ring: ring.New[any](outboxSize)}
 		o.lanes[name] = l
 		go l.run(ctx)
 	}
-	return l.ring.Offer(data)
+	return l.ring.Offer(message)
 }
 
 func (l *lane) run(ctx context.Context) {
-	var batch [][]byte
+	var batch []any
 	for {
+		clear(batch)
 		batch = batch[:0]
 		select {
 		case <-ctx.Done():
@@ -91,13 +90,13 @@
 	return true
 }
 
-func (l *lane) deliver(ctx context.Context, batch [][]byte) {
+func (l *lane) deliver(ctx context.Context, batch []any) {
 	address, known := l.outbox.Address(l.name)
 	if !known {
 		l.outbox.Failed(l.name)
 		return
 	}
-	body, err := cbor.Marshal(batch)
+	body, err := encode(batch)
 	if err != nil {
 		return
 	}
@@ -107,6 +106,18 @@
 	}
 }
 
+func encode(batch []any) ([]byte, error) {
+	messages := make([][]byte, 0, len(batch))
+	for _, message := range batch {
+		data, err := cbor.Marshal(message)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode a message")
+		}
+		messages = append(messages, data)
+	}
+	return cbor.Marshal(messages)
+}
+
 // Inbox gives the handler that takes an outbox's batches apart. Accept gets
 // each message; one that it cannot read refuses the rest of its batch.
 func Inbox(accept func(from host.Identity, message []byte) error) Handler {
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,7 +15,7 @@
 )
 
 const (
-	readSize = 4 << 10
+	readSize = 2 << 10
 	// maxEvent bounds one server-sent event, in bytes.
 	maxEvent    = 256 << 10
 	eventStream = "text/event-stream"
@@ -101,12 +102,13 @@
 }
 
 func (l *relay) passEvents(body io.Reader) error {
-	buffer := make([]byte, readSize)
-	var partial []byte
+	partial := make([]byte, 0, readSize)
 	done := false
 	for {
-		n, err := body.Read(buffer)
-		partial = append(partial, buffer[:n]...)
+		// One buffer serves the reading and what is left of an event.
+		partial = slices.Grow(partial, readSize/2)
+		n, err := body.Read(partial[len(partial):cap(partial)])
+		partial = partial[:len(partial)+n]
 		whole := bytes.LastIndex(partial, []byte("\n\n"))
 		if whole >= 0 {
 			events := partial[:whole+2]
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -88,6 +89,7 @@
 	r.Get("/status", s.status)
 	r.Get("/metrics", s.metrics)
 	r.Get("/record", s.kept)
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
 	return r
 }
 
--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -120,9 +120,11 @@
 	return &cli.Command{
 		Name:  "measure",
 		Usage: "measure what the path through a host adds",
-		Flags: []cli.Flag{binFlag(), outFlag()},
+		Flags: []cli.Flag{binFlag(), outFlag(), &cli.StringSliceFlag{Name: "only", Usage: "time, rate, bytes or calls; default all"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return measure.Path(ctx, settingOf(c))
+			setting := settingOf(c)
+			setting.Only = c.StringSlice("only")
+			return measure.Path(ctx, setting)
 		},
 	}
 }
--- a/replay/pkg/measure/measure.go
+++ b/replay/pkg/measure/measure.go
@@ -40,6 +40,8 @@
 	Bin   string
 	Out   string
 	Print io.Writer
+	// Only names the measurements to make; none means all.
+	Only []string
 }
 
 // Short lists the targets that were not met.
--- a/replay/pkg/measure/path.go
+++ b/replay/pkg/measure/path.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,11 +40,15 @@
 // Path measures what the path through a host adds to a request.
 func Path(ctx context.Context, s Setting) error {
 	r := &report{out: s.Print}
-	steps := []func(context.Context, Setting, *report) error{
-		addedTime, requestRate, openBytes, keyValueCalls,
-	}
+	steps := []struct {
+		name string
+		run  func(context.Context, Setting, *report) error
+	}{{"time", addedTime}, {"rate", requestRate}, {"bytes", openBytes}, {"calls", keyValueCalls}}
 	for _, step := range steps {
-		if err := step(ctx, s, r); err != nil {
+		if len(s.Only) > 0 && !slices.Contains(s.Only, step.name) {
+			continue
+		}
+		if err := step.run(ctx, s, r); err != nil {
 			return err
 		}
 	}
