--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINTER   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN      := $(CURDIR)/bin
 
-.PHONY: build try test lint unit tools
+.PHONY: build try test lint unit tools measures capacity reference
 
 build:
 	@mkdir -p $(BIN)
@@ -16,6 +16,15 @@
 
 test: lint unit
 
+measures: build
+	@$(BIN)/replay measure --bin $(BIN) --out out
+
+capacity: build
+	@$(BIN)/replay capacity --bin $(BIN) --out out
+
+reference: build
+	@$(BIN)/replay reference > docs/operators/REFERENCE.md
+
 tools: $(BIN)/golangci-lint
 
 $(BIN)/golangci-lint:
--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -20,6 +20,7 @@
 	"github.com/urfave/cli/v3"
 	"godwitmoor.example/replay/pkg/audit"
 	"godwitmoor.example/replay/pkg/measure"
+	"godwitmoor.example/replay/pkg/reference"
 	"godwitmoor.example/replay/pkg/trace"
 	"godwitmoor.example/replay/pkg/trial"
 	"godwitmoor.example/replay/traces"
@@ -34,7 +35,7 @@
 	root := &cli.Command{
 		Name:     "replay",
 		Usage:    "send traces to a deployment and judge what came of them",
-		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand(), measureCommand(), capacityCommand()},
+		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand(), measureCommand(), capacityCommand(), referenceCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
@@ -112,6 +113,17 @@
 	}
 }
 
+func referenceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "reference",
+		Usage: "print the page of all settings, from the source",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "root", Value: ".", Usage: "`FOLDER` of the repository"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return reference.Write(os.Stdout, c.String("root"))
+		},
+	}
+}
+
 func settingOf(c *cli.Command) measure.Setting {
 	return measure.Setting{Bin: c.String("bin"), Out: filepath.Join(c.String("out"), "measure"), Print: os.Stdout}
 }
--- /dev/null
+++ b/replay/pkg/reference/reference.go
@@ -0,0 +1,102 @@
+// Package reference makes the page of all settings from the doc comments of the
+// structs that hold them, so that page and code say the same.
+package reference
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Source is a file whose structs make a chapter of the page.
+type Source struct {
+	Title string
+	// File is relative to the root of the repository.
+	File string
+	// Structs are the structs to show, in order.
+	Structs []string
+}
+
+// Sources are the chapters.
+var Sources = []Source{
+	{
+		Title: "The configuration of a deployment", File: "coordination/pkg/configuration/configuration.go",
+		Structs: []string{"Configuration", "Tier", "Customer", "Service", "Endpoint", "Rule", "Claims"},
+	},
+	{Title: "The settings of a host", File: "godwitmoord/pkg/settings/settings.go", Structs: []string{"Settings"}},
+	{Title: "A trace", File: "replay/pkg/trace/trace.go", Structs: []string{"Trace", "Stream", "Fault", "Expect", "TierShare"}},
+}
+
+// Write prints the page for the repository at root.
+func Write(w io.Writer, root string) error {
+	fmt.Fprint(w, "# Reference of all settings\n\nMade from the source by `make reference`; a test compares them. All files are JSON with comments.\n")
+	for _, s := range Sources {
+		file, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, s.File), nil, parser.ParseComments)
+		if err != nil {
+			return errors.Wrap(err, "read the source")
+		}
+		fmt.Fprintf(w, "\n## %s\n", s.Title)
+		for _, name := range s.Structs {
+			if err := writeStruct(w, file, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func writeStruct(w io.Writer, file *ast.File, name string) error {
+	for _, declaration := range file.Decls {
+		group, isGroup := declaration.(*ast.GenDecl)
+		if !isGroup || group.Tok != token.TYPE {
+			continue
+		}
+		for _, spec := range group.Specs {
+			typed, isType := spec.(*ast.TypeSpec)
+			if !isType || typed.Name.Name != name {
+				continue
+			}
+			fields, isStruct := typed.Type.(*ast.StructType)
+			if !isStruct {
+				continue
+			}
+			fmt.Fprintf(w, "\n### %s\n\n%s\n\n| field | type | meaning |\n| --- | --- | --- |\n", name, oneLine(group.Doc.Text()))
+			for _, field := range fields.Fields.List {
+				writeField(w, field)
+			}
+			return nil
+		}
+	}
+	return errors.Newf("the source has no struct %s", name)
+}
+
+func writeField(w io.Writer, field *ast.Field) {
+	if field.Tag == nil {
+		return
+	}
+	tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`")).Get("json")
+	name, _, _ := strings.Cut(tag, ",")
+	fmt.Fprintf(w, "| `%s` | %s | %s |\n", name, typeName(field.Type), oneLine(field.Doc.Text()))
+}
+
+func typeName(e ast.Expr) string {
+	switch t := e.(type) {
+	case *ast.Ident:
+		return t.Name
+	case *ast.SelectorExpr:
+		return strings.ToLower(t.Sel.Name)
+	case *ast.ArrayType:
+		return "list of " + typeName(t.Elt)
+	default:
+		return "value"
+	}
+}
+
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
--- a/replay/pkg/trace/trace.go
+++ b/replay/pkg/trace/trace.go
@@ -47,15 +47,23 @@
 
 // Stream is one kind of request, with arrivals at random moments.
 type Stream struct {
-	Customer string            `json:"customer"`
-	Tier     string            `json:"tier"`
-	Method   string            `json:"method"`
-	Path     string            `json:"path"`
-	Rate     float64           `json:"rate"`
-	From     document.Duration `json:"from,omitempty"`
-	To       document.Duration `json:"to"`
-	// Prompt and Answer are the least and the most tokens.
+	// Customer is who sends.
+	Customer string `json:"customer"`
+	// Tier is the tier asked for.
+	Tier string `json:"tier"`
+	// Method is the HTTP method.
+	Method string `json:"method"`
+	// Path is the path on the hosts, with the service's prefix.
+	Path string `json:"path"`
+	// Rate is in requests/s.
+	Rate float64 `json:"rate"`
+	// From is when the arrivals begin.
+	From document.Duration `json:"from,omitempty"`
+	// To is when they end.
+	To document.Duration `json:"to"`
+	// Prompt is the least and the most tokens of a prompt.
 	Prompt [2]int `json:"prompt,omitempty"`
+	// Answer is the least and the most tokens of an answer.
 	Answer [2]int `json:"answer,omitempty"`
 	// Deadline is the time a request has.
 	Deadline document.Duration `json:"deadline"`
@@ -68,6 +76,7 @@
 
 // Fault is one thing that happens at a time.
 type Fault struct {
+	// At is the time after the first request may come.
 	At document.Duration `json:"at"`
 	// Kind is one of the kinds that the trial package carries out.
 	Kind string `json:"kind"`
@@ -89,7 +98,9 @@
 
 // TierShare is a share of a tier's requests.
 type TierShare struct {
-	Tier  string  `json:"tier"`
+	// Tier is the tier's name.
+	Tier string `json:"tier"`
+	// Share is from 0 to 1.
 	Share float64 `json:"share"`
 }
 
