--- a/replay/pkg/measure/path.go
+++ b/replay/pkg/measure/path.go
@@ -43,7 +43,7 @@
 	steps := []struct {
 		name string
 		run  func(context.Context, Setting, *report) error
-	}{{"time", addedTime}, {"rate", requestRate}, {"bytes", openBytes}, {"calls", keyValueCalls}}
+	}{{"time", addedTime}, {"rate", requestRate}, {"bytes", openBytes}, {"calls", keyValueCalls}, {"decide", decide}}
 	for _, step := range steps {
 		if len(s.Only) > 0 && !slices.Contains(s.Only, step.name) {
 			continue
