--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -8,6 +8,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -19,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"godwitmoor.example/replay/pkg/audit"
+	"godwitmoor.example/replay/pkg/caller"
 	"godwitmoor.example/replay/pkg/measure"
 	"godwitmoor.example/replay/pkg/reference"
 	"godwitmoor.example/replay/pkg/trace"
@@ -79,7 +81,8 @@
 		Name:      "run",
 		Usage:     "run traces by file name",
 		ArgsUsage: "FILE ...",
-		Flags:     []cli.Flag{binFlag(), outFlag(), &cli.Uint64Flag{Name: "seed", Usage: "another seed than the trace's own"}},
+		Flags: []cli.Flag{binFlag(), outFlag(), &cli.Uint64Flag{Name: "seed", Usage: "another seed than the trace's own"},
+			&cli.StringFlag{Name: "policy", Usage: "send past the hosts by `NAME`: random, round-robin or reported-load"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			var failed error
 			for _, file := range c.Args().Slice() {
@@ -154,12 +157,12 @@
 
 func play(ctx context.Context, c *cli.Command, t trace.Trace, seed uint64) error {
 	out := filepath.Join(c.String("out"), t.Name)
-	run := trial.Trial{Trace: t, Seed: seed, Bin: c.String("bin"), Out: out}
+	run := trial.Trial{Trace: t, Seed: seed, Policy: caller.Policy(c.String("policy")), Bin: c.String("bin"), Out: out}
 	judgement, err := run.Run(ctx, os.Stderr)
 	if err != nil {
 		return err
 	}
-	fmt.Printf("trace %s, seed %d, files in %s\n\n", t.Name, seed, out)
+	fmt.Printf("trace %s, seed %d, policy %s, files in %s\n\n", t.Name, seed, cmp.Or(c.String("policy"), "godwitmoor"), out)
 	missed := judgement.Missed(t.Expect)
 	for _, what := range missed {
 		fmt.Println("missed:", what)
--- /dev/null
+++ b/replay/pkg/caller/baseline.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	loadInterval = 500 * time.Millisecond
+	loadTimeout  = 400 * time.Millisecond
+)
+
+// Policy is a way to pick an endpoint without the system.
+type Policy string
+
+// The baselines.
+const (
+	Random     Policy = "random"
+	RoundRobin Policy = "round-robin"
+	// ReportedLoad takes the endpoint with the lowest reported load; every
+	// request is sent as it comes.
+	ReportedLoad Policy = "reported-load"
+)
+
+// Service is a service's endpoints, as a baseline picks from them.
+type Service struct {
+	Prefix    string
+	Endpoints []Host
+}
+
+// Baseline sends requests straight to endpoints, in the order they come.
+type Baseline struct {
+	policy   Policy
+	services []Service
+	client   *http.Client
+
+	mu     sync.Mutex
+	random *rand.Rand
+	next   int
+	loads  map[string]int
+}
+
+// NewBaseline makes a baseline; Start begins to read loads.
+func NewBaseline(policy Policy, seed uint64, services []Service) (*Baseline, error) {
+	if policy != Random && policy != RoundRobin && policy != ReportedLoad {
+		return nil, errors.Newf("there is no policy %q; name %s, %s or %s", policy, Random, RoundRobin, ReportedLoad)
+	}
+	return &Baseline{
+		policy: policy, services: services, client: &http.Client{Timeout: loadTimeout},
+		random: rand.New(rand.NewPCG(seed, seed)), loads: map[string]int{},
+	}, nil
+}
+
+// Start begins to read loads, until ctx ends.
+func (b *Baseline) Start(ctx context.Context) { go b.run(ctx) }
+
+type reportedLoad struct {
+	Running int `json:"running"`
+}
+
+func (b *Baseline) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, s := range b.services {
+			for _, e := range s.Endpoints {
+				b.read(e)
+			}
+		}
+		time.Sleep(loadInterval)
+	}
+}
+
+func (b *Baseline) read(e Host) {
+	response, err := b.client.Get("http://" + e.Listen + "/load")
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	var load reportedLoad
+	if json.NewDecoder(response.Body).Decode(&load) != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads[e.Name] = load.Running
+}
+
+// Pick gives an endpoint of the path's service.
+func (b *Baseline) Pick(path string) (Host, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		if strings.HasPrefix(path, s.Prefix+"/") {
+			return b.pickFrom(s.Endpoints), true
+		}
+	}
+	return Host{}, false
+}
+
+func (b *Baseline) pickFrom(endpoints []Host) Host {
+	switch b.policy {
+	case Random:
+		return endpoints[b.random.IntN(len(endpoints))]
+	case RoundRobin:
+		b.next++
+		return endpoints[b.next%len(endpoints)]
+	}
+	least := endpoints[0]
+	for _, e := range endpoints {
+		if b.loads[e.Name] < b.loads[least.Name] {
+			least = e
+		}
+	}
+	return least
+}
--- a/replay/pkg/caller/caller.go
+++ b/replay/pkg/caller/caller.go
@@ -23,10 +23,8 @@
 const (
 	balancerInterval = 250 * time.Millisecond
 	balancerTimeout  = 500 * time.Millisecond
-	// patience is how long after its deadline a caller still listens.
-	patience    = 60 * time.Second
-	maxLine     = 1 << 20
-	idlePerHost = 256
+	maxLine          = 1 << 20
+	idlePerHost      = 256
 	// retries is how often a caller in doubt sends a keyed request again.
 	retries      = 3
 	retryPause   = 400 * time.Millisecond
@@ -56,6 +54,8 @@
 	// Whole says that the answer was the whole one to this request.
 	Whole    bool `json:"whole,omitempty"`
 	Replayed bool `json:"replayed,omitempty"`
+	// Unjudged outcomes are not part of goodput.
+	Unjudged bool `json:"unjudged,omitempty"`
 }
 
 // Host is one entry host as the balancer sees it.
@@ -63,6 +63,14 @@
 	Name   string
 	Listen string
 	Status string
+	// Prefix is cut off a request's path; endpoints have none.
+	Prefix string
+}
+
+// Picker decides where the next request for a path goes. It is a *Balancer, or
+// a *Baseline.
+type Picker interface {
+	Pick(path string) (Host, bool)
 }
 
 // Balancer spreads requests over the hosts that report ready.
@@ -111,7 +119,7 @@
 }
 
 // Pick gives the next ready host.
-func (b *Balancer) Pick() (Host, bool) {
+func (b *Balancer) Pick(string) (Host, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.ready) == 0 {
@@ -123,18 +131,18 @@
 
 // Callers send requests and log outcomes.
 type Callers struct {
-	balancer *Balancer
-	token    func(customer string) string
-	client   *http.Client
+	picker Picker
+	token  func(customer string) string
+	client *http.Client
 
 	mu  sync.Mutex
 	log io.Writer
 }
 
 // New makes callers that write a JSON line to log for each outcome.
-func New(b *Balancer, token func(customer string) string, log io.Writer) *Callers {
+func New(p Picker, token func(customer string) string, log io.Writer) *Callers {
 	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
-	return &Callers{balancer: b, token: token, client: &http.Client{Transport: transport}, log: log}
+	return &Callers{picker: p, token: token, client: &http.Client{Transport: transport}, log: log}
 }
 
 // Send sends all the requests at their times after start and returns when the
@@ -195,11 +203,11 @@
 }
 
 func (c *call) try(ctx context.Context, number int) Outcome {
-	host, ready := c.callers.balancer.Pick()
+	host, ready := c.callers.picker.Pick(c.request.Path)
 	now := time.Now()
 	o := Outcome{
 		Number: c.request.Number, Try: number, Host: host.Name, Tier: c.request.Tier, Path: c.request.Path,
-		Key: c.key, SentAt: now, Deadline: now.Add(c.request.Deadline), Told: "failed",
+		Unjudged: c.request.Unjudged, Key: c.key, SentAt: now, Deadline: now.Add(c.request.Deadline), Told: "failed",
 	}
 	if ready {
 		if err := c.exchange(ctx, host, &o); err != nil {
@@ -241,19 +249,24 @@
 }
 
 func (c *call) exchange(ctx context.Context, host Host, o *Outcome) error {
-	ctx, cancel := context.WithTimeout(ctx, c.request.Deadline+patience)
+	ctx, cancel := context.WithTimeout(ctx, c.request.Deadline+c.request.Patience)
 	defer cancel()
 	body, err := c.body()
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+host.Listen+c.request.Path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, c.request.Method, "http://"+host.Listen+strings.TrimPrefix(c.request.Path, host.Prefix), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.callers.token(c.request.Customer))
 	request.Header.Set("Request-Tier", c.request.Tier)
 	request.Header.Set("Request-Timeout", c.request.Deadline.String())
+	if host.Prefix != "" {
+		// Without the system in between, the caller names its request itself.
+		o.Request = fmt.Sprint("direct-", c.request.Number)
+		request.Header.Set(requestIDKey, o.Request)
+	}
 	if c.key != "" {
 		request.Header.Set("Idempotency-Key", c.key)
 	}
@@ -263,7 +276,9 @@
 	}
 	defer response.Body.Close()
 	o.Status = response.StatusCode
-	o.Request = response.Header.Get(requestIDKey)
+	if id := response.Header.Get(requestIDKey); id != "" {
+		o.Request = id
+	}
 	o.Replayed = response.Header.Get("Idempotent-Replayed") == "true"
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "application/problem+json") {
 		return readProblem(response.Body, o)
--- a/replay/pkg/deployment/deployment.go
+++ b/replay/pkg/deployment/deployment.go
@@ -306,6 +306,19 @@
 	return hosts
 }
 
+// Services gives the services' endpoints, for callers that go past the hosts.
+func (d *Deployment) Services() []caller.Service {
+	var services []caller.Service
+	for _, s := range d.Declared.Configuration().Services {
+		service := caller.Service{Prefix: s.Prefix}
+		for _, e := range s.Endpoints {
+			service.Endpoints = append(service.Endpoints, caller.Host{Name: e.Name, Listen: e.Address, Prefix: s.Prefix})
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
 // Host gives a host by name.
 func (d *Deployment) Host(name string) (*Host, error) {
 	for _, m := range d.Hosts {
--- a/replay/pkg/trace/trace.go
+++ b/replay/pkg/trace/trace.go
@@ -23,7 +23,10 @@
 	"godwitmoor.example/coordination/pkg/document"
 )
 
-const bytesPerToken = 4
+const (
+	bytesPerToken   = 4
+	defaultPatience = time.Minute
+)
 
 // Trace is one scenario.
 type Trace struct {
@@ -37,6 +40,13 @@
 	Seed uint64 `json:"seed"`
 	// Hosts is the number of entry hosts.
 	Hosts int `json:"hosts"`
+	// Patience is how long after its deadline a caller still listens; zero
+	// means a minute.
+	Patience document.Duration `json:"patience,omitempty"`
+	// JudgedTo is the end of the arrivals that goodput counts, so that work
+	// which is helped by the quiet after the last arrival does not; zero counts
+	// all.
+	JudgedTo document.Duration `json:"judged-to,omitempty"`
 	// Streams are the kinds of requests.
 	Streams []Stream `json:"streams"`
 	// Faults are what fails, and what operators do, by time.
@@ -116,6 +126,9 @@
 	Answer   int
 	Deadline time.Duration
 	Keyed    bool
+	Patience time.Duration
+	// Unjudged requests are not part of goodput.
+	Unjudged bool
 	// Twin is set for requests that share their key with the one before.
 	Twin bool
 }
@@ -171,8 +184,14 @@
 		requests = append(requests, s.expand(random)...)
 	}
 	slices.SortStableFunc(requests, func(a, b Request) int { return int(a.At - b.At) })
+	patience := t.Patience.Std()
+	if patience == 0 {
+		patience = defaultPatience
+	}
 	for i := range requests {
 		requests[i].Number = i
+		requests[i].Patience = patience
+		requests[i].Unjudged = t.JudgedTo > 0 && requests[i].At > t.JudgedTo.Std()
 	}
 	return requests
 }
--- a/replay/pkg/trial/trial.go
+++ b/replay/pkg/trial/trial.go
@@ -36,6 +36,8 @@
 	Trace trace.Trace
 	// Seed makes the requests.
 	Seed uint64
+	// Policy names a baseline to send by, past the hosts; empty uses the system.
+	Policy caller.Policy
 	// Bin is the folder of the programs, Out gets all files of the run.
 	Bin string
 	Out string
@@ -91,7 +93,11 @@
 	j.open.Add(1)
 	go j.run(ctx)
 	requests := t.Trace.Requests(t.Seed)
-	caller.New(balancer, d.Token, log).Send(ctx, requests, start, func(sent int) {
+	picker, err := t.picker(ctx, d, balancer)
+	if err != nil {
+		return err
+	}
+	caller.New(picker, d.Token, log).Send(ctx, requests, start, func(sent int) {
 		fmt.Fprintf(progress, "%5.1fs  %d of %d requests sent\n", time.Since(start).Seconds(), sent, len(requests))
 	})
 	j.open.Wait()
@@ -100,6 +106,18 @@
 	return errors.CombineErrors(j.failed, line.Close())
 }
 
+func (t Trial) picker(ctx context.Context, d *deployment.Deployment, balancer *caller.Balancer) (caller.Picker, error) {
+	if t.Policy == "" {
+		return balancer, nil
+	}
+	baseline, err := caller.NewBaseline(t.Policy, t.Seed, d.Services())
+	if err != nil {
+		return nil, err
+	}
+	baseline.Start(ctx)
+	return baseline, nil
+}
+
 func awaitReady(ctx context.Context, b *caller.Balancer, hosts int) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
