Keep prompts from stalling neighbours, be cautious, interrupt lower work

Change: an endpoint's prompts are a queue in the estimate; a prompt that would make work of its tier or a higher one late waits; estimates carry twice their mean relative error; running lower work gives way, least prompt first, at most three times each, sooner with a higher goodput-weight.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -45,7 +45,8 @@
 	grantGrace = 3 * time.Second
 	// lostGrace is how long the places of a lost host stay taken, as its last
 	// requests may still be running.
-	lostGrace = 5 * time.Second
+	lostGrace     = 5 * time.Second
+	queuesPerTier = 2
 	// minRetryAfter is the shortest wait advised to a refused caller.
 	minRetryAfter = time.Second
 )
@@ -55,16 +56,22 @@
 type Core struct {
 	now        Instant
 	queueLimit int
-	settled    Instant
-	queues     []queue
-	waiting    map[string]*waiter
-	held       map[string]*holding
-	endpoints  map[string]*endpoint
-	order      []*endpoint
-	sequence   uint64
-	free       []*endpoint
-	aside      []*waiter
-	actions    []Action
+	// goodputWeight is that of Configured; suspending counts the permits whose
+	// holders were told to stop and have not given them back.
+	goodputWeight float64
+	suspending    int
+	settled       Instant
+	// queues holds two queues for each tier: requests that were begun, and the
+	// others.
+	queues    []queue
+	waiting   map[string]*waiter
+	held      map[string]*holding
+	endpoints map[string]*endpoint
+	order     []*endpoint
+	sequence  uint64
+	free      []*endpoint
+	aside     []*waiter
+	actions   []Action
 }
 
 // holding is a permit that was granted and not given back.
@@ -73,6 +80,13 @@
 	endpoint *endpoint
 	granted  Instant
 	estimate time.Duration
+	// expected is the estimate without its caution; finish is when the answer
+	// is expected to end.
+	expected time.Duration
+	finish   Instant
+	// alone is set when no other prompt was being taken in at the grant.
+	alone      bool
+	suspending bool
 	// lost is set when the host that held the permit is gone.
 	lost Instant
 }
@@ -105,6 +119,7 @@
 		c.tick()
 	}
 	c.place()
+	c.interrupt()
 	return c.actions
 }
 
@@ -119,6 +134,7 @@
 		c.settled = c.now.After(e.Settle)
 	}
 	c.queueLimit = e.QueueLimit
+	c.goodputWeight = e.GoodputWeight
 	c.resizeQueues(e.Tiers)
 	listed := make(map[string]bool, len(e.Endpoints))
 	c.order = c.order[:0]
@@ -142,20 +158,32 @@
 
 // resizeQueues keeps requests whose tier is gone in the lowest one.
 func (c *Core) resizeQueues(tiers int) {
-	tiers = max(tiers, 1)
-	for len(c.queues) < tiers {
+	wanted := queuesPerTier * max(tiers, 1)
+	for len(c.queues) < wanted {
 		c.queues = append(c.queues, queue{})
 	}
-	for len(c.queues) > tiers {
+	for len(c.queues) > wanted {
 		last := len(c.queues) - 1
-		for _, w := range c.queues[last] {
+		orphans := c.queues[last]
+		c.queues = c.queues[:last]
+		for _, w := range orphans {
 			w.ask.Tier = tiers - 1
-			heap.Push(&c.queues[tiers-1], w)
+			heap.Push(c.queueOf(w.ask), w)
 		}
-		c.queues = c.queues[:last]
 	}
 }
 
+// queueOf gives the queue a request waits in. What was begun goes before the
+// rest of its tier, so that nothing is interrupted and then forgotten.
+func (c *Core) queueOf(a Ask) *queue {
+	if a.Begun {
+		return &c.queues[queuesPerTier*a.Tier]
+	}
+	return &c.queues[queuesPerTier*a.Tier+1]
+}
+
+func (c *Core) lowestTier() int { return len(c.queues)/queuesPerTier - 1 }
+
 func (c *Core) ask(a Ask) {
 	if c.waiting == nil || c.waiting[a.ID] != nil {
 		return
@@ -165,7 +193,7 @@
 		c.actions = append(c.actions, Granted{ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate})
 		return
 	}
-	a.Tier = min(max(a.Tier, 0), len(c.queues)-1)
+	a.Tier = min(max(a.Tier, 0), c.lowestTier())
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
 	w.latestStart = c.latestStart(a)
@@ -174,13 +202,13 @@
 		return
 	}
 	c.waiting[a.ID] = w
-	heap.Push(&c.queues[a.Tier], w)
+	heap.Push(c.queueOf(a), w)
 }
 
 // makeRoom refuses a waiting request of a tier below the given one.
 func (c *Core) makeRoom(tier int) bool {
-	for lowest := len(c.queues) - 1; lowest > tier; lowest-- {
-		q := &c.queues[lowest]
+	for lowest := c.lowestTier(); lowest > tier; lowest-- {
+		q := c.queueOf(Ask{Tier: lowest})
 		if q.Len() == 0 {
 			continue
 		}
@@ -194,7 +222,7 @@
 }
 
 func (c *Core) dequeue(w *waiter) {
-	heap.Remove(&c.queues[w.ask.Tier], w.position)
+	heap.Remove(c.queueOf(w.ask), w.position)
 	delete(c.waiting, w.ask.ID)
 }
 
@@ -239,7 +267,7 @@
 	if usage.Total > 0 {
 		h.endpoint.succeed()
 	}
-	h.endpoint.learn(usage)
+	h.endpoint.learn(h, usage)
 	c.release(id, h)
 }
 
@@ -251,7 +279,10 @@
 }
 
 func (c *Core) release(id string, h *holding) {
-	h.endpoint.held--
+	if h.suspending {
+		c.suspending--
+	}
+	h.endpoint.drop(h)
 	delete(c.held, id)
 }
 
@@ -354,7 +385,7 @@
 		if !e.open() {
 			continue
 		}
-		if estimate := e.estimate(a); best < 0 || estimate < best {
+		if estimate := e.cautious(e.expected(a)); best < 0 || estimate < best {
 			best = estimate
 		}
 	}
@@ -416,8 +447,8 @@
 	var bestScore time.Duration
 	avoids := c.canAvoid(a)
 	for _, e := range c.free {
-		estimate := e.estimate(a)
-		if c.now.After(estimate) > a.Deadline || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
+		estimate := e.estimate(a, c.now)
+		if c.now.After(estimate) > a.Deadline || e.harms(a) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
 			continue
 		}
 		score := e.score(estimate)
@@ -440,7 +471,7 @@
 }
 
 func (c *Core) grant(w *waiter, e *endpoint) {
-	estimate := e.estimate(w.ask)
+	estimate := e.estimate(w.ask, c.now)
 	c.hold(w.ask, e, estimate)
 	c.actions = append(c.actions, Granted{
 		ID:       w.ask.ID,
@@ -455,6 +486,9 @@
 }
 
 func (c *Core) hold(a Ask, e *endpoint, estimate time.Duration) {
-	e.take()
-	c.held[a.ID] = &holding{ask: a, endpoint: e, granted: c.now, estimate: estimate}
+	h := &holding{ask: a, endpoint: e, granted: c.now, estimate: estimate}
+	h.expected = e.expected(a) + max(0, e.prefillUntil.Since(c.now))
+	h.finish = c.now.After(h.expected)
+	e.take(h, c.now)
+	c.held[a.ID] = h
 }
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -1,10 +1,22 @@
 package permit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// learningRate is the weight of the newest measurement of a speed.
 	learningRate = 0.2
+	// firstDeviation is the relative error assumed before any is measured;
+	// caution is how many of it are added to an estimate.
+	firstDeviation = 0.15
+	caution        = 2
+	// longPrompt is the length, in tokens, from which a prompt teaches the speed
+	// of taking prompts in.
+	longPrompt = 256
+	// shortPrompt is the time to take a prompt in that harms no neighbour.
+	shortPrompt = 20 * time.Millisecond
 	// firstBackoff is how long an endpoint gets no work after a failure; each
 	// further one doubles it, up to longBackoff.
 	firstBackoff = time.Second
@@ -16,8 +28,8 @@
 	rules EndpointRules
 	// closed is set while the endpoint must get no new work, apart from what
 	// the configuration says.
-	closed bool
-	held   int
+	closed   bool
+	holdings []*holding
 	// failures counts the failures since the last answer; until restUntil the
 	// endpoint gets no work, and then one request at a time until it answers.
 	failures  int
@@ -30,10 +42,15 @@
 	prefillCost float64
 	decodeCost  float64
 	fixedCost   float64
+	// deviation is the mean relative error of the estimates made with them.
+	deviation float64
+	// prefillUntil is when the prompts sent so far will have been taken in. A
+	// prompt stalls every answer on its endpoint, and those that come after it.
+	prefillUntil Instant
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
-	e := &endpoint{rules: rules}
+	e := &endpoint{rules: rules, deviation: firstDeviation}
 	if rules.PrefillSpeed > 0 {
 		e.prefillCost = 1 / rules.PrefillSpeed
 	}
@@ -58,7 +75,7 @@
 	if settling {
 		limit = (limit + 1) / 2
 	}
-	return e.open() && e.held+e.foreign < limit
+	return e.open() && len(e.holdings)+e.foreign < limit
 }
 
 func (e *endpoint) fail(now Instant) {
@@ -84,44 +101,103 @@
 	return score < otherScore
 }
 
-func (e *endpoint) take() {
-	e.held++
-	e.peak = max(e.peak, e.held)
+// take counts a permit. Its prompt delays everything that runs here.
+func (e *endpoint) take(h *holding, now Instant) {
+	prompt := e.promptTime(h.ask)
+	for _, other := range e.holdings {
+		other.finish = other.finish.After(prompt)
+	}
+	h.alone = e.prefillUntil <= now
+	e.prefillUntil = max(e.prefillUntil, now).After(prompt)
+	e.holdings = append(e.holdings, h)
+	e.peak = max(e.peak, len(e.holdings))
+}
+
+func (e *endpoint) drop(h *holding) {
+	e.holdings = slices.DeleteFunc(e.holdings, func(other *holding) bool { return other == h })
+	if len(e.holdings) == 0 {
+		e.prefillUntil = 0
+	}
+}
+
+// harms tells whether taking in the request's prompt would make work of the
+// same tier or a higher one late.
+func (e *endpoint) harms(a Ask) bool {
+	prompt := e.promptTime(a)
+	if prompt < shortPrompt {
+		return false
+	}
+	return slices.ContainsFunc(e.holdings, func(h *holding) bool {
+		inTime := h.finish <= h.ask.Deadline
+		return h.ask.Tier <= a.Tier && inTime && h.finish.After(prompt) > h.ask.Deadline
+	})
 }
 
 // report takes in a load report, which is late: it still counts requests that
 // ended since. So it only ever adds what our own permits cannot explain.
 func (e *endpoint) report(running int) {
 	e.foreign = max(0, running-e.peak)
-	e.peak = e.held
+	e.peak = len(e.holdings)
 }
 
-// estimate gives the time the request would take from now on this endpoint.
-func (e *endpoint) estimate(a Ask) time.Duration {
-	seconds := e.fixedCost + float64(a.PromptTokens)*e.prefillCost + float64(a.AnswerTokens)*e.decodeCost
-	return time.Duration(seconds * float64(time.Second))
+func (e *endpoint) promptTime(a Ask) time.Duration {
+	return time.Duration(float64(a.PromptTokens) * e.prefillCost * float64(time.Second))
+}
+
+// expected gives the time the request would take on this endpoint if no other
+// prompt was before it.
+func (e *endpoint) expected(a Ask) time.Duration {
+	seconds := e.fixedCost + float64(a.AnswerTokens)*e.decodeCost
+	return e.promptTime(a) + time.Duration(seconds*float64(time.Second))
+}
+
+// estimate gives a time in which the request will most likely be answered, the
+// prompts before it included.
+func (e *endpoint) estimate(a Ask, now Instant) time.Duration {
+	return e.cautious(e.expected(a)) + max(0, e.prefillUntil.Since(now))
+}
+
+func (e *endpoint) cautious(expected time.Duration) time.Duration {
+	return time.Duration(float64(expected) * (1 + caution*e.deviation))
 }
 
 // score orders endpoints for a request: the estimate, made worse by the share
 // of places in use, as a full batch slows every member of it.
 func (e *endpoint) score(estimate time.Duration) time.Duration {
 	const unknownCost = time.Millisecond
-	inUse := float64(e.held+e.foreign) / float64(max(e.rules.Limit, 1))
+	inUse := float64(len(e.holdings)+e.foreign) / float64(max(e.rules.Limit, 1))
 	return time.Duration(float64(max(estimate, unknownCost)) * (1 + inUse))
 }
 
-func (e *endpoint) learn(u Usage) {
+func (e *endpoint) learn(h *holding, u Usage) {
 	if u.Total <= 0 {
 		return
 	}
+	if h.expected > 0 {
+		missed := (u.Total - h.expected).Abs().Seconds() / h.expected.Seconds()
+		e.deviation += learningRate * (min(missed, 1) - e.deviation)
+	}
 	if u.PromptTokens == 0 || u.AnswerTokens == 0 {
 		blend(&e.fixedCost, u.Total.Seconds())
 		return
 	}
-	blend(&e.prefillCost, u.FirstByte.Seconds()/float64(u.PromptTokens))
+	e.learnPrompt(h, u)
 	blend(&e.decodeCost, (u.Total-u.FirstByte).Seconds()/float64(u.AnswerTokens))
 }
 
+// learnPrompt splits the time to the first byte into a part that every request
+// has, learned from short prompts, and one by token, learned from long ones.
+// Beside other prompts the first byte tells of theirs too, and teaches nothing.
+func (e *endpoint) learnPrompt(h *holding, u Usage) {
+	switch first := u.FirstByte.Seconds(); {
+	case !h.alone:
+	case u.PromptTokens < longPrompt:
+		blend(&e.fixedCost, max(0, first-float64(u.PromptTokens)*e.prefillCost))
+	default:
+		blend(&e.prefillCost, max(0, first-e.fixedCost)/float64(u.PromptTokens))
+	}
+}
+
 func blend(value *float64, sample float64) {
 	if *value == 0 {
 		*value = sample
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -32,6 +32,13 @@
 	// service.
 	PromptTokens int `json:"prompt-tokens,omitempty"`
 	AnswerTokens int `json:"answer-tokens,omitempty"`
+	// Suspendable says that the request can be stopped while it runs and go on
+	// later from where it was.
+	Suspendable bool `json:"suspendable,omitempty"`
+	// Suspensions counts how often that has happened. A request that was begun
+	// goes before the others of its tier.
+	Suspensions int  `json:"suspensions,omitempty"`
+	Begun       bool `json:"begun,omitempty"`
 	// Avoid names the endpoints that failed this request before.
 	Avoid []string `json:"avoid,omitempty"`
 }
@@ -77,12 +84,16 @@
 	// Configured brings the rules of the service. The first one starts the
 	// settling time, in which a new owner hears of permits granted before it.
 	Configured struct {
-		At         Instant         `json:"at"`
-		Version    int64           `json:"version"`
-		Tiers      int             `json:"tiers"`
-		QueueLimit int             `json:"queue-limit"`
-		Endpoints  []EndpointRules `json:"endpoints"`
-		Settle     time.Duration   `json:"settle,omitempty"`
+		At         Instant `json:"at"`
+		Version    int64   `json:"version"`
+		Tiers      int     `json:"tiers"`
+		QueueLimit int     `json:"queue-limit"`
+		// GoodputWeight is from 0 to 1. A waiting request may interrupt running
+		// work of a lower tier when half this share of the time that it could
+		// wait is left: at 1, when half of it has passed; at 0, at the last moment.
+		GoodputWeight float64         `json:"goodput-weight,omitempty"`
+		Endpoints     []EndpointRules `json:"endpoints"`
+		Settle        time.Duration   `json:"settle,omitempty"`
 	}
 	// Asked brings a waiting request. Asking again with the same ID is harmless.
 	Asked struct {
@@ -160,7 +171,7 @@
 	Displaced Reason = "displaced"
 )
 
-// Action is what the core decides. It is one of Granted and Refused.
+// Action is what the core decides. It is one of Granted, Refused and Suspended.
 type Action interface{ action() }
 
 type (
@@ -174,6 +185,14 @@
 		// Estimate is the time the request is expected to take there.
 		Estimate time.Duration `json:"estimate"`
 	}
+	// Suspended stops a running request, so that a higher tier gets its place.
+	// The host cancels the attempt, gives the permit back and asks again.
+	Suspended struct {
+		ID   string `json:"id"`
+		Host string `json:"host"`
+		// For is the ask that needs the place.
+		For string `json:"for"`
+	}
 	// Refused ends an ask without a permit: the request was not sent.
 	Refused struct {
 		ID         string        `json:"id"`
@@ -185,5 +204,6 @@
 	}
 )
 
-func (Granted) action() {}
-func (Refused) action() {}
+func (Granted) action()   {}
+func (Refused) action()   {}
+func (Suspended) action() {}
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -119,6 +119,8 @@
 		return "granted"
 	case Refused:
 		return "refused"
+	case Suspended:
+		return "suspended"
 	default:
 		return "unknown"
 	}
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -33,6 +33,21 @@
 	entry    *Entry
 	service  string
 	owner    string
+	// stop ends the attempt when the owner wants the place for a higher tier;
+	// told is set when it does.
+	stop func()
+	told bool
+}
+
+// OnSuspended sets what stops the attempt when a higher tier needs its place.
+func (g *Grant) OnSuspended(stop func()) {
+	g.entry.mu.Lock()
+	g.stop = stop
+	told := g.told
+	g.entry.mu.Unlock()
+	if told {
+		stop()
+	}
 }
 
 // RefusedError says that the owner refused an ask, and why.
@@ -212,6 +227,14 @@
 
 func (e *Entry) take(from host.Identity, m ownerMessage) {
 	e.mu.Lock()
+	if m.Suspend {
+		stop := e.suspend(m.ID)
+		e.mu.Unlock()
+		if stop != nil {
+			stop()
+		}
+		return
+	}
 	p := e.waiting[m.ID]
 	if p == nil {
 		held := e.held[m.ID]
@@ -244,6 +267,16 @@
 	}
 }
 
+// suspend passes the owner's wish on to who holds the permit; e.mu is held.
+func (e *Entry) suspend(id string) (stop func()) {
+	g := e.held[id]
+	if g == nil || g.told {
+		return nil
+	}
+	g.told = true
+	return g.stop
+}
+
 // returnStray gives back a grant that nothing waits for any more.
 func (e *Entry) returnStray(from host.Identity, m ownerMessage, held *Grant) {
 	if m.Endpoint == "" || (held != nil && held.owner == from.Name) {
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -212,12 +212,13 @@
 		return
 	}
 	event := permit.Configured{
-		At:         instantNow(),
-		Version:    current.Version,
-		Tiers:      len(current.Configuration.Tiers),
-		QueueLimit: service.QueueLimit,
-		Endpoints:  rulesOf(service),
-		Settle:     settleTime,
+		At:            instantNow(),
+		Version:       current.Version,
+		Tiers:         len(current.Configuration.Tiers),
+		QueueLimit:    service.QueueLimit,
+		GoodputWeight: current.Configuration.GoodputWeight,
+		Endpoints:     rulesOf(service),
+		Settle:        settleTime,
 	}
 	if !s.events.Offer(event) {
 		s.owner.common.Count("owner.events.dropped")
@@ -277,6 +278,8 @@
 	switch a := action.(type) {
 	case permit.Granted:
 		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate})
+	case permit.Suspended:
+		s.tell(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
 		s.tell(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter})
 	}
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -39,6 +39,8 @@
 	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Estimate   time.Duration `cbor:"5,keyasint,omitempty"`
+	// Suspend asks for a permit that was granted back.
+	Suspend bool `cbor:"6,keyasint,omitempty"`
 }
 
 func instantNow() permit.Instant { return permit.Instant(time.Now().UnixNano()) }
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -11,7 +11,6 @@
 
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/configuration"
-	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/text"
 )
@@ -62,17 +61,6 @@
 	}
 }
 
-func (r Request) ask(attemptID string, avoid []string) permit.Ask {
-	return permit.Ask{
-		ID:           attemptID,
-		Request:      r.ID,
-		Tier:         r.Rank,
-		PromptTokens: r.PromptTokens,
-		AnswerTokens: r.AnswerTokens,
-		Avoid:        avoid,
-	}
-}
-
 func (r Request) application(attemptID string) claim.Application {
 	return claim.Application{
 		Key:         claim.Key{Service: r.Service.Name, Customer: r.Customer, ID: r.Key},
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -92,12 +93,14 @@
 	sent bool
 	// claimTried is set once a write of the request's claim may be under way.
 	claimTried bool
+	// suspensions counts the attempts that gave way to a higher tier.
+	suspensions int
 }
 
 // repeatable serves an idempotent request: what fails before or within the
 // answer is sent to another endpoint, and a stream goes on where it stopped.
 func (j *journey) repeatable(ctx context.Context) Ending {
-	for range maxAttempts {
+	for failures := 0; failures < maxAttempts; failures++ {
 		grant, ending := j.acquire(ctx)
 		if ending != nil {
 			return ending
@@ -106,6 +109,10 @@
 		switch {
 		case err == nil:
 			return Delivered{}
+		case errors.Is(err, errSuspended):
+			j.suspensions++
+			failures--
+			continue
 		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
 			return Broken{Reason: text.AnswerLost}
 		case j.relay.begun && !j.resumable():
@@ -126,6 +133,22 @@
 	return j.request.Service.Resumes && j.relay.events > 0
 }
 
+// ask makes the wish for one more permit, for what is left of the answer.
+func (j *journey) ask(id string) permit.Ask {
+	r := j.request
+	return permit.Ask{
+		ID:           id,
+		Request:      r.ID,
+		Tier:         r.Rank,
+		PromptTokens: r.PromptTokens,
+		AnswerTokens: max(r.AnswerTokens-j.relay.events, 0),
+		Suspendable:  r.Idempotent && r.Service.Resumes,
+		Suspensions:  j.suspensions,
+		Begun:        j.relay.begun || j.suspensions > 0,
+		Avoid:        j.avoid,
+	}
+}
+
 // unsent tells what a refusal may claim.
 func (j *journey) unsent() text.Outcome {
 	if j.sent {
@@ -137,15 +160,16 @@
 // acquire waits for a permit for one more attempt.
 func (j *journey) acquire(ctx context.Context) (*dispatch.Grant, Ending) {
 	deadline := j.request.Deadline
-	if j.relay.begun {
-		// The caller reads already: an answer that comes late beats a broken one.
+	if j.relay.begun || j.suspensions > 0 {
+		// The caller reads already, or gave way to others: an answer that comes
+		// late beats a broken one.
 		deadline = time.Now().Add(j.request.Deadline.Sub(j.request.Arrived))
 	}
 	id := uuid.NewString()
 	j.attempts = append(j.attempts, id)
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.request.ask(id, j.avoid), deadline)
+	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), deadline)
 	if err == nil {
 		j.endpoint = grant.Permit.Endpoint
 		return grant, nil
@@ -193,7 +217,16 @@
 	}
 	j.sent = true
 	defer answer.Close()
+	var yielded atomic.Bool
+	grant.OnSuspended(func() {
+		yielded.Store(true)
+		answer.Close()
+	})
 	err = j.relay.pass(answer)
+	if err != nil && yielded.Load() {
+		grant.Unused()
+		return errSuspended
+	}
 	if errors.Is(err, errCallerGone) {
 		grant.Unused()
 		return err
@@ -206,6 +239,9 @@
 	return nil
 }
 
+// errSuspended ends an attempt that gave way to a higher tier.
+var errSuspended = errors.New("the attempt gave way to a higher tier")
+
 // giveBack returns the permit of a failed attempt. A caller that went away says
 // nothing about the endpoint.
 func (j *journey) giveBack(ctx context.Context, grant *dispatch.Grant) {
