Take a role only when the fleet is known

Ruled out: the estimate (it kept to the limit it knew), the load poll. Change: a host is ready when it stands on the host list and has heard every live host there, or after 8 s; /readyz says so.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -40,6 +40,9 @@
 	// lookahead is how many requests of a tier are tried for a free place that
 	// does not suit the first of them.
 	lookahead = 16
+	// patientLookahead is how many more are tried before a lower tier gets the
+	// place.
+	patientLookahead = 256
 	// grantGrace is how long a permit may be missing from its host's list while
 	// the message that grants it is under way.
 	grantGrace = 3 * time.Second
@@ -427,6 +430,23 @@
 	for _, w := range c.aside {
 		heap.Push(q, w)
 	}
+	c.placePatient(q)
+}
+
+// placePatient tries requests that can wait longer for places that the most
+// urgent ones have no use for: those must wait for a faster endpoint, and a
+// place must not go to a lower tier while one of this tier fits.
+func (c *Core) placePatient(q *queue) {
+	for i, tried := q.Len()-1, 0; i >= 0 && tried < patientLookahead && len(c.free) > 0; i, tried = i-1, tried+1 {
+		// The leaves of the heap, at its end, hold the patient ones. Taking one
+		// out moves only entries that were tried or come later.
+		w := (*q)[i]
+		if best := c.bestFor(w.ask); best != nil {
+			c.dequeue(w)
+			c.grant(w, best)
+			i = min(i, q.Len())
+		}
+	}
 }
 
 func (c *Core) findFree() {
@@ -488,7 +508,7 @@
 func (c *Core) hold(a Ask, e *endpoint, estimate time.Duration) {
 	h := &holding{ask: a, endpoint: e, granted: c.now, estimate: estimate}
 	h.expected = e.expected(a) + max(0, e.prefillUntil.Since(c.now))
-	h.finish = c.now.After(h.expected)
+	h.finish = c.now.After(e.estimate(a, c.now))
 	e.take(h, c.now)
 	c.held[a.ID] = h
 }
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -81,6 +81,22 @@
 	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "a"})), "c to fast;")
 }
 
+func TestSlowPlaceGoesToAPatientRequestBeforeALowerTier(t *testing.T) {
+	is := is.New(t)
+	var core permit.Core
+	core.Step(permit.Configured{At: start, Tiers: 2, QueueLimit: 100, Endpoints: []permit.EndpointRules{
+		{Name: "fast", Limit: 1, DecodeSpeed: 100}, {Name: "slow", Limit: 1, DecodeSpeed: 10},
+	}})
+	core.Step(asked(0, "x", 0, 100, time.Minute))
+	core.Step(asked(0, "y", 0, 100, time.Minute))
+	for i := range 30 {
+		core.Step(asked(0, fmt.Sprint("urgent-", i), 0, 100, 5*time.Second)) // no use for the slow place
+	}
+	core.Step(asked(0, "patient", 0, 100, time.Minute))
+	core.Step(asked(0, "lower", 1, 100, time.Minute))
+	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "y"})), "patient to slow;")
+}
+
 func TestRefusesAsSoonAsNoEndpointCanFinishIt(t *testing.T) {
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 1, DecodeSpeed: 100})
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -164,7 +164,7 @@
 
 // run takes the host's role up when it has a configuration.
 func (d *Daemon) run(ctx context.Context) {
-	for !d.release.Ready() {
+	for !d.release.Ready() || !d.members.Settled() {
 		select {
 		case <-ctx.Done():
 			return
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -41,6 +41,7 @@
 	listTimeout   = 2 * time.Second
 	maxListBytes  = 4 << 20
 	avoidInterval = 2 * time.Second
+	settleBound   = 8 * time.Second
 )
 
 // Phase is what a host says of itself.
@@ -118,11 +119,12 @@
 	peers  *peer.Service
 	client *http.Client
 
-	mu     sync.Mutex
-	table  map[string]*entry
-	self   row
-	listed []listedHost
-	lost   []func(host.Identity)
+	mu      sync.Mutex
+	table   map[string]*entry
+	self    row
+	started time.Time
+	listed  []listedHost
+	lost    []func(host.Identity)
 }
 
 // New makes the service.
@@ -147,6 +149,7 @@
 		return err
 	}
 	s.peers = peers
+	s.started = time.Now()
 	peers.Handle(kernel.Membership, s.exchange)
 	go s.run(ctx)
 	lister := &lister{service: s}
@@ -175,6 +178,40 @@
 	s.self.Version = version
 }
 
+// Phase gives what this host says of itself.
+func (s *Service) Phase() Phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.self.Phase
+}
+
+// Settled tells whether this host knows the fleet well enough to take a role:
+// it stands on the host list itself, and every other host there was heard. Two
+// hosts that know different fleets take different hosts for the owner of a
+// service, and each owner fills the endpoints to their limit. A list that is
+// wrong or down delays a start no longer than settleBound.
+func (s *Service) Settled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.started) > settleBound {
+		return true
+	}
+	self := false
+	for _, l := range s.listed {
+		if l.Role != "entry" {
+			continue
+		}
+		if l.Name == s.self.Name {
+			self = true
+			continue
+		}
+		if e := s.table[l.Name]; l.State == "live" && (e == nil || e.dead) {
+			return false
+		}
+	}
+	return self
+}
+
 // Avoid gives a host no role for a short while, after a call to it failed.
 func (s *Service) Avoid(name string) {
 	s.mu.Lock()
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -132,7 +132,9 @@
 // BeginStop makes the host not ready, so that the balancer sends no more.
 func (s *Service) BeginStop() { s.stopping.Store(true) }
 
-func (s *Service) ready() bool { return !s.stopping.Load() && s.release.Ready() }
+func (s *Service) ready() bool {
+	return !s.stopping.Load() && s.members.Phase() == membership.Ready && s.release.Ready()
+}
 
 func (s *Service) healthz(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
