Interrupt lower work for patient requests where urgent ones do not fit

Change: when requests of a tier are urgent, each lower request gives way whose endpoint some waiting request of that tier can use, urgent or patient.

--- a/coordination/pkg/permit/interrupt.go
+++ b/coordination/pkg/permit/interrupt.go
@@ -1,6 +1,10 @@
 package permit
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// maxSuspensions bounds how often one request is interrupted, so that long
@@ -17,58 +21,88 @@
 	coming := c.suspending
 	for tier := 0; tier < c.lowestTier(); tier++ {
 		q := *c.queueOf(Ask{Tier: tier})
-		for _, w := range q[:min(len(q), lookahead)] {
-			if c.now < c.urgentAt(w) {
-				continue
-			}
-			if coming > 0 {
-				// A place that is being freed already will do.
-				coming--
-				continue
-			}
-			victim := c.victimFor(w.ask)
-			if victim == nil {
-				break
-			}
-			c.suspend(victim, w.ask.ID)
+		urgent := c.countUrgent(q)
+		// Places that are being freed already will do for some.
+		c.freePlaces(q, tier, urgent-coming)
+		coming = max(0, coming-urgent)
+	}
+}
+
+func (c *Core) countUrgent(q queue) int {
+	urgent := 0
+	for _, w := range q[:min(len(q), lookahead)] {
+		if c.now >= c.urgentAt(w) {
+			urgent++
 		}
 	}
+	return urgent
 }
 
-// urgentAt gives when a waiting request may interrupt others.
-func (c *Core) urgentAt(w *waiter) Instant {
-	patience := w.latestStart.Since(w.since)
-	lead := time.Duration(float64(patience) * c.goodputWeight / 2)
-	return w.latestStart.After(-max(lead, interruptLead))
+// freePlaces stops up to a number of running requests whose places a waiting
+// one of the queue can use. That need not be an urgent one: a slow endpoint may
+// be of no use to those, and it must not serve a lower tier while they wait.
+func (c *Core) freePlaces(q queue, tier, wanted int) {
+	if wanted <= 0 {
+		return
+	}
+	for _, victim := range c.victims(tier) {
+		if w := c.userOf(q, victim.endpoint); w != nil {
+			c.suspend(victim, w.ask.ID)
+			wanted--
+		}
+		if wanted == 0 {
+			return
+		}
+	}
 }
 
-// victimFor picks the running request to stop: of the lowest tier, and there
-// the one whose prompt costs least to take in again.
-func (c *Core) victimFor(a Ask) *holding {
-	var victim *holding
+// victims gives the running requests that can give way to a tier: the lowest
+// tier first, and there those whose prompt costs least to take in again.
+func (c *Core) victims(tier int) []*holding {
+	var victims []*holding
 	for _, e := range c.order {
-		if !e.open() || c.now.After(e.estimate(a, c.now)) > a.Deadline {
+		if !e.open() {
 			continue
 		}
 		for _, h := range e.holdings {
-			if h.canYieldTo(a) && (victim == nil || h.yieldsBefore(victim)) {
-				victim = h
+			if h.canYieldTo(tier) {
+				victims = append(victims, h)
 			}
 		}
 	}
-	return victim
+	slices.SortStableFunc(victims, func(a, b *holding) int {
+		return cmp.Or(cmp.Compare(b.ask.Tier, a.ask.Tier), cmp.Compare(a.ask.PromptTokens, b.ask.PromptTokens))
+	})
+	return victims
 }
 
-func (h *holding) canYieldTo(a Ask) bool {
-	running := !h.suspending && h.lost == 0
-	return running && h.ask.Tier > a.Tier && h.ask.Suspendable && h.ask.Suspensions < maxSuspensions
+// userOf gives a waiting request that an endpoint could finish in time, looking
+// at the most urgent ones and then at patient ones.
+func (c *Core) userOf(q queue, e *endpoint) *waiter {
+	fits := func(w *waiter) bool { return c.now.After(e.estimate(w.ask, c.now)) <= w.ask.Deadline }
+	for _, w := range q[:min(len(q), lookahead)] {
+		if fits(w) {
+			return w
+		}
+	}
+	for i := len(q) - 1; i >= max(0, len(q)-patientLookahead); i-- {
+		if fits(q[i]) {
+			return q[i]
+		}
+	}
+	return nil
 }
 
-func (h *holding) yieldsBefore(other *holding) bool {
-	if h.ask.Tier != other.ask.Tier {
-		return h.ask.Tier > other.ask.Tier
-	}
-	return h.ask.PromptTokens < other.ask.PromptTokens
+// urgentAt gives when a waiting request may interrupt others.
+func (c *Core) urgentAt(w *waiter) Instant {
+	patience := w.latestStart.Since(w.since)
+	lead := time.Duration(float64(patience) * c.goodputWeight / 2)
+	return w.latestStart.After(-max(lead, interruptLead))
+}
+
+func (h *holding) canYieldTo(tier int) bool {
+	running := !h.suspending && h.lost == 0
+	return running && h.ask.Tier > tier && h.ask.Suspendable && h.ask.Suspensions < maxSuspensions
 }
 
 func (c *Core) suspend(h *holding, needer string) {
--- a/replay/pkg/audit/judge.go
+++ b/replay/pkg/audit/judge.go
@@ -50,6 +50,10 @@
 	Unknown  int
 	BrokeOff int
 	Failed   int
+	// FirstP50 and FirstP99 are quantiles of the time to the first part of an
+	// answer, over the answers that came.
+	FirstP50 time.Duration
+	FirstP99 time.Duration
 }
 
 // Judgement is the whole result of an audit.
@@ -349,12 +353,16 @@
 	for i, name := range j.tiers {
 		tiers[i].Name = name
 	}
+	firsts := make([][]time.Duration, len(j.tiers))
 	for _, o := range j.evidence.Outcomes {
 		rank := j.rank(o.Tier)
 		if rank < 0 || o.Unjudged || j.lastTry[o.Number] > o.Try {
 			continue
 		}
 		t := &tiers[rank]
+		if !o.FirstAt.IsZero() {
+			firsts[rank] = append(firsts[rank], o.FirstAt.Sub(o.SentAt))
+		}
 		t.Sent++
 		switch {
 		case o.Told == "answered" && o.Whole && !o.DoneAt.After(o.Deadline):
@@ -371,9 +379,22 @@
 			t.Failed++
 		}
 	}
+	for i := range tiers {
+		slices.Sort(firsts[i])
+		tiers[i].FirstP50 = quantile(firsts[i], 50)
+		tiers[i].FirstP99 = quantile(firsts[i], 99)
+	}
 	return tiers
 }
 
+// quantile gives the value below which a percentage of sorted values lie.
+func quantile(sorted []time.Duration, percent int) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)*percent/100, len(sorted)-1)]
+}
+
 func (j *judge) prefill() (computed, wasted int) {
 	for _, run := range j.evidence.Runs {
 		computed += run.Prefilled
--- a/replay/pkg/audit/table.go
+++ b/replay/pkg/audit/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -39,11 +40,12 @@
 		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%d\n", v.Number, v.Promise, v.Standing, v.Seen, v.Against)
 	}
 	fmt.Fprintln(table)
-	fmt.Fprintln(table, "TIER\tSENT\tIN TIME\tSHARE\tLATE\tNOT RUN\tUNKNOWN\tBROKEN OFF\tFAILED")
+	fmt.Fprintln(table, "TIER\tSENT\tIN TIME\tSHARE\tLATE\tNOT RUN\tUNKNOWN\tBROKEN OFF\tFAILED\tFIRST P50\tFIRST P99")
 	for _, t := range j.Tiers {
 		share := 100 * float64(t.InTime) / float64(max(t.Sent, 1))
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\n",
-			t.Name, t.Sent, t.InTime, share, t.Late, t.NotRun, t.Unknown, t.BrokeOff, t.Failed)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t%v\t%v\n",
+			t.Name, t.Sent, t.InTime, share, t.Late, t.NotRun, t.Unknown, t.BrokeOff, t.Failed,
+			t.FirstP50.Round(time.Millisecond), t.FirstP99.Round(time.Millisecond))
 	}
 	if err := table.Flush(); err != nil {
 		return errors.Wrap(err, "print the tables")
