--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -140,6 +140,12 @@
 	is.Equal(told(core.Step(asked(time.Second, "a", 0, 100, time.Minute))), "a to fast;")
 	_, held := core.Load()
 	is.Equal(held, 1)
+	core.Step(asked(0, "b", 0, 100, time.Minute))
+	core.Step(asked(0, "c", 0, 100, time.Minute))
+	core.Step(asked(0, "d", 0, 100, time.Minute))
+	core.Step(asked(time.Second, "d", 0, 100, time.Minute))
+	waiting, _ := core.Load()
+	is.Equal(waiting, 1) // asking again does not wait twice
 }
 
 func TestNewOwnerLeavesRoomForPermitsItHasNotHeardOf(t *testing.T) {
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -28,6 +28,7 @@
 	protocolVersion = 1
 	callTimeout     = 2 * time.Second
 	dialTimeout     = time.Second
+	idleLink        = 8 * time.Second
 	rpcName         = "Host"
 	rpcMethod       = "Host.Call"
 )
@@ -71,18 +72,24 @@
 
 	mu       sync.Mutex
 	handlers map[string]Handler
-	clients  map[string]*rpc.Client
+	clients  map[string]*client
 	accepted map[net.Conn]bool
 	closed   bool
 }
 
+// client is a link to one host and when it was last used.
+type client struct {
+	*rpc.Client
+	used time.Time
+}
+
 // New makes the service.
 func New(c *common.Common) *Service {
 	return &Service{
 		common:   c,
 		server:   rpc.NewServer(),
 		handlers: map[string]Handler{},
-		clients:  map[string]*rpc.Client{},
+		clients:  map[string]*client{},
 		accepted: map[net.Conn]bool{},
 	}
 }
@@ -106,7 +113,7 @@
 }
 
 // Start opens the listener.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
 	if err := s.server.RegisterName(rpcName, &receiver{service: s}); err != nil {
 		return errors.Wrap(err, "register the peer receiver")
 	}
@@ -116,6 +123,7 @@
 	}
 	s.listener = listener
 	go s.run()
+	go s.loop(ctx)
 	return nil
 }
 
@@ -134,6 +142,26 @@
 	}
 }
 
+// loop closes links that have not been used for a while: heartbeats go to
+// random hosts, and a link to each of hundreds would cost more than the table.
+func (s *Service) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(idleLink / 2):
+		}
+		s.mu.Lock()
+		for address, c := range s.clients {
+			if time.Since(c.used) > idleLink {
+				delete(s.clients, address)
+				_ = c.Close()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (s *Service) adopt(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,8 +194,8 @@
 	for conn := range s.accepted {
 		_ = conn.Close()
 	}
-	for _, client := range s.clients {
-		_ = client.Close()
+	for _, c := range s.clients {
+		_ = c.Close()
 	}
 	if s.listener == nil {
 		return nil
@@ -212,17 +240,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode envelope")
 	}
-	client, err := s.client(address)
+	link, err := s.dial(address)
 	if err != nil {
 		return nil, &SilentError{Address: address, Cause: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply []byte
-	call := client.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
+	call := link.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		s.discard(address, client)
+		s.discard(address, link)
 		return nil, &SilentError{Address: address, Cause: ctx.Err()}
 	case <-call.Done:
 	}
@@ -231,7 +259,7 @@
 		return nil, &RefusedError{Why: string(refused)}
 	}
 	if call.Error != nil {
-		s.discard(address, client)
+		s.discard(address, link)
 		return nil, &SilentError{Address: address, Cause: call.Error}
 	}
 	s.common.Count("peer.calls")
@@ -239,22 +267,26 @@
 	return reply, nil
 }
 
-func (s *Service) client(address string) (*rpc.Client, error) {
+// dial gives the link to a host, a new one if there is none.
+func (s *Service) dial(address string) (*client, error) {
 	s.mu.Lock()
-	client := s.clients[address]
+	known := s.clients[address]
 	closed := s.closed
+	if known != nil {
+		known.used = time.Now()
+	}
 	s.mu.Unlock()
 	if closed {
 		return nil, net.ErrClosed
 	}
-	if client != nil {
-		return client, nil
+	if known != nil {
+		return known, nil
 	}
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
-	fresh := rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
+	fresh := &client{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), used: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if other := s.clients[address]; other != nil {
@@ -265,11 +297,11 @@
 	return fresh, nil
 }
 
-func (s *Service) discard(address string, client *rpc.Client) {
+func (s *Service) discard(address string, c *client) {
 	s.mu.Lock()
-	if s.clients[address] == client {
+	if s.clients[address] == c {
 		delete(s.clients, address)
 	}
 	s.mu.Unlock()
-	_ = client.Close()
+	_ = c.Close()
 }
--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -22,6 +22,7 @@
 	"godwitmoor.example/replay/pkg/audit"
 	"godwitmoor.example/replay/pkg/caller"
 	"godwitmoor.example/replay/pkg/measure"
+	"godwitmoor.example/replay/pkg/recheck"
 	"godwitmoor.example/replay/pkg/reference"
 	"godwitmoor.example/replay/pkg/trace"
 	"godwitmoor.example/replay/pkg/trial"
@@ -37,7 +38,7 @@
 	root := &cli.Command{
 		Name:     "replay",
 		Usage:    "send traces to a deployment and judge what came of them",
-		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand(), measureCommand(), capacityCommand(), referenceCommand()},
+		Commands: []*cli.Command{tryCommand(), runCommand(), auditCommand(), measureCommand(), capacityCommand(), referenceCommand(), checkCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
@@ -127,6 +128,40 @@
 	}
 }
 
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "run recorded decisions again and compare them byte for byte",
+		ArgsUsage: "FILE ...",
+		Action: func(_ context.Context, c *cli.Command) error {
+			return check(c.Args().Slice())
+		},
+	}
+}
+
+// check reads hosts' logs or records and runs their decisions again.
+func check(files []string) error {
+	var records recheck.Records
+	for _, file := range files {
+		in, err := os.Open(file)
+		if err != nil {
+			return errors.Wrap(err, "open a record")
+		}
+		err = records.Read(in)
+		_ = in.Close()
+		if err != nil {
+			return errors.Wrap(err, file)
+		}
+	}
+	result, err := records.Check()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("decisions run again: %d of %d owners, all the same; %d owners without the beginning of their record\n",
+		result.Decisions, result.Seats, result.Headless)
+	return nil
+}
+
 func settingOf(c *cli.Command) measure.Setting {
 	return measure.Setting{Bin: c.String("bin"), Out: filepath.Join(c.String("out"), "measure"), Print: os.Stdout}
 }
@@ -163,6 +198,15 @@
 		return err
 	}
 	fmt.Printf("trace %s, seed %d, policy %s, files in %s\n\n", t.Name, seed, cmp.Or(c.String("policy"), "godwitmoor"), out)
+	if c.String("policy") == "" {
+		logs, err := filepath.Glob(filepath.Join(out, "entry-*.log"))
+		if err != nil {
+			return errors.Wrap(err, "find the hosts' logs")
+		}
+		if err := check(logs); err != nil {
+			return err
+		}
+	}
 	missed := judgement.Missed(t.Expect)
 	for _, what := range missed {
 		fmt.Println("missed:", what)
--- a/replay/pkg/deployment/deployment.go
+++ b/replay/pkg/deployment/deployment.go
@@ -51,6 +51,8 @@
 	Desks   int
 	// Generations are the engines' kinds, in turn.
 	Generations []Generation
+	// Record has the hosts write every decision to their logs.
+	Record bool
 	// InFlight is the limit of each engine; zero keeps the deployment's own.
 	InFlight int
 }
@@ -95,6 +97,7 @@
 	KeyValueURL  string            `json:"key-value-url"`
 	HostListURL  string            `json:"host-list-url"`
 	StopNotice   document.Duration `json:"stop-notice"`
+	Record       bool              `json:"record"`
 }
 
 // ListedHost is a line of the platform's host list.
@@ -226,7 +229,7 @@
 func (d *Deployment) startHost(m *Host, dataCentre string) error {
 	data, err := json.MarshalIndent(hostSettings{
 		Name: m.Name, DataCentre: dataCentre, Listen: m.Listen, PeerListen: m.Peer, StatusListen: m.Status,
-		KeyValueURL: d.KeyValue, HostListURL: d.hostList, StopNotice: document.Duration(2 * time.Second),
+		KeyValueURL: d.KeyValue, HostListURL: d.hostList, StopNotice: document.Duration(2 * time.Second), Record: d.plan.Record,
 	}, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode settings")
--- a/replay/pkg/measure/capacity.go
+++ b/replay/pkg/measure/capacity.go
@@ -90,6 +90,7 @@
 		sum.core += u.cpu.Seconds()
 		sum.resident += float64(u.resident)
 		sum.bytes += float64(m.PeerBytes.Count)
+		sum.calls += float64(m.PeerCalls.Count)
 	}
 	return sum, nil
 }
--- a/replay/pkg/measure/path.go
+++ b/replay/pkg/measure/path.go
@@ -34,7 +34,9 @@
 	openRequests = 2000
 	openPause    = 4 * time.Second
 	countedCalls = 200
-	maxEventLine = 1 << 20
+	// permitRequests are sent one after the other, so that no two share a call.
+	permitRequests = 300
+	maxEventLine   = 1 << 20
 )
 
 // Path measures what the path through a host adds to a request.
@@ -43,7 +45,7 @@
 	steps := []struct {
 		name string
 		run  func(context.Context, Setting, *report) error
-	}{{"time", addedTime}, {"rate", requestRate}, {"bytes", openBytes}, {"calls", keyValueCalls}, {"decide", decide}}
+	}{{"time", addedTime}, {"rate", requestRate}, {"bytes", openBytes}, {"calls", keyValueCalls}, {"decide", decide}, {"permits", permitBytes}}
 	for _, step := range steps {
 		if len(s.Only) > 0 && !slices.Contains(s.Only, step.name) {
 			continue
@@ -324,6 +326,50 @@
 	return nil
 }
 
+// permitBytes gives what hosts tell each other for a request: its ask, permit
+// and end, where two of three requests have their owner on another host.
+func permitBytes(ctx context.Context, s Setting, r *report) error {
+	const hosts = 3
+	run, err := start(ctx, s, "permits", deployment.Today("hsu", hosts))
+	if err != nil {
+		return err
+	}
+	defer run.stop()
+	told := func(work func() error) (spent, error) {
+		before, err := sample(run)
+		if err != nil {
+			return spent{}, err
+		}
+		if err := work(); err != nil {
+			return spent{}, err
+		}
+		after, err := sample(run)
+		return spent{bytes: after.bytes - before.bytes, calls: after.calls - before.calls}, err
+	}
+	began := time.Now()
+	busy, err := told(func() error {
+		client := &http.Client{}
+		for i := range permitRequests {
+			if err := readStock(client, run.Hosts[i%hosts].Listen); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	took := time.Since(began)
+	if err != nil {
+		return err
+	}
+	idle, err := told(func() error { time.Sleep(took); return nil })
+	if err != nil {
+		return err
+	}
+	const remote = permitRequests * (hosts - 1) / hosts
+	r.figure("messages of a request with its owner elsewhere", "%.0f bytes in %.2f calls",
+		(busy.bytes-idle.bytes)/remote, (busy.calls-idle.calls)/remote)
+	return nil
+}
+
 func repeat(call func() error) error {
 	for range countedCalls {
 		if err := call(); err != nil {
--- a/replay/pkg/trial/trial.go
+++ b/replay/pkg/trial/trial.go
@@ -74,7 +74,9 @@
 		return errors.Wrap(err, "make the callers' log")
 	}
 	defer log.Close()
-	d, err := deployment.Deploy(f, deployment.Today(t.Trace.Deployment, t.Trace.Hosts), line)
+	plan := deployment.Today(t.Trace.Deployment, t.Trace.Hosts)
+	plan.Record = true
+	d, err := deployment.Deploy(f, plan, line)
 	if err != nil {
 		return err
 	}
