Watch each other by probes, with news in bounded number

Change: one probe a heartbeat, by way of three others before a suspicion, which the host can refute; rows travel with probes a logarithmic number of times; whole tables only after four probes that find them different. Trials take their ports below the range of outgoing connections.

--- a/godwitmoor/pkg/commands/status.go
+++ b/godwitmoor/pkg/commands/status.go
@@ -21,9 +21,9 @@
 				return err
 			}
 			table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-			fmt.Fprintln(table, "HOST\tDATA CENTRE\tPHASE\tVERSION\tSILENT")
+			fmt.Fprintln(table, "HOST\tDATA CENTRE\tPHASE\tSTATE\tVERSION")
 			for _, h := range view.Hosts {
-				fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%dms\n", h.Name, h.DataCentre, h.Phase, h.Version, h.SilenceMs)
+				fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\n", h.Name, h.DataCentre, h.Phase, h.State, h.Version)
 			}
 			fmt.Fprintf(table, "as seen by %s\n", view.Host)
 			return table.Flush()
--- a/godwitmoor/pkg/statusport/statusport.go
+++ b/godwitmoor/pkg/statusport/statusport.go
@@ -15,8 +15,8 @@
 const (
 	callTimeout = 3 * time.Second
 	maxReply    = 16 << 20
-	// silentMs is the silence after which a host does not count as live.
-	silentMs = 8000
+	// gone is the state of a host that ended without leaving.
+	gone = "dead"
 )
 
 // Host is one host as another sees it.
@@ -25,7 +25,7 @@
 	DataCentre string `json:"data-centre"`
 	Phase      string `json:"phase"`
 	Version    int64  `json:"version"`
-	SilenceMs  int64  `json:"silence-ms"`
+	State      string `json:"state"`
 }
 
 // View is what one host knows of all.
@@ -38,7 +38,7 @@
 // Holding gives how many of the live hosts hold the version or a later one.
 func (v View) Holding(version int64) (hold, live int) {
 	for _, h := range v.Hosts {
-		if h.SilenceMs > silentMs {
+		if h.State == gone {
 			continue
 		}
 		live++
--- /dev/null
+++ b/godwitmoord/pkg/membership/lister.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	listInterval = time.Second
+	listTimeout  = 2 * time.Second
+	maxListBytes = 4 << 20
+	// Words of the platform's host list.
+	entryRole    = "entry"
+	endpointRole = "endpoint"
+	liveState    = "live"
+	leavingState = "leaving"
+)
+
+// listedHost is one line of the platform's host list.
+type listedHost struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Role    string `json:"role"`
+	State   string `json:"state"`
+}
+
+// lister reads the platform's host list.
+type lister struct{ service *Service }
+
+func (l *lister) run(ctx context.Context) {
+	for {
+		listed, err := l.read(ctx)
+		if err != nil {
+			l.service.common.Count("membership.list.failed")
+		} else {
+			l.service.mu.Lock()
+			l.service.listed = listed
+			l.service.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(listInterval):
+		}
+	}
+}
+
+func (l *lister) read(ctx context.Context) ([]listedHost, error) {
+	get, err := http.NewRequestWithContext(ctx, http.MethodGet, l.service.common.Settings.HostListURL+"/hosts", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "prepare the call of the host list")
+	}
+	response, err := l.service.client.Do(get)
+	if err != nil {
+		return nil, errors.Wrap(err, "call the host list")
+	}
+	defer response.Body.Close()
+	var listed []listedHost
+	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&listed)
+	return listed, errors.Wrap(err, "decode the host list")
+}
+
+// ListedLeaving tells whether the host list says that the endpoint host at the
+// address is leaving.
+func (s *Service) ListedLeaving(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.listed, func(l listedHost) bool {
+		return l.Role == endpointRole && l.Address == address && l.State == leavingState
+	})
+}
+
+// othersListed tells whether the list names other hosts; s.mu is held.
+func (s *Service) othersListed() bool {
+	return slices.ContainsFunc(s.listed, func(l listedHost) bool { return l.Role == entryRole && l.Name != s.self.row.Name })
+}
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -1,25 +1,29 @@
 // Package membership knows which hosts live.
 //
-// Hosts are found by the platform's host list, which is late, and then tell
-// each other of all hosts they know: every heartbeat, a host exchanges a bounded
-// number of rows with a few others. A row carries a beat that only its own host
-// raises. A host whose beat has not risen for a while, whoever brought the word,
-// is suspected and gets no role; after longer it counts as gone. No single bad
-// link condemns a host, since its beat arrives by way of others.
+// Hosts are found by the platform's host list, which is late, and then watch
+// each other: every heartbeat a host probes one other, in a random order that
+// comes to everyone. Whoever does not answer is probed once more by way of a
+// few others, so that one bad link condemns nobody; if none of them gets an
+// answer, the host is suspected and gets no role. It can refute the suspicion
+// itself; after dead-after without that it counts as gone. News travel with the
+// probes, each a number of times that grows with the logarithm of the fleet, so
+// what a host sends does not grow with it. Two hosts that find over several
+// probes that they know different things exchange all they know.
+//
+// A row holds what is known of one host. Its own host alone raises the
+// incarnation (one life of the process) and the revision (one word of it about
+// itself); of two rows the later one counts, and of equal ones the worse state.
 package membership
 
 import (
 	"context"
-	"encoding/json"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/godwitmoord/pkg/common"
@@ -28,18 +32,11 @@
 )
 
 const (
-	// fanOut is how many hosts get a heartbeat each time.
-	fanOut = 3
-	// maxRows bounds the rows of one exchange, each way.
-	maxRows = 32
 	// maxHosts bounds the table; maxField the length of a text in a row.
 	maxHosts = 4096
 	maxField = 128
-	// forgetAfter times dead-after is when a silent host leaves the table.
-	forgetAfter   = 8
-	listInterval  = time.Second
-	listTimeout   = 2 * time.Second
-	maxListBytes  = 4 << 20
+	// forgetAfter times dead-after is when a gone host leaves the table.
+	forgetAfter   = 60
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
 )
@@ -66,16 +63,37 @@
 	}
 }
 
+// State is what others say of a host.
+type State uint8
+
+// The states of a host, the worse the higher.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+)
+
+// String gives the state's name in reports.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	default:
+		return "dead"
+	}
+}
+
 // Member is one host as this one knows it.
 type Member struct {
 	Identity   host.Identity
 	Address    string
 	DataCentre string
 	Phase      Phase
+	State      State
 	// Version is the configuration that the host has in force.
 	Version int64
-	// Silence is the time since the host's beat last rose.
-	Silence time.Duration
 }
 
 type row struct {
@@ -85,7 +103,8 @@
 	DataCentre  string `cbor:"4,keyasint"`
 	Phase       Phase  `cbor:"5,keyasint"`
 	Version     int64  `cbor:"6,keyasint"`
-	Beat        uint64 `cbor:"7,keyasint"`
+	Revision    uint64 `cbor:"7,keyasint"`
+	State       State  `cbor:"8,keyasint"`
 }
 
 func (r row) identity() host.Identity {
@@ -94,37 +113,51 @@
 
 func (r row) wellFormed() bool {
 	sizes := len(r.Name) <= maxField && len(r.Address) <= maxField && len(r.DataCentre) <= maxField
-	return sizes && r.Name != "" && r.Address != "" && r.Incarnation > 0 && r.Phase <= Leaving
+	known := r.Phase <= Leaving && r.State <= Dead
+	return sizes && known && r.Name != "" && r.Address != "" && r.Incarnation > 0
+}
+
+// after tells whether r is news beside other, a row of the same host.
+func (r row) after(other row) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	if r.Revision != other.Revision {
+		return r.Revision > other.Revision
+	}
+	return r.State > other.State
 }
 
-// entry is a row and when it last brought news.
+// entry is a row and what this host does with it.
 type entry struct {
-	row     row
-	heard   time.Time
+	row row
+	// since is when the row came to its state.
+	since   time.Time
 	avoided time.Time
-	dead    bool
+	// spread is how many more times the row is sent along.
+	spread int
 }
 
-// listedHost is one line of the platform's host list.
-type listedHost struct {
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Role    string `json:"role"`
-	State   string `json:"state"`
+// link carries calls to other hosts.
+type link interface {
+	Call(ctx context.Context, address, to string, body []byte) ([]byte, error)
 }
 
 // Service keeps the table of hosts.
 type Service struct {
-	common *common.Common
-	peers  *peer.Service
-	client *http.Client
-
-	mu      sync.Mutex
-	table   map[string]*entry
-	self    row
+	common  *common.Common
+	peers   link
+	client  *http.Client
 	started time.Time
-	listed  []listedHost
-	lost    []func(host.Identity)
+
+	mu     sync.Mutex
+	table  map[string]*entry
+	self   entry
+	order  []string
+	listed []listedHost
+	lost   []func(host.Identity)
+	// differing counts probes in a row after which the tables differed.
+	differing int
 }
 
 // New makes the service.
@@ -133,16 +166,16 @@
 		common: c,
 		client: &http.Client{Timeout: listTimeout},
 		table:  map[string]*entry{},
-		self: row{
+		self: entry{row: row{
 			Name:        c.Self.Name,
 			Incarnation: c.Self.Incarnation,
 			Address:     c.Settings.PeerListen,
 			DataCentre:  c.Settings.DataCentre,
-		},
+		}},
 	}
 }
 
-// Start begins the heartbeats.
+// Start begins to probe.
 func (s *Service) Start(ctx context.Context) error {
 	peers, err := kernel.Lookup[*peer.Service](s.common.Kernel, kernel.Peer)
 	if err != nil {
@@ -150,10 +183,10 @@
 	}
 	s.peers = peers
 	s.started = time.Now()
-	peers.Handle(kernel.Membership, s.exchange)
+	peers.Handle(kernel.Membership, s.answer)
 	go s.run(ctx)
-	lister := &lister{service: s}
-	go lister.run(ctx)
+	l := &lister{service: s}
+	go l.run(ctx)
 	return nil
 }
 
@@ -163,30 +196,40 @@
 // OnLost registers a hearer of lives that ended. Register before Start.
 func (s *Service) OnLost(hear func(host.Identity)) { s.lost = append(s.lost, hear) }
 
-// SetPhase changes what this host says of itself.
+// SetPhase changes what this host says of itself. A host that leaves never
+// comes back in the same life.
 func (s *Service) SetPhase(p Phase) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A host that leaves never comes back in the same life.
-	s.self.Phase = max(s.self.Phase, p)
+	if p > s.self.row.Phase {
+		s.self.row.Phase = p
+		s.speak(s.self.row.Revision + 1)
+	}
 }
 
-// SetVersion tells the others which configuration is in force here.
-func (s *Service) SetVersion(version int64) {
+// Phase gives what this host says of itself.
+func (s *Service) Phase() Phase {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.self.Version = version
+	return s.self.row.Phase
 }
 
-// Phase gives what this host says of itself.
-func (s *Service) Phase() Phase {
+// SetVersion tells the others which configuration is in force here.
+func (s *Service) SetVersion(version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.self.Phase
+	s.self.row.Version = version
+	s.speak(s.self.row.Revision + 1)
+}
+
+// speak makes a new word of this host about itself; s.mu is held.
+func (s *Service) speak(revision uint64) {
+	s.self.row.Revision = revision
+	s.self.spread = s.spreadCount()
 }
 
 // Settled tells whether this host knows the fleet well enough to take a role:
-// it stands on the host list itself, and every other host there was heard. Two
+// it stands on the host list itself, and every other host there is known. Two
 // hosts that know different fleets take different hosts for the owner of a
 // service, and each owner fills the endpoints to their limit. A list that is
 // wrong or down delays a start no longer than settleBound.
@@ -198,14 +241,14 @@
 	}
 	self := false
 	for _, l := range s.listed {
-		if l.Role != "entry" {
+		if l.Role != entryRole {
 			continue
 		}
-		if l.Name == s.self.Name {
+		if l.Name == s.self.row.Name {
 			self = true
 			continue
 		}
-		if e := s.table[l.Name]; l.State == "live" && (e == nil || e.dead) {
+		if e := s.table[l.Name]; l.State == liveState && (e == nil || e.row.State == Dead) {
 			return false
 		}
 	}
@@ -245,7 +288,8 @@
 	if e == nil {
 		return false
 	}
-	return e.row.identity().Later(life) || e.dead
+	ended := e.row.identity() == life && e.row.State == Dead
+	return e.row.identity().Later(life) || ended
 }
 
 // ReadyNames gives the hosts that may have a role now, in order of name. It
@@ -255,230 +299,125 @@
 	defer s.mu.Unlock()
 	names := make([]string, 0, len(s.table)+1)
 	for name, e := range s.table {
-		if e.row.Phase == Ready && s.responsive(e) {
+		avoided := time.Since(e.avoided) < avoidInterval
+		if e.row.Phase == Ready && e.row.State == Alive && !avoided {
 			names = append(names, name)
 		}
 	}
-	if s.self.Phase == Ready || len(names) == 0 {
-		names = append(names, s.self.Name)
+	if s.self.row.Phase == Ready || len(names) == 0 {
+		names = append(names, s.self.row.Name)
 	}
 	slices.Sort(names)
 	return names
 }
 
-func (s *Service) responsive(e *entry) bool {
-	recent := time.Since(e.heard) < s.common.Settings.SuspectAfter.Std()
-	return recent && time.Since(e.avoided) > avoidInterval
-}
-
 // Members gives all the hosts known, this one first.
 func (s *Service) Members() []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	members := make([]Member, 0, len(s.table)+1)
 	for _, e := range s.table {
-		members = append(members, memberOf(e.row, time.Since(e.heard)))
+		members = append(members, e.row.member())
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		if a.Identity.Name < b.Identity.Name {
-			return -1
-		}
-		return 1
-	})
-	return append([]Member{memberOf(s.self, 0)}, members...)
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Identity.Name, b.Identity.Name) })
+	return append([]Member{s.self.row.member()}, members...)
 }
 
-func memberOf(r row, silence time.Duration) Member {
+func (r row) member() Member {
 	return Member{
 		Identity:   r.identity(),
 		Address:    r.Address,
 		DataCentre: r.DataCentre,
 		Phase:      r.Phase,
+		State:      r.State,
 		Version:    r.Version,
-		Silence:    silence,
 	}
 }
 
-// Alone tells whether other hosts are known and none of them was heard lately.
+// Alone tells whether other hosts are known and none of them is alive.
 func (s *Service) Alone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.table {
-		if time.Since(e.heard) < s.common.Settings.DeadAfter.Std() {
+		if e.row.State == Alive {
 			return false
 		}
 	}
 	return len(s.table) > 0 || s.othersListed()
 }
 
-func (s *Service) othersListed() bool {
-	return slices.ContainsFunc(s.listed, func(l listedHost) bool { return l.Role == "entry" && l.Name != s.self.Name })
-}
-
-// ListedLeaving tells whether the host list says that the endpoint host at the
-// address is leaving.
-func (s *Service) ListedLeaving(address string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.listed, func(l listedHost) bool {
-		return l.Role == "endpoint" && l.Address == address && l.State == "leaving"
-	})
-}
-
-// run beats.
-func (s *Service) run(ctx context.Context) {
-	for {
-		for _, address := range s.beat() {
-			b := &beat{service: s, address: address}
-			go b.run(ctx)
-		}
-		s.bury()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(s.common.Settings.Heartbeat.Std()):
-		}
-	}
-}
-
-// beat raises the own beat and picks whom to tell.
-func (s *Service) beat() []string {
+// merge takes in one row of another host and tells which life it ended, if any.
+func (s *Service) merge(r row) (ended host.Identity, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.self.Beat++
-	known := make(map[string]bool, len(s.table))
-	addresses := make([]string, 0, len(s.table))
-	for _, e := range s.table {
-		known[e.row.Address] = true
-		if !e.dead {
-			addresses = append(addresses, e.row.Address)
-		}
+	if r.Name == s.self.row.Name {
+		s.refute(r)
+		return host.Identity{}, false
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(fanOut, len(addresses))]
-	// One listed host that is unknown or counts as gone: so newcomers are met,
-	// and two halves that lost each other find together again.
-	var strangers []string
-	for _, l := range s.listed {
-		if l.Role != "entry" || l.Name == s.self.Name {
-			continue
-		}
-		if e := s.table[l.Name]; e == nil || e.dead || !known[l.Address] {
-			strangers = append(strangers, l.Address)
+	known := s.table[r.Name]
+	if known == nil {
+		if len(s.table) < maxHosts {
+			s.table[r.Name] = &entry{row: r, since: time.Now(), spread: s.spreadCount()}
 		}
+		return host.Identity{}, false
 	}
-	if len(strangers) > 0 {
-		addresses = append(addresses, strangers[rand.IntN(len(strangers))])
+	if !r.after(known.row) {
+		return host.Identity{}, false
 	}
-	return addresses
-}
-
-// beat is one heartbeat to one host.
-type beat struct {
-	service *Service
-	address string
+	before := known.row
+	s.change(known, r)
+	replaced := r.Incarnation > before.Incarnation
+	died := r.State == Dead || replaced
+	return before.identity(), died && before.State != Dead
 }
 
-func (b *beat) run(ctx context.Context) {
-	body, err := cbor.Marshal(b.service.rows())
-	if err != nil {
-		return
-	}
-	reply, err := b.service.peers.Call(ctx, b.address, kernel.Membership, body)
-	if err != nil {
-		return
-	}
-	if err := b.service.take(reply); err != nil {
-		b.service.common.Count("membership.refused")
+// change puts a newer row in place; s.mu is held.
+func (s *Service) change(e *entry, r row) {
+	if e.row.State != r.State || e.row.Incarnation != r.Incarnation {
+		e.since = time.Now()
 	}
+	e.row = r
+	e.spread = s.spreadCount()
 }
 
-// exchange answers a heartbeat.
-func (s *Service) exchange(_ host.Identity, body []byte) ([]byte, error) {
-	if err := s.take(body); err != nil {
-		return nil, err
+// refute contradicts what others say of this life of this host; s.mu is held.
+func (s *Service) refute(r row) {
+	own := r.Incarnation == s.self.row.Incarnation
+	if own && r.State != Alive && r.Revision >= s.self.row.Revision {
+		s.common.Count("membership.refuted")
+		s.speak(r.Revision + 1)
 	}
-	return cbor.Marshal(s.rows())
 }
 
-// rows gives the own row and a random share of the others.
-func (s *Service) rows() []row {
+// suspect is the word of this host that another does not answer.
+func (s *Service) suspect(name string, incarnation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := make([]row, 0, min(len(s.table)+1, maxRows))
-	rows = append(rows, s.self)
-	// Go's map order is random enough to pick a share of a large table.
-	for _, e := range s.table {
-		if len(rows) == maxRows {
-			break
-		}
-		if !e.dead {
-			rows = append(rows, e.row)
-		}
-	}
-	return rows
-}
-
-func (s *Service) take(body []byte) error {
-	var rows []row
-	if err := cbor.Unmarshal(body, &rows); err != nil {
-		return &peer.RefusedError{Why: "malformed heartbeat"}
-	}
-	if len(rows) > maxRows {
-		return &peer.RefusedError{Why: "too many rows in a heartbeat"}
-	}
-	for _, r := range rows {
-		if !r.wellFormed() {
-			return &peer.RefusedError{Why: "malformed row in a heartbeat"}
-		}
-	}
-	for _, r := range rows {
-		s.merge(r)
-	}
-	return nil
-}
-
-func (s *Service) merge(r row) {
-	if r.Name == s.common.Self.Name {
-		return
-	}
-	s.mu.Lock()
-	known := s.table[r.Name]
-	if known == nil {
-		if len(s.table) < maxHosts {
-			s.table[r.Name] = &entry{row: r, heard: time.Now()}
-		}
-		s.mu.Unlock()
+	e := s.table[name]
+	if e == nil || e.row.Incarnation != incarnation || e.row.State != Alive {
 		return
 	}
-	ended := known.row.identity()
-	replaced := r.identity().Later(ended)
-	if !replaced && (r.Incarnation != ended.Incarnation || r.Beat <= known.row.Beat) {
-		s.mu.Unlock()
-		return
-	}
-	wasDead := known.dead
-	known.row = r
-	known.heard = time.Now()
-	known.dead = false
-	s.mu.Unlock()
-	if replaced && !wasDead {
-		s.tellLost(ended)
-	}
+	r := e.row
+	r.State = Suspect
+	s.change(e, r)
+	s.common.Count("membership.suspected")
+	s.common.Log.Info("host suspected", zap.String("host", name))
 }
 
-// bury finds hosts that have been silent for too long.
+// bury ends the lives of hosts that did not refute a suspicion in time.
 func (s *Service) bury() {
 	var ended []host.Identity
 	deadAfter := s.common.Settings.DeadAfter.Std()
 	s.mu.Lock()
 	for name, e := range s.table {
-		silence := time.Since(e.heard)
-		if silence > deadAfter && !e.dead {
-			e.dead = true
-			ended = append(ended, e.row.identity())
+		age := time.Since(e.since)
+		if e.row.State == Suspect && age > deadAfter {
+			r := e.row
+			r.State = Dead
+			s.change(e, r)
+			ended = append(ended, r.identity())
 		}
-		if silence > forgetAfter*deadAfter {
+		if e.row.State == Dead && age > forgetAfter*deadAfter {
 			delete(s.table, name)
 		}
 	}
@@ -496,38 +435,23 @@
 	}
 }
 
-// lister reads the platform's host list.
-type lister struct{ service *Service }
-
-func (l *lister) run(ctx context.Context) {
-	for {
-		listed, err := l.read(ctx)
-		if err != nil {
-			l.service.common.Count("membership.list.failed")
-		} else {
-			l.service.mu.Lock()
-			l.service.listed = listed
-			l.service.mu.Unlock()
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(listInterval):
+// digest tells tables apart; s.mu is held.
+func (s *Service) digest() uint64 {
+	sum := s.self.row.digest()
+	for _, e := range s.table {
+		if e.row.State != Dead {
+			sum ^= e.row.digest()
 		}
 	}
+	return sum
 }
 
-func (l *lister) read(ctx context.Context) ([]listedHost, error) {
-	get, err := http.NewRequestWithContext(ctx, http.MethodGet, l.service.common.Settings.HostListURL+"/hosts", nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "prepare the call of the host list")
-	}
-	response, err := l.service.client.Do(get)
-	if err != nil {
-		return nil, errors.Wrap(err, "call the host list")
+func (r row) digest() uint64 {
+	numbers := []uint64{uint64(r.Incarnation), r.Revision, uint64(r.State)}
+	sum := xxhash.Sum64String(r.Name)
+	for _, n := range numbers {
+		sum = (sum ^ n) * 0x9e3779b97f4a7c15
+		sum ^= sum >> 29
 	}
-	defer response.Body.Close()
-	var listed []listedHost
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&listed)
-	return listed, errors.Wrap(err, "decode the host list")
+	return sum
 }
--- a/godwitmoord/pkg/release/release.go
+++ b/godwitmoord/pkg/release/release.go
@@ -121,8 +121,7 @@
 	}
 	var near []string
 	for _, m := range s.members.Members() {
-		silent := m.Silence > s.common.Settings.SuspectAfter.Std()
-		if m.DataCentre == s.common.Settings.DataCentre && !silent {
+		if m.DataCentre == s.common.Settings.DataCentre && m.State == membership.Alive {
 			near = append(near, m.Identity.Name)
 		}
 	}
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -32,11 +32,10 @@
 	KeyValueURL string `json:"key-value-url"`
 	// HostListURL is the platform's host list.
 	HostListURL string `json:"host-list-url"`
-	// Heartbeat is the time between two heartbeats; default 500ms.
+	// Heartbeat is the time between two probes of other hosts; default 500ms.
 	Heartbeat document.Duration `json:"heartbeat,omitempty"`
-	// SuspectAfter is the silence after which a host gets no new role; default 3s.
-	SuspectAfter document.Duration `json:"suspect-after,omitempty"`
-	// DeadAfter is the silence after which a host counts as gone; default 8s.
+	// DeadAfter is how long a suspected host may stay silent before it counts as
+	// gone; default 4s.
 	DeadAfter document.Duration `json:"dead-after,omitempty"`
 	// StopNotice is how long a stopping host still takes new requests, so that
 	// the balancer notices; default 3s.
@@ -48,10 +47,9 @@
 }
 
 const (
-	defaultHeartbeat    = 500 * time.Millisecond
-	defaultSuspectAfter = 3 * time.Second
-	defaultDeadAfter    = 8 * time.Second
-	defaultStopNotice   = 3 * time.Second
+	defaultHeartbeat  = 500 * time.Millisecond
+	defaultDeadAfter  = 4 * time.Second
+	defaultStopNotice = 3 * time.Second
 )
 
 // Load reads and checks a settings file.
@@ -78,7 +76,6 @@
 
 func (s Settings) withDefaults() Settings {
 	s.Heartbeat = orDefault(s.Heartbeat, defaultHeartbeat)
-	s.SuspectAfter = orDefault(s.SuspectAfter, defaultSuspectAfter)
 	s.DeadAfter = orDefault(s.DeadAfter, defaultDeadAfter)
 	s.StopNotice = orDefault(s.StopNotice, defaultStopNotice)
 	return s
@@ -121,7 +118,7 @@
 		field string
 		value document.Duration
 	}{
-		{"/heartbeat", s.Heartbeat}, {"/suspect-after", s.SuspectAfter}, {"/dead-after", s.DeadAfter},
+		{"/heartbeat", s.Heartbeat}, {"/dead-after", s.DeadAfter},
 		{"/stop-notice", s.StopNotice}, {"/stop-bound", s.StopBound},
 	}
 	for _, d := range durations {
@@ -129,8 +126,8 @@
 			add(d.field, "is below zero", `set a duration such as "3s"`)
 		}
 	}
-	if s.SuspectAfter < 2*s.Heartbeat || s.DeadAfter < s.SuspectAfter {
-		add("/suspect-after", "does not fit the heartbeat", "keep 2 x heartbeat <= suspect-after <= dead-after")
+	if s.DeadAfter < 2*s.Heartbeat {
+		add("/dead-after", "does not fit the heartbeat", "keep it at twice the heartbeat or more")
 	}
 	return problems
 }
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -43,7 +43,7 @@
 	DataCentre  string `json:"data-centre"`
 	Phase       string `json:"phase"`
 	Version     int64  `json:"version"`
-	SilenceMs   int64  `json:"silence-ms"`
+	State       string `json:"state"`
 }
 
 type statusReply struct {
@@ -160,7 +160,7 @@
 			DataCentre:  m.DataCentre,
 			Phase:       m.Phase.String(),
 			Version:     m.Version,
-			SilenceMs:   m.Silence.Milliseconds(),
+			State:       m.State.String(),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/replay/pkg/app/app.go
+++ b/replay/pkg/app/app.go
@@ -83,6 +83,7 @@
 		Usage:     "run traces by file name",
 		ArgsUsage: "FILE ...",
 		Flags: []cli.Flag{binFlag(), outFlag(), &cli.Uint64Flag{Name: "seed", Usage: "another seed than the trace's own"},
+			&cli.FloatFlag{Name: "goodput-weight", Usage: "another weight than the deployment's own"},
 			&cli.StringFlag{Name: "policy", Usage: "send past the hosts by `NAME`: random, round-robin or reported-load"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			var failed error
@@ -95,6 +96,10 @@
 				if c.IsSet("seed") {
 					seed = c.Uint64("seed")
 				}
+				if c.IsSet("goodput-weight") {
+					weight := c.Float("goodput-weight")
+					t.GoodputWeight = &weight
+				}
 				failed = errors.CombineErrors(failed, play(ctx, c, t, seed))
 			}
 			return failed
--- a/replay/pkg/deployment/deployment.go
+++ b/replay/pkg/deployment/deployment.go
@@ -53,6 +53,8 @@
 	Generations []Generation
 	// Record has the hosts write every decision to their logs.
 	Record bool
+	// GoodputWeight replaces the deployment's own, unless it is nil.
+	GoodputWeight *float64
 	// InFlight is the limit of each engine; zero keeps the deployment's own.
 	InFlight int
 }
@@ -69,6 +71,7 @@
 	Peer    string
 	Status  string
 	Process *fleet.Process
+	lives   int
 }
 
 // Deployment is everything that runs.
@@ -156,6 +159,9 @@
 	} else {
 		d.Declared, d.Token = hsu.Deployment(d.hsuEngines(models), plain), hsu.Token
 	}
+	if d.plan.GoodputWeight != nil {
+		d.Declared = d.Declared.WithGoodputWeight(*d.plan.GoodputWeight)
+	}
 	if d.plan.InFlight > 0 {
 		for _, name := range []string{hsu.Assistant, kerbrat.Atelier} {
 			d.Declared = d.Declared.WithInFlightLimit(name, d.plan.InFlight)
@@ -238,13 +244,33 @@
 	if err := os.WriteFile(file, data, 0o644); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
-	if m.Process, err = d.fleet.Start(m.Name, "godwitmoord", "--settings", file); err != nil {
+	if err := d.launch(m, file); err != nil {
 		return err
 	}
-	d.Processes[m.Name] = m.Process
 	return d.List(m.Name, ListedHost{Address: m.Peer, DataCentre: dataCentre, Role: "entry", State: "live"})
 }
 
+// launch starts a host's process. Each life has a log of its own.
+func (d *Deployment) launch(m *Host, settings string) error {
+	name := m.Name
+	if m.lives > 0 {
+		name = fmt.Sprintf("%s-life-%d", m.Name, m.lives+1)
+	}
+	m.lives++
+	process, err := d.fleet.Start(name, "godwitmoord", "--settings", settings)
+	if err != nil {
+		return err
+	}
+	m.Process = process
+	d.Processes[m.Name] = process
+	return nil
+}
+
+// Restart starts a host that has ended again, with the same settings.
+func (d *Deployment) Restart(m *Host) error {
+	return d.launch(m, d.fleet.Path(m.Name+".jsonc"))
+}
+
 // List puts a line into the platform's host list.
 func (d *Deployment) List(name string, line ListedHost) error {
 	return d.Call(http.MethodPut, d.hostList+"/hosts/"+name, line)
--- a/replay/pkg/fleet/fleet.go
+++ b/replay/pkg/fleet/fleet.go
@@ -4,11 +4,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,8 +22,19 @@
 	pollInterval = 20 * time.Millisecond
 	dialTimeout  = 200 * time.Millisecond
 	startTimeout = 15 * time.Second
+	leastPort    = 10_000
+	portCount    = 20_000
+	portTries    = 2 * portCount
 )
 
+// nextPort goes through the ports from a random one on, so that runs that follow
+// each other do not meet.
+var nextPort = func() *atomic.Int64 {
+	var next atomic.Int64
+	next.Store(rand.Int64N(portCount))
+	return &next
+}()
+
 // Process is one started process.
 type Process struct {
 	Name string
@@ -120,34 +133,24 @@
 	}
 }
 
-// Address gives a free loopback address.
-func Address() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free address")
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-// Addresses gives n free loopback addresses, all different.
+// Addresses gives n free loopback addresses, all different. They lie below the
+// range from which the system takes ports for outgoing connections, so that none
+// of those takes one before its process listens.
 func Addresses(n int) ([]string, error) {
-	listeners := make([]net.Listener, 0, n)
 	addresses := make([]string, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+	for range portTries {
+		if len(addresses) == n {
+			return addresses, nil
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", leastPort+int(nextPort.Add(1))%portCount)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, errors.Wrap(err, "find free addresses")
+			continue
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, errors.Newf("found %d free addresses where %d are needed", len(addresses), n)
 }
 
 // AwaitListening waits until something listens on each address.
--- a/replay/pkg/reference/reference.go
+++ b/replay/pkg/reference/reference.go
@@ -92,6 +92,8 @@
 		return t.Name
 	case *ast.SelectorExpr:
 		return strings.ToLower(t.Sel.Name)
+	case *ast.StarExpr:
+		return typeName(t.X)
 	case *ast.ArrayType:
 		return "list of " + typeName(t.Elt)
 	default:
--- a/replay/pkg/trace/trace.go
+++ b/replay/pkg/trace/trace.go
@@ -40,6 +40,8 @@
 	Seed uint64 `json:"seed"`
 	// Hosts is the number of entry hosts.
 	Hosts int `json:"hosts"`
+	// GoodputWeight replaces the deployment's own.
+	GoodputWeight *float64 `json:"goodput-weight,omitempty"`
 	// Patience is how long after its deadline a caller still listens; zero
 	// means a minute.
 	Patience document.Duration `json:"patience,omitempty"`
--- a/replay/pkg/trial/trial.go
+++ b/replay/pkg/trial/trial.go
@@ -76,6 +76,7 @@
 	defer log.Close()
 	plan := deployment.Today(t.Trace.Deployment, t.Trace.Hosts)
 	plan.Record = true
+	plan.GoodputWeight = t.Trace.GoodputWeight
 	d, err := deployment.Deploy(f, plan, line)
 	if err != nil {
 		return err
@@ -171,6 +172,8 @@
 	switch fault.Kind {
 	case "stop-host":
 		return f.stopHost(fault.Target)
+	case "replace-host":
+		return f.replaceHost(fault.Target)
 	case "kill-host", "kill-endpoint":
 		return f.signal(fault, syscall.SIGKILL)
 	case "freeze-host":
@@ -265,7 +268,16 @@
 	}
 }
 
+// replaceHost stops a host and, when it has ended, starts it again.
+func (f *faults) replaceHost(name string) error {
+	return f.stopAnd(name, f.target.Restart)
+}
+
 func (f *faults) stopHost(name string) error {
+	return f.stopAnd(name, func(*deployment.Host) error { return nil })
+}
+
+func (f *faults) stopAnd(name string, then func(*deployment.Host) error) error {
 	m, err := f.target.Host(name)
 	if err != nil {
 		return err
@@ -275,7 +287,7 @@
 		return err
 	}
 	f.open.Add(1)
-	w := &exit{faults: f, member: m}
+	w := &exit{faults: f, member: m, then: then}
 	go w.run()
 	return nil
 }
@@ -284,6 +296,7 @@
 type exit struct {
 	faults *faults
 	member *deployment.Host
+	then   func(*deployment.Host) error
 }
 
 func (w *exit) run() {
@@ -295,4 +308,7 @@
 		event.Note = err.Error()
 	}
 	w.faults.target.Timeline.Add(event)
+	if err := w.then(w.member); err != nil {
+		w.faults.fail(err)
+	}
 }
