--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -39,6 +39,8 @@
 	forgetAfter   = 60
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
+	// introduction is the number of heartbeats in which a new phase is heard.
+	introduction = 5
 )
 
 // Phase is what a host says of itself.
@@ -203,15 +205,18 @@
 	defer s.mu.Unlock()
 	if p > s.self.row.Phase {
 		s.self.row.Phase = p
+		s.self.since = time.Now()
 		s.speak(s.self.row.Revision + 1)
 	}
 }
 
-// Phase gives what this host says of itself.
-func (s *Service) Phase() Phase {
+// Introduced tells whether this host has been ready for long enough that the
+// others know it. Before that, requests that it takes would meet two owners.
+func (s *Service) Introduced() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.self.row.Phase
+	known := introduction * s.common.Settings.Heartbeat.Std()
+	return s.self.row.Phase == Ready && time.Since(s.self.since) > known
 }
 
 // SetVersion tells the others which configuration is in force here.
