--- a/coordination/pkg/claim/book_test.go
+++ b/coordination/pkg/claim/book_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/claim"
@@ -188,7 +189,7 @@
 		r := <-woken // by now the claim of entry-2 is forgotten
 		_, ours = held(r.verdict)
 		is.True(!ours) // a second dispatch
-		_, expired := r.err.(*claim.ExpiredKeyError)
+		expired := errors.HasType(r.err, (*claim.ExpiredKeyError)(nil))
 		is.True(expired)
 	})
 }
@@ -212,7 +213,7 @@
 		is.True(running)
 		time.Sleep(2 * time.Second)
 		_, err = second.Claim(t.Context(), order(key, "c"), retention)
-		_, expired := err.(*claim.ExpiredKeyError)
+		expired := errors.HasType(err, (*claim.ExpiredKeyError)(nil))
 		is.True(expired) // refused by its age before the claim is forgotten
 	})
 }
@@ -273,7 +274,7 @@
 	is := is.New(t)
 	for _, id := range []string{"", "order-7", uuid.NewString()} {
 		_, err := claim.Key{ID: id}.Created()
-		_, malformed := err.(*claim.MalformedKeyError)
+		malformed := errors.HasType(err, (*claim.MalformedKeyError)(nil))
 		is.True(malformed)
 	}
 }
--- a/coordination/pkg/configuration/configuration_test.go
+++ b/coordination/pkg/configuration/configuration_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/document"
@@ -156,7 +157,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		_, err := register.Apply(ctx, change("first", "mei", 0))
-		_, unsettled := err.(*configuration.UnsettledError)
+		unsettled := errors.HasType(err, (*configuration.UnsettledError)(nil))
 		is.True(unsettled)
 		is.True(strings.Contains(err.Error(), "--change-id first"))
 	})
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -220,8 +220,8 @@
 	is.Equal(told(core.Step(asked(4*time.Second, "e", 0, 10, time.Hour))), "e to only;")
 }
 
-func running(d time.Duration, id string, tier, prompt int) permit.Asked {
-	e := asked(d, id, tier, 1000, time.Hour)
+func running(id string, tier, prompt int) permit.Asked {
+	e := asked(0, id, tier, 1000, time.Hour)
 	e.Ask.PromptTokens = prompt
 	e.Ask.Suspendable = true
 	return e
@@ -230,9 +230,9 @@
 func TestHigherTierInterruptsTheWorkThatWastesLeast(t *testing.T) {
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 3, PrefillSpeed: 1e6, DecodeSpeed: 100})
-	core.Step(running(0, "question", 1, 10))
-	core.Step(running(0, "long", 2, 9000))
-	core.Step(running(0, "short", 2, 500))
+	core.Step(running("question", 1, 10))
+	core.Step(running("long", 2, 9000))
+	core.Step(running("short", 2, 500))
 	is.Equal(told(core.Step(asked(0, "bench", 0, 100, 10*time.Second))), "") // it can wait
 	is.Equal(told(core.Step(permit.Ticked{At: at(8 * time.Second)})), "")
 	is.Equal(told(core.Step(permit.Ticked{At: at(8600 * time.Millisecond)})), "short gives way to bench;")
@@ -247,7 +247,7 @@
 		At: start, Tiers: 2, QueueLimit: 9, GoodputWeight: 1,
 		Endpoints: []permit.EndpointRules{{Name: "only", Limit: 1, PrefillSpeed: 1e6, DecodeSpeed: 100}},
 	})
-	core.Step(running(0, "plan", 1, 10))
+	core.Step(running("plan", 1, 10))
 	core.Step(asked(0, "bench", 0, 100, 10*time.Second))
 	is.Equal(told(core.Step(permit.Ticked{At: at(4 * time.Second)})), "")
 	is.Equal(told(core.Step(permit.Ticked{At: at(4500 * time.Millisecond)})), "plan gives way to bench;")
@@ -256,7 +256,7 @@
 func TestSuspensionsAreBounded(t *testing.T) {
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 1, PrefillSpeed: 1e6, DecodeSpeed: 100})
-	review := running(0, "review", 2, 10)
+	review := running("review", 2, 10)
 	review.Ask.Suspensions = 3
 	core.Step(review)
 	core.Step(asked(0, "bench", 0, 100, 2*time.Second))
@@ -278,7 +278,7 @@
 	is := is.New(t)
 	core := desk(permit.EndpointRules{Name: "only", Limit: 2, PrefillSpeed: 1000, DecodeSpeed: 100})
 	is.Equal(told(core.Step(asked(0, "bench", 0, 100, 2*time.Second))), "bench to only;")
-	long := running(0, "review", 2, 3000) // its prompt stalls the endpoint for 3 s
+	long := running("review", 2, 3000) // its prompt stalls the endpoint for 3 s
 	is.Equal(told(core.Step(long)), "")
 	is.Equal(told(core.Step(permit.Finished{At: at(time.Second), ID: "bench"})), "review to only;")
 	is.Equal(told(core.Step(asked(time.Second, "next", 0, 10, 2*time.Second))), "") // it would wait behind the prompt
--- a/godwitmoord/pkg/peer/peer_test.go
+++ b/godwitmoord/pkg/peer/peer_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -46,7 +48,7 @@
 	is.NoErr(err)
 	is.Equal(string(reply), "entry-2: hello")
 	_, err = client.Call(t.Context(), c.Settings.PeerListen, "nobody", nil)
-	_, refused := err.(*peer.RefusedError)
+	refused := errors.HasType(err, (*peer.RefusedError)(nil))
 	is.True(refused)
 }
 
@@ -59,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err = client.Call(ctx, silent.Addr().String(), "echo", nil)
-	_, gone := err.(*peer.SilentError)
+	gone := errors.HasType(err, (*peer.SilentError)(nil))
 	is.True(gone)
 }
 
@@ -107,8 +109,7 @@
 			for err == nil {
 				_, err = conn.Read(buffer)
 			}
-			timeout, isNet := err.(net.Error)
-			is.True(!isNet || !timeout.Timeout())
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded))
 			if k.counted != "" {
 				is.True(metrics.GetOrRegisterCounter(k.counted, c.Metrics).Count() > 0)
 			}
--- a/replay/pkg/measure/path.go
+++ b/replay/pkg/measure/path.go
@@ -62,7 +62,6 @@
 	mu    sync.Mutex
 	first *hdrhistogram.Histogram
 	later *hdrhistogram.Histogram
-	count int
 }
 
 func newTiming() *timing { return &timing{first: newHistogram(), later: newHistogram()} }
--- a/replay/pkg/recheck/recheck_test.go
+++ b/replay/pkg/recheck/recheck_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/replay/pkg/recheck"
@@ -78,7 +79,7 @@
 	var records recheck.Records
 	is.NoErr(records.Read(strings.NewReader(text[:i] + `"endpoint":"b"` + text[i+len(`"endpoint":"a"`):])))
 	_, err := records.Check()
-	_, differs := err.(*recheck.DifferenceError)
+	differs := errors.HasType(err, (*recheck.DifferenceError)(nil))
 	is.True(differs)
 }
 
