--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -54,6 +54,10 @@
 		Usage: "schedule requests between callers and endpoints",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` of settings, JSON with comments"},
+			&cli.StringFlag{Name: "name", Usage: "replaces the settings' `NAME`"},
+			&cli.StringFlag{Name: "listen", Usage: "replaces the settings' `ADDRESS` for callers"},
+			&cli.StringFlag{Name: "peer-listen", Usage: "replaces the settings' `ADDRESS` for other hosts"},
+			&cli.StringFlag{Name: "status-listen", Usage: "replaces the settings' `ADDRESS` for operators"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action: run,
@@ -65,7 +69,12 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String("settings"))
+	s, err := settings.Load(c.String("settings"), settings.Overrides{
+		Name:         c.String("name"),
+		Listen:       c.String("listen"),
+		PeerListen:   c.String("peer-listen"),
+		StatusListen: c.String("status-listen"),
+	})
 	if err != nil || c.Bool("check") {
 		return err
 	}
--- a/godwitmoord/pkg/app/app_test.go
+++ b/godwitmoord/pkg/app/app_test.go
@@ -234,6 +234,22 @@
 	d.is.Equal(d.ran(key), 0)
 }
 
+func TestHostLostBetweenSendingAndTheAnswerLeavesUnknown(t *testing.T) {
+	d := deploy(t, 2)
+	// The desk runs the order and never answers: for everyone else its host is
+	// as good as killed after sending.
+	d.fault(d.desk, `{"silent": true}`)
+	key := newKey()
+	go d.send(d.hosts[0], order(key))
+	d.eventually("the order runs", func() bool { return d.ran(key) == 1 })
+	d.fault(d.desk, `{}`)
+	w := order(key)
+	w.timeout = "500ms"
+	r := d.send(d.hosts[1], w)
+	d.is.Equal(r.outcome, "unknown")
+	d.is.Equal(d.ran(key), 1) // nobody sends it again
+}
+
 func TestFaultsOfCallersAreNamed(t *testing.T) {
 	d := deploy(t, 1)
 	h := d.hosts[0]
--- a/godwitmoord/pkg/app/deployment_test.go
+++ b/godwitmoord/pkg/app/deployment_test.go
@@ -156,7 +156,7 @@
 	text := fmt.Sprintf(`{"name": %q, "data-centre": "lorient", "listen": %q, "peer-listen": %q, "status-listen": %q,
 		"key-value-url": %q, "host-list-url": %q, "heartbeat": "50ms", "stop-notice": "100ms"}`,
 		name, listeners[0], listeners[1], listeners[2], d.keyValue.URL, d.hostList.URL)
-	s, err := settings.Parse(name, []byte(text))
+	s, err := settings.Parse(name, []byte(text), settings.Overrides{})
 	d.is.NoErr(err)
 	h := &entryHost{name: name, listen: listeners[0], status: listeners[2], daemon: app.New(s, zap.NewNop())}
 	d.is.NoErr(h.daemon.Start(d.t.Context()))
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -6,6 +6,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -52,22 +53,40 @@
 	defaultStopNotice = 3 * time.Second
 )
 
+// Overrides are values of flags that go before those of the file; empty ones do
+// not.
+type Overrides struct {
+	Name         string
+	Listen       string
+	PeerListen   string
+	StatusListen string
+}
+
+// WithOverrides gives a copy in which the values of flags stand.
+func (s Settings) WithOverrides(o Overrides) Settings {
+	s.Name = cmp.Or(o.Name, s.Name)
+	s.Listen = cmp.Or(o.Listen, s.Listen)
+	s.PeerListen = cmp.Or(o.PeerListen, s.PeerListen)
+	s.StatusListen = cmp.Or(o.StatusListen, s.StatusListen)
+	return s
+}
+
 // Load reads and checks a settings file.
-func Load(file string) (Settings, error) {
+func Load(file string, overrides Overrides) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read the settings; name the file with --settings")
 	}
-	return Parse(file, data)
+	return Parse(file, data, overrides)
 }
 
 // Parse checks settings that were read already.
-func Parse(file string, data []byte) (Settings, error) {
+func Parse(file string, data []byte, overrides Overrides) (Settings, error) {
 	var s Settings
 	if err := document.Decode(file, data, &s); err != nil {
 		return Settings{}, err
 	}
-	s = s.withDefaults()
+	s = s.WithOverrides(overrides).withDefaults()
 	if problems := s.check(); len(problems) > 0 {
 		return Settings{}, &document.ProblemsError{Problems: document.Locate(file, data, problems)}
 	}
