Clamp the number of tiers once, and say what a sync brings

Cause: reading the whole change again. resizeQueues clamped the tiers for the number of queues but not where it moves requests down, so no tier at all would have given them tier -1; a checked configuration always has one. The comment of allRows said that gone hosts are left out, and they are sent. Change: one clamp for both; the comment. Behaviour is as it was. Checks run: the linter on permit, tests of coordination (race) and membership. Left: relay.go and front.go each list the headers of one connection.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -161,7 +161,8 @@
 
 // resizeQueues keeps requests whose tier is gone in the lowest one.
 func (c *Core) resizeQueues(tiers int) {
-	wanted := queuesPerTier * max(tiers, 1)
+	tiers = max(tiers, 1)
+	wanted := queuesPerTier * tiers
 	for len(c.queues) < wanted {
 		c.queues = append(c.queues, queue{})
 	}
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -305,8 +305,8 @@
 	return rows
 }
 
-// allRows gives everything known, the gone left out but for those that a
-// stranger may need to refute.
+// allRows gives everything known, the gone as well: one that still lives must
+// hear of it to refute it.
 func (s *Service) allRows() []row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
