--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -45,6 +45,9 @@
 	Rules []Rule `json:"rules"`
 	// Claims says how non-idempotent requests are remembered.
 	Claims Claims `json:"claims"`
+	// Routes lead requests to services by host name and path. Where there are
+	// none, the services' prefixes and the rules do that.
+	Routes []Route `json:"routes,omitempty"`
 }
 
 // Tier is one rank of work.
@@ -63,6 +66,12 @@
 	TokenSHA256 string `json:"token-sha256"`
 	// Tiers are the tiers granted to the customer.
 	Tiers []string `json:"tiers"`
+	// Keys are the secrets that name the customer on routes.
+	Keys []string `json:"keys,omitempty"`
+	// Rank goes before the rank of the route; 0 is the highest.
+	Rank int `json:"rank,omitempty"`
+	// Quota bounds what the customer may send.
+	Quota *Quota `json:"quota,omitempty"`
 }
 
 // Service is one thing that callers reach.
@@ -90,6 +99,12 @@
 	Resumes bool `json:"resumes,omitempty"`
 	// Endpoints are the workers of the service.
 	Endpoints []Endpoint `json:"endpoints"`
+	// EventTokens is the number of tokens that one event of a stream holds; zero
+	// is one.
+	EventTokens int `json:"event-tokens,omitempty"`
+	// ConnectionLimit bounds the connections to one endpoint from all hosts
+	// together; zero does not bound them.
+	ConnectionLimit int `json:"connection-limit,omitempty"`
 }
 
 // Endpoint is one worker of a service.
@@ -108,6 +123,9 @@
 	DecodeSpeed float64 `json:"decode-speed,omitempty"`
 	// Leaving stops new work from going to the endpoint.
 	Leaving bool `json:"leaving,omitempty"`
+	// Born is when this life of the endpoint started, in Unix milliseconds; zero
+	// if it is not known.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Rule says how the requests it matches are treated.
--- /dev/null
+++ b/coordination/pkg/exchange/native.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Headers of the product's own interface, towards endpoints.
+const (
+	RequestHeader = "Request-Id"
+	AttemptHeader = "Attempt-Id"
+	KeyHeader     = "Request-Key"
+	TierHeader    = "Request-Tier"
+	OffsetHeader  = "Resume-Offset"
+	notRunHeader  = "Not-Run"
+)
+
+// Headers of the product's own interface, from callers.
+const (
+	IdempotencyKeyHeader = "Idempotency-Key"
+	TimeoutHeader        = "Request-Timeout"
+	authorizationHeader  = "Authorization"
+	bearer               = "Bearer "
+)
+
+// Native is the product's own dialect.
+type Native struct{}
+
+// ReadCall gives the bearer token and the timeout asked for.
+func (Native) ReadCall(header http.Header) (Call, error) {
+	var call Call
+	call.Key, _ = strings.CutPrefix(header.Get(authorizationHeader), bearer)
+	if asked := header.Get(TimeoutHeader); asked != "" {
+		timeout, err := time.ParseDuration(asked)
+		if err != nil {
+			return call, &MalformedError{Header: TimeoutHeader, Value: asked}
+		}
+		call.Wait = timeout
+	}
+	return call, nil
+}
+
+// WriteOrder names the request to the endpoint.
+func (Native) WriteOrder(header http.Header, order Order) {
+	for _, name := range []string{authorizationHeader, IdempotencyKeyHeader, "X-Idempotency-Key", TimeoutHeader} {
+		header.Del(name)
+	}
+	setOrDelete(header, RequestHeader, order.Request)
+	setOrDelete(header, AttemptHeader, order.Attempt)
+	setOrDelete(header, KeyHeader, order.Key)
+	setOrDelete(header, TierHeader, order.Tier)
+	offset := ""
+	if order.Offset > 0 {
+		offset = strconv.Itoa(order.Offset)
+	}
+	setOrDelete(header, OffsetHeader, offset)
+}
+
+// ReadHead gives the attempt that is answered, and whether it was refused.
+func (Native) ReadHead(status int, header http.Header) Head {
+	refused := status == http.StatusServiceUnavailable && header.Get(notRunHeader) == "true"
+	return Head{Attempt: header.Get(AttemptHeader), NotRun: refused, IdleLimit: KeptAlive(header)}
+}
+
+func setOrDelete(header http.Header, name, value string) {
+	if value == "" {
+		header.Del(name)
+		return
+	}
+	header.Set(name, value)
+}
+
+// KeptAlive gives the idle timeout of a Keep-Alive header; zero if it has none.
+func KeptAlive(header http.Header) time.Duration {
+	for parameter := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		value, isTimeout := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
+		if !isTimeout {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -72,6 +72,8 @@
 	endpoints map[string]*endpoint
 	order     []*endpoint
 	sequence  uint64
+	accounts  map[string]*account
+	repeats   repeats
 	free      []*endpoint
 	aside     []*waiter
 	actions   []Action
@@ -139,6 +141,8 @@
 	c.queueLimit = e.QueueLimit
 	c.goodputWeight = e.GoodputWeight
 	c.resizeQueues(e.Tiers)
+	c.setQuotas(e.Quotas, e.QuotaWindow)
+	c.repeats.configure(e.Repeats)
 	listed := make(map[string]bool, len(e.Endpoints))
 	c.order = c.order[:0]
 	for _, rules := range e.Endpoints {
@@ -201,6 +205,9 @@
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
 	w.latestStart = c.latestStart(a)
+	if !c.admit(w) {
+		return
+	}
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
 		c.refuse(w, QueueFull)
 		return
@@ -209,6 +216,23 @@
 	heap.Push(c.queueOf(a), w)
 }
 
+// admit holds a new ask against the bounds of its customer and on repeats.
+func (c *Core) admit(w *waiter) bool {
+	if !c.repeats.admit(c.now, w.ask.Repeat) {
+		c.refuse(w, NoRepeat)
+		return false
+	}
+	if w.ask.Repeat {
+		// Its first sending was charged.
+		return true
+	}
+	wait, charged := c.charge(w.ask)
+	if !charged {
+		c.refuseFor(w, OverQuota, wait)
+	}
+	return charged
+}
+
 // makeRoom refuses a waiting request of a tier below the given one.
 func (c *Core) makeRoom(tier int) bool {
 	for lowest := c.lowestTier(); lowest > tier; lowest-- {
@@ -231,11 +255,18 @@
 }
 
 func (c *Core) refuse(w *waiter, reason Reason) {
+	if reason != NoRepeat {
+		c.refund(w)
+	}
+	c.refuseFor(w, reason, c.retryAfter())
+}
+
+func (c *Core) refuseFor(w *waiter, reason Reason, retryAfter time.Duration) {
 	c.actions = append(c.actions, Refused{
 		ID:         w.ask.ID,
 		Host:       w.ask.Host,
 		Reason:     reason,
-		RetryAfter: c.retryAfter(),
+		RetryAfter: retryAfter,
 		Waited:     c.now.Since(w.since),
 	})
 }
@@ -257,6 +288,7 @@
 
 func (c *Core) withdraw(id string) {
 	if w := c.waiting[id]; w != nil {
+		c.refund(w)
 		c.dequeue(w)
 		return
 	}
@@ -293,6 +325,7 @@
 // reconcile takes up permits that an earlier owner granted, and gives back the
 // places of permits that the host no longer knows.
 func (c *Core) reconcile(e Listed) {
+	c.recall(e.Spent)
 	listed := make(map[string]bool, len(e.Permits))
 	for _, p := range e.Permits {
 		listed[p.ID] = true
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -41,6 +41,15 @@
 	Begun       bool `json:"begun,omitempty"`
 	// Avoid names the endpoints that failed this request before.
 	Avoid []string `json:"avoid,omitempty"`
+	// Goal is when the first part of the answer is wanted, and Patience when the
+	// caller leaves without one; zero is not told.
+	Goal     Instant `json:"goal,omitempty"`
+	Patience Instant `json:"patience,omitempty"`
+	// Customer and QuotaTokens are what the ask counts for, and how much.
+	Customer    string `json:"customer,omitempty"`
+	QuotaTokens int    `json:"quota-tokens,omitempty"`
+	// Repeat says that the request was sent to an endpoint before.
+	Repeat bool `json:"repeat,omitempty"`
 }
 
 // WithAvoid gives a copy of the ask, under a new id, that stays off one more
@@ -94,6 +103,9 @@
 		GoodputWeight float64         `json:"goodput-weight,omitempty"`
 		Endpoints     []EndpointRules `json:"endpoints"`
 		Settle        time.Duration   `json:"settle,omitempty"`
+		Quotas        []Quota         `json:"quotas,omitempty"`
+		QuotaWindow   time.Duration   `json:"quota-window,omitempty"`
+		Repeats       RepeatBound     `json:"repeats,omitzero"`
 	}
 	// Asked brings a waiting request. Asking again with the same ID is harmless.
 	Asked struct {
@@ -122,6 +134,8 @@
 		At      Instant  `json:"at"`
 		Host    string   `json:"host"`
 		Permits []Permit `json:"permits"`
+		// Spent is what the host was granted by an earlier owner; it comes once.
+		Spent []Spending `json:"spent,omitempty"`
 	}
 	// Reported is an endpoint's own, late word on the requests it runs.
 	Reported struct {
@@ -169,6 +183,10 @@
 	QueueFull Reason = "queue-full"
 	// Displaced means that a request of a higher tier took the place in the queue.
 	Displaced Reason = "displaced"
+	// OverQuota means that the customer has sent what it may for now.
+	OverQuota Reason = "over-quota"
+	// NoRepeat means that too many requests were sent once more lately.
+	NoRepeat Reason = "no-repeat"
 )
 
 // Action is what the core decides. It is one of Granted, Refused and Suspended.
--- /dev/null
+++ b/coordination/pkg/permit/limits.go
@@ -0,0 +1,191 @@
+package permit
+
+import "time"
+
+const (
+	// windowSlots divides each window over which something is counted.
+	windowSlots = 16
+	// settlingShare is the part of a quota that a new owner grants until it has
+	// heard what was granted before it.
+	settlingShare = 0.5
+)
+
+// Quota bounds the tokens of one customer that one owner grants in any window.
+// It is the owner's share of what the customer may send in all.
+type Quota struct {
+	Customer string `json:"customer"`
+	// Limit is in tokens a window.
+	Limit float64 `json:"limit"`
+}
+
+// Spending is what a host was granted for a customer, some time ago.
+type Spending struct {
+	Customer string        `json:"customer"`
+	Tokens   float64       `json:"tokens"`
+	Age      time.Duration `json:"age"`
+}
+
+// RepeatBound bounds how often requests are sent once more: in any window, the
+// ratio of the requests plus the slack. The zero value allows everything.
+type RepeatBound struct {
+	Ratio  float64       `json:"ratio,omitempty"`
+	Slack  float64       `json:"slack,omitempty"`
+	Window time.Duration `json:"window,omitempty"`
+}
+
+// tally counts amounts in the slots of a sliding window.
+type tally struct {
+	width int64
+	slot  int64
+	// One slot more than the window has, as the oldest is only partly inside.
+	amounts [windowSlots + 1]float64
+}
+
+// advance empties the slots whose time is over.
+func (t *tally) advance(now Instant) {
+	if t.width <= 0 {
+		return
+	}
+	current := int64(now) / t.width
+	if current-t.slot > int64(len(t.amounts)) {
+		t.slot = current - int64(len(t.amounts))
+	}
+	for t.slot < current {
+		t.slot++
+		t.amounts[t.index(t.slot)] = 0
+	}
+}
+
+func (t *tally) index(slot int64) int { return int(slot % int64(len(t.amounts))) }
+
+// add counts an amount at a time that may lie in the past.
+func (t *tally) add(at Instant, amount float64) {
+	if t.width <= 0 {
+		return
+	}
+	slot := int64(at) / t.width
+	if slot <= t.slot && slot > t.slot-int64(len(t.amounts)) {
+		t.amounts[t.index(slot)] += amount
+	}
+}
+
+func (t *tally) sum() float64 {
+	sum := 0.0
+	for _, amount := range t.amounts {
+		sum += amount
+	}
+	return sum
+}
+
+// fallsTo gives how long until the sum is no more than limit, if nothing comes.
+func (t *tally) fallsTo(limit float64, now Instant) time.Duration {
+	sum := t.sum()
+	for slot := t.slot - int64(len(t.amounts)) + 1; slot <= t.slot; slot++ {
+		if sum <= limit {
+			break
+		}
+		sum -= t.amounts[t.index(slot)]
+		if sum <= limit {
+			end := (slot + int64(len(t.amounts))) * t.width
+			return Instant(end).Since(now)
+		}
+	}
+	return 0
+}
+
+// account is what one customer was granted lately.
+type account struct {
+	limit   float64
+	granted tally
+}
+
+// setQuotas takes the quotas in force over. A lower one takes effect at once.
+func (c *Core) setQuotas(quotas []Quota, window time.Duration) {
+	if c.accounts == nil {
+		c.accounts = map[string]*account{}
+	}
+	kept := make(map[string]bool, len(quotas))
+	for _, q := range quotas {
+		kept[q.Customer] = true
+		if c.accounts[q.Customer] == nil {
+			c.accounts[q.Customer] = &account{}
+		}
+		c.accounts[q.Customer].limit = q.Limit
+		c.accounts[q.Customer].granted.width = int64(window) / windowSlots
+	}
+	for customer := range c.accounts {
+		if !kept[customer] {
+			delete(c.accounts, customer)
+		}
+	}
+}
+
+// charge counts a request for its customer, or tells how long until there is
+// room for it. A request larger than the whole limit fits when nothing else was
+// granted.
+func (c *Core) charge(a Ask) (wait time.Duration, charged bool) {
+	k := c.accounts[a.Customer]
+	if k == nil || a.QuotaTokens == 0 {
+		return 0, true
+	}
+	limit := k.limit
+	if c.now < c.settled {
+		limit *= settlingShare
+	}
+	k.granted.advance(c.now)
+	tokens := float64(a.QuotaTokens)
+	room := limit - min(tokens, limit)
+	if k.granted.sum() > room {
+		return k.granted.fallsTo(room, c.now), false
+	}
+	k.granted.add(c.now, tokens)
+	return 0, true
+}
+
+// refund gives back what a request was charged that is not sent.
+func (c *Core) refund(w *waiter) {
+	if k := c.accounts[w.ask.Customer]; k != nil && !w.ask.Repeat {
+		k.granted.advance(c.now)
+		k.granted.add(w.since, -float64(w.ask.QuotaTokens))
+	}
+}
+
+// recall counts what a host was granted by an earlier owner.
+func (c *Core) recall(spent []Spending) {
+	for _, s := range spent {
+		if k := c.accounts[s.Customer]; k != nil {
+			k.granted.advance(c.now)
+			k.granted.add(c.now.After(-s.Age), s.Tokens)
+		}
+	}
+}
+
+// repeats counts requests and repeats in a window.
+type repeats struct {
+	bound           RepeatBound
+	requests, again tally
+}
+
+func (r *repeats) configure(bound RepeatBound) {
+	r.bound = bound
+	r.requests.width = int64(bound.Window) / windowSlots
+	r.again.width = r.requests.width
+}
+
+// admit counts a request, and tells whether a repeat is within the bound.
+func (r *repeats) admit(now Instant, repeat bool) bool {
+	if r.bound.Window <= 0 {
+		return true
+	}
+	r.requests.advance(now)
+	r.again.advance(now)
+	if !repeat {
+		r.requests.add(now, 1)
+		return true
+	}
+	if r.again.sum()+1 > r.bound.Ratio*r.requests.sum()+r.bound.Slack {
+		return false
+	}
+	r.again.add(now, 1)
+	return true
+}
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -23,10 +23,12 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/godwitmoord/pkg/claims"
 	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/discovery"
 	"godwitmoor.example/godwitmoord/pkg/dispatch"
 	"godwitmoor.example/godwitmoord/pkg/front"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
@@ -38,6 +40,7 @@
 	"godwitmoor.example/godwitmoord/pkg/serving"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 	"godwitmoor.example/godwitmoord/pkg/status"
+	"godwitmoor.example/platform"
 )
 
 const (
@@ -45,6 +48,9 @@
 	// writeBehind bounds the wait for claims that are still to be written when
 	// all requests have ended; what is not written then is told as unknown.
 	writeBehind = 15 * time.Second
+	// graceReserve is how long before the platform's kill the process ends by
+	// itself.
+	graceReserve = 250 * time.Millisecond
 )
 
 // Main runs the daemon and ends the process.
@@ -126,6 +132,7 @@
 	members *membership.Service
 	release *release.Service
 	status  *status.Service
+	front   *front.Service
 	cancel  context.CancelFunc
 }
 
@@ -138,28 +145,45 @@
 		Self:     host.Identity{Name: s.Name, Incarnation: time.Now().UnixMilli()},
 		Kernel:   k,
 		Metrics:  metrics.NewRegistry(),
+		Dialect:  exchange.Native{},
 	}
-	store := &keyvalue.Client{URL: s.KeyValueURL}
-	d := &Daemon{common: c, kernel: k}
-	d.members = membership.New(c)
-	d.release = release.New(c, &configuration.Register{Store: store})
-	d.status = status.New(c)
-	owner := dispatch.NewOwner(c)
-	d.members.OnLost(owner.HostLost)
+	d := &Daemon{common: c, kernel: k, members: membership.New(c), status: status.New(c), front: front.New(c)}
 	k.Register(kernel.Memory, &memory.Service{})
 	k.Register(kernel.Record, record.New(c))
 	k.Register(kernel.Peer, peer.New(c))
 	k.Register(kernel.Membership, d.members)
-	k.Register(kernel.Release, d.release)
-	k.Register(kernel.Claims, claims.New(c, store))
+	if s.Platform != nil {
+		d.onPlatform(s.Platform)
+	} else {
+		d.onOwnInterfaces()
+	}
+	owner := dispatch.NewOwner(c)
+	d.members.OnLost(owner.HostLost)
 	k.Register(kernel.Owner, owner)
 	k.Register(kernel.Dispatch, dispatch.NewEntry(c))
 	k.Register(kernel.Serving, serving.New(c))
-	k.Register(kernel.Front, front.New(c))
+	k.Register(kernel.Front, d.front)
 	k.Register(kernel.Status, d.status)
 	return d
 }
 
+// onOwnInterfaces registers what meets the world through the product's own
+// interfaces.
+func (d *Daemon) onOwnInterfaces() {
+	store := &keyvalue.Client{URL: d.common.Settings.KeyValueURL}
+	d.release = release.New(d.common, &configuration.Register{Store: store})
+	d.kernel.Register(kernel.Release, d.release)
+	d.kernel.Register(kernel.Claims, claims.New(d.common, store))
+}
+
+// onPlatform registers what meets the world through the users' platform.
+func (d *Daemon) onPlatform(p *settings.Platform) {
+	d.common.Dialect = platform.Dialect{}
+	d.release = release.New(d.common, nil)
+	d.kernel.Register(kernel.Release, d.release)
+	d.kernel.Register(kernel.Discovery, discovery.New(d.common, platform.NewStore(p.Store), platform.Layout{}))
+}
+
 // Start starts the services; the host takes a role once it is ready.
 func (d *Daemon) Start(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
@@ -186,23 +210,33 @@
 
 // Stop leaves the fleet in good order and ends when nothing is in progress.
 func (d *Daemon) Stop() error {
+	started := time.Now()
 	d.status.BeginStop()
+	d.front.BeginStop()
 	d.members.SetPhase(membership.Leaving)
 	time.Sleep(d.common.Settings.StopNotice.Std())
 	ctx, cancel := context.WithCancel(context.Background())
-	if bound := d.common.Settings.StopBound.Std(); bound > 0 {
-		ctx, cancel = context.WithTimeout(context.Background(), bound)
+	if bound := d.stopBound(); bound > 0 {
+		ctx, cancel = context.WithDeadline(context.Background(), started.Add(bound))
 	}
 	defer cancel()
-	frontService, err := kernel.Lookup[*front.Service](d.kernel, kernel.Front)
-	if err != nil {
-		return err
-	}
-	err = frontService.Stop(ctx)
+	err := d.front.Stop(ctx)
 	rest, cancelRest := context.WithTimeout(context.Background(), writeBehind)
 	defer cancelRest()
 	err = errors.CombineErrors(err, d.kernel.Stop(rest))
 	d.cancel()
-	d.common.Log.Info("stopped", zap.Error(err))
+	d.common.Log.Info("stopped", zap.Duration("after", time.Since(started)), zap.Error(err))
 	return err
 }
+
+// stopBound is how long after the signal what still runs is cut; zero never
+// cuts.
+func (d *Daemon) stopBound() time.Duration {
+	if p := d.common.Settings.Platform; p != nil {
+		return p.StopGrace.Std() - graceReserve
+	}
+	if bound := d.common.Settings.StopBound.Std(); bound > 0 {
+		return d.common.Settings.StopNotice.Std() + bound
+	}
+	return 0
+}
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -1,81 +1,61 @@
 // Package attempt sends one request to one endpoint, once.
 //
 // Go's HTTP client sends some requests again by itself when a kept-alive
-// connection breaks: those with a safe method, and those with an
-// Idempotency-Key header. A non-idempotent request therefore goes out on a
-// connection of its own, which the client never retries on, and without such a
-// header.
+// connection breaks, and takes whatever comes next on a connection for the
+// answer. So connections are kept here: each carries one request at a time, is
+// looked at before it is used again, and tells exactly whether a byte of the
+// request went out. The messages themselves are written and read by net/http.
+//
+// # Usage
+//
+//	var sender attempt.Sender
+//	answer, err := sender.Send(ctx, "10.0.0.1:80", parcel)
+//	defer answer.Close()
 package attempt
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/exchange"
 )
 
-const (
-	dialTimeout  = time.Second
-	idlePerHost  = 64
-	idleLifetime = 30 * time.Second
-	// Buffers of a connection to an endpoint, in bytes: a token is far smaller,
-	// and a host holds one connection for each stream.
-	readBuffer  = 2 << 10
-	writeBuffer = 1 << 10
-	// notRunHeader is how an endpoint says that it refused without running.
-	notRunHeader = "Not-Run"
-)
-
-// Headers that name a request to an endpoint.
-const (
-	RequestHeader = "Request-Id"
-	AttemptHeader = "Attempt-Id"
-	KeyHeader     = "Request-Key"
-	TierHeader    = "Request-Tier"
-	OffsetHeader  = "Resume-Offset"
-)
+// maxStrays is how many answers of earlier attempts are passed over before the
+// connection is given up.
+const maxStrays = 3
 
 // Parcel is what goes to an endpoint.
 type Parcel struct {
 	Method string
-	// Path is the path and query below the endpoint's root.
-	Path    string
-	Header  http.Header
-	Body    []byte
-	Request string
-	Attempt string
-	Key     string
-	Tier    string
-	// Offset is the number of answer parts the caller has already.
-	Offset int
-	// Idempotent requests may share connections.
-	Idempotent bool
+	// Target is the path and query, as the endpoint shall see them.
+	Target string
+	// Host is the Host header; empty means the endpoint's address.
+	Host   string
+	Header http.Header
+	Body   []byte
+	Order  exchange.Order
+	// Shared requests may go out on a connection that was used before. Others
+	// get a new one: a kept one may turn out dead after the first byte.
+	Shared bool
 	// Echoes says that the endpoint returns the attempt's id.
-	Echoes           bool
+	Echoes bool
+	// FirstByteTimeout bounds the wait for the answer's first byte, GapTimeout
+	// that for each further part.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
 }
 
-// WithAttempt gives a copy of the parcel for another attempt.
-func (p Parcel) WithAttempt(id string, offset int) Parcel {
-	p.Attempt = id
-	p.Offset = offset
-	return p
-}
-
-// NotSentError says that no byte of the request went out, or that the endpoint
-// itself said that it did not run it.
+// NotSentError says that the endpoint did not run the request and will not: no
+// byte of it went out, or the endpoint said so.
 type NotSentError struct {
 	Address string
 	Cause   error
+	// Refused is set when the endpoint itself turned the request down.
+	Refused bool
 }
 
 func (e *NotSentError) Error() string {
@@ -104,40 +84,14 @@
 	return fmt.Sprintf("attempt %s was answered as %q; the answer was dropped", e.Sent, e.Got)
 }
 
-// errSilent ends an attempt whose endpoint has been silent for too long.
-var errSilent = errors.New("the endpoint was silent for too long")
-
-// Sender sends attempts. The zero value works.
-type Sender struct {
-	shared  atomic.Pointer[http.Transport]
-	private atomic.Pointer[http.Transport]
-}
-
-func (s *Sender) transport(idempotent bool) *http.Transport {
-	slot := &s.private
-	if idempotent {
-		slot = &s.shared
-	}
-	if t := slot.Load(); t != nil {
-		return t
-	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	slot.CompareAndSwap(nil, &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		DisableKeepAlives:   !idempotent,
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleLifetime,
-		ReadBufferSize:      readBuffer,
-		WriteBufferSize:     writeBuffer,
-	})
-	return slot.Load()
-}
-
 // Answer is an answer whose body is still to be read. Close it.
 type Answer struct {
 	Status int
 	Header http.Header
+	// Head is what the headers say, in the deployment's dialect.
+	Head exchange.Head
+	// Length is the length of the body, in bytes; -1 if it was not told.
+	Length int64
 	Body   io.Reader
 	close  func()
 }
@@ -146,94 +100,128 @@
 func (a *Answer) Close() { a.close() }
 
 // Send sends the parcel and waits for the answer's head. Errors are
-// *NotSentError, *LostError and *CrossedError.
+// *NotSentError, *LostError and *CrossedError. When ctx ends, the connection is
+// closed, which cancels the request at the endpoint.
 func (s *Sender) Send(ctx context.Context, address string, p Parcel) (*Answer, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	var touched atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { touched.Store(true) },
-	})
-	request, err := p.build(ctx, address)
+	l, err := s.take(ctx, address, p.Shared)
 	if err != nil {
-		cancel(nil)
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	silence := time.AfterFunc(p.FirstByteTimeout, func() { cancel(errSilent) })
-	response, err := s.transport(p.Idempotent).RoundTrip(request)
+	release := context.AfterFunc(ctx, l.abort)
+	x := &passage{sender: s, link: l, parcel: p, release: release}
+	answer, err := x.send()
 	if err != nil {
-		silence.Stop()
-		cancel(nil)
-		s.suspect(ctx, p)
-		if touched.Load() {
-			return nil, &LostError{Address: address, Cause: err}
-		}
-		return nil, &NotSentError{Address: address, Cause: err}
-	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header}
-	answer.Body = &gapReader{body: response.Body, silence: silence, gap: p.GapTimeout}
-	answer.close = func() {
-		silence.Stop()
-		cancel(nil)
-		_ = response.Body.Close()
-	}
-	if err := p.judge(address, response); err != nil {
-		answer.Close()
+		x.end(false)
 		return nil, err
 	}
 	return answer, nil
 }
 
-// suspect drops the idle connections when one turned out to be silent: those of
-// the same age may be dead as well.
-func (s *Sender) suspect(ctx context.Context, p Parcel) {
-	if p.Idempotent && errors.Is(context.Cause(ctx), errSilent) {
-		s.transport(true).CloseIdleConnections()
-	}
+// passage is one request on its connection.
+type passage struct {
+	sender  *Sender
+	link    *link
+	parcel  Parcel
+	release func() bool
+	written chan error
+	ended   bool
 }
 
-func (p Parcel) build(ctx context.Context, address string) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, p.Method, "http://"+address+p.Path, bytes.NewReader(p.Body))
+func (x *passage) send() (*Answer, error) {
+	head := x.parcel.head(x.sender.dialect(), x.link.address)
+	sent, err := x.link.write(head, x.parcel.Body)
+	if err != nil && sent == 0 {
+		return nil, &NotSentError{Address: x.link.address, Cause: err}
+	}
 	if err != nil {
-		return nil, errors.Wrap(err, "build the request")
+		return nil, &LostError{Address: x.link.address, Cause: err}
 	}
-	// Without GetBody the client has nothing to send a second time.
-	request.GetBody = nil
-	request.Header = p.Header.Clone()
-	if request.Header == nil {
-		request.Header = http.Header{}
+	response, told, err := x.read()
+	if err != nil {
+		return nil, err
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: told, Length: response.ContentLength}
+	body := &partReader{passage: x, body: response.Body, reusable: !response.Close, idle: told.IdleLimit}
+	answer.Body = body
+	answer.close = func() { x.end(body.whole) }
+	if told.NotRun {
+		// The body is of no use; the connection is, once it is read.
+		_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes))
+		answer.Close()
+		return nil, &NotSentError{Address: x.link.address, Cause: errors.New("the endpoint refused it"), Refused: true}
 	}
-	for name, value := range map[string]string{
-		RequestHeader: p.Request, AttemptHeader: p.Attempt, KeyHeader: p.Key, TierHeader: p.Tier,
-	} {
-		if value != "" {
-			request.Header.Set(name, value)
+	return answer, nil
+}
+
+// read gives the answer to this attempt. Late answers to earlier attempts on
+// the same connection are passed over.
+func (x *passage) read() (*http.Response, exchange.Head, error) {
+	var crossed error
+	for range maxStrays {
+		response, err := x.link.read(x.parcel.Method, x.parcel.FirstByteTimeout)
+		if err != nil && crossed != nil {
+			return nil, exchange.Head{}, crossed
+		}
+		if err != nil {
+			return nil, exchange.Head{}, &LostError{Address: x.link.address, Cause: err}
+		}
+		head := x.sender.dialect().ReadHead(response.StatusCode, response.Header)
+		if !x.parcel.Echoes || head.Attempt == x.parcel.Order.Attempt || (head.NotRun && head.Attempt == "") {
+			return response, head, nil
+		}
+		crossed = &CrossedError{Sent: x.parcel.Order.Attempt, Got: head.Attempt}
+		if !x.link.skip(response, x.parcel.FirstByteTimeout) {
+			break
 		}
 	}
-	if p.Offset > 0 {
-		request.Header.Set(OffsetHeader, strconv.Itoa(p.Offset))
+	return nil, exchange.Head{}, crossed
+}
+
+// end gives the connection back when it is fit for another request, and closes
+// it otherwise. It is called once or more.
+func (x *passage) end(fit bool) {
+	if x.ended {
+		return
 	}
-	return request, nil
+	x.ended = true
+	running := x.release()
+	if fit && running && x.link.fit() {
+		x.sender.give(x.link)
+		return
+	}
+	x.link.abort()
 }
 
-func (p Parcel) judge(address string, response *http.Response) error {
-	refused := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(notRunHeader) == "true"
-	if refused {
-		return &NotSentError{Address: address, Cause: errors.New("the endpoint refused it")}
+// head gives the first bytes of the request.
+func (p Parcel) head(dialect exchange.Dialect, address string) []byte {
+	header := p.Header.Clone()
+	if header == nil {
+		header = http.Header{}
 	}
-	if got := response.Header.Get(AttemptHeader); p.Echoes && got != p.Attempt {
-		return &CrossedError{Sent: p.Attempt, Got: got}
+	dialect.WriteOrder(header, p.Order)
+	host := p.Host
+	if host == "" {
+		host = address
 	}
-	return nil
+	return headBytes(p.Method, p.Target, host, header, len(p.Body))
 }
 
-// gapReader bounds the wait for each part of the body.
-type gapReader struct {
-	body    io.Reader
-	silence *time.Timer
-	gap     time.Duration
+// partReader bounds the wait for each part of the body, and knows when the
+// whole of it was read.
+type partReader struct {
+	passage  *passage
+	body     io.Reader
+	reusable bool
+	idle     time.Duration
+	whole    bool
 }
 
-func (g *gapReader) Read(into []byte) (int, error) {
-	g.silence.Reset(g.gap)
-	return g.body.Read(into)
+func (r *partReader) Read(into []byte) (int, error) {
+	r.passage.link.expectWithin(r.passage.parcel.GapTimeout)
+	n, err := r.body.Read(into)
+	if errors.Is(err, io.EOF) && r.reusable {
+		r.passage.link.keepFor(r.idle)
+		r.whole = true
+	}
+	return n, err
 }
--- a/godwitmoord/pkg/common/common.go
+++ b/godwitmoord/pkg/common/common.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/settings"
@@ -19,6 +20,8 @@
 	Self    host.Identity
 	Kernel  *kernel.Kernel
 	Metrics metrics.Registry
+	// Dialect is how callers and endpoints spell what is exchanged.
+	Dialect exchange.Dialect
 }
 
 // Count adds one to the named counter.
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// Times is what is left of a request's time.
+type Times struct {
+	// Deadline is when the whole answer must be there.
+	Deadline time.Time
+	// Goal is when its first part is wanted, and Patience when the caller leaves
+	// without one; zero is not told.
+	Goal, Patience time.Time
+}
+
+// until gives the time left; zero stays untold.
+func until(at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return time.Until(at)
+}
+
 // RefusedError says that the owner refused an ask, and why.
 type RefusedError struct {
 	Reason     permit.Reason
@@ -73,13 +90,14 @@
 	held    map[string]*Grant
 	asked   map[string]string
 	listed  time.Time
+	ledger  ledger
 }
 
 // pending is an ask without an answer.
 type pending struct {
 	service  string
 	ask      permit.Ask
-	deadline time.Time
+	times    Times
 	sent     time.Time
 	repeat   time.Duration
 	owner    string
@@ -115,6 +133,9 @@
 		return err
 	}
 	e.ctx = ctx
+	if p := e.common.Settings.Platform; p != nil {
+		e.ledger.window = p.QuotaWindow.Std()
+	}
 	e.outbox = peer.Outbox{To: kernel.Owner, Service: peers, Address: e.members.Address, Failed: e.members.Avoid}
 	e.owners.local = e.take
 	peers.Handle(kernel.Dispatch, peer.Inbox(e.accept))
@@ -127,8 +148,8 @@
 
 // Acquire waits for a permit until ctx ends. An error is a *RefusedError, or
 // that of ctx; either way the request holds no permit.
-func (e *Entry) Acquire(ctx context.Context, service string, ask permit.Ask, deadline time.Time) (*Grant, error) {
-	p := &pending{service: service, ask: ask, deadline: deadline, answered: make(chan answer, 1)}
+func (e *Entry) Acquire(ctx context.Context, service string, ask permit.Ask, times Times) (*Grant, error) {
+	p := &pending{service: service, ask: ask, times: times, answered: make(chan answer, 1)}
 	e.mu.Lock()
 	e.waiting[ask.ID] = p
 	e.mu.Unlock()
@@ -200,7 +221,14 @@
 	p.repeat = min(max(2*p.repeat, firstRepeat), longRepeat)
 	e.mu.Unlock()
 	ask := p.ask
-	e.send(owner, entryMessage{Kind: askKind, Service: p.service, Ask: &ask, Budget: time.Until(p.deadline)})
+	e.send(owner, entryMessage{
+		Kind:     askKind,
+		Service:  p.service,
+		Ask:      &ask,
+		Budget:   time.Until(p.times.Deadline),
+		Goal:     until(p.times.Goal),
+		Patience: until(p.times.Patience),
+	})
 }
 
 func (e *Entry) send(owner string, m entryMessage) {
@@ -258,6 +286,9 @@
 			owner:    from.Name,
 		}}
 		e.held[m.ID] = result.grant
+		if !p.ask.Repeat {
+			e.ledger.note(time.Now(), p.service, p.ask.Customer, p.ask.QuotaTokens)
+		}
 	}
 	asked := p.owner
 	e.mu.Unlock()
@@ -310,7 +341,7 @@
 		case <-time.After(watchInterval):
 		}
 		for _, service := range e.movedServices() {
-			e.sendList(service)
+			e.sendList(service, true)
 		}
 		for _, p := range e.overdue() {
 			e.sendAsk(p, e.ownerOf(p.service))
@@ -372,12 +403,18 @@
 	}
 	e.mu.Unlock()
 	for service := range services {
-		e.sendList(service)
+		e.sendList(service, false)
 	}
 }
 
-func (e *Entry) sendList(service string) {
+// sendList tells the owner of a service what is held here; a new one also what
+// was granted here before.
+func (e *Entry) sendList(service string, moved bool) {
 	e.mu.Lock()
+	var spent []permit.Spending
+	if moved {
+		spent = e.ledger.spent(time.Now(), service)
+	}
 	permits := []permit.Permit{}
 	for _, g := range e.held {
 		if g.service == service {
@@ -385,5 +422,5 @@
 		}
 	}
 	e.mu.Unlock()
-	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits})
+	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits, Spent: spent})
 }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -33,6 +33,16 @@
 	// settleTime is how long a new owner leaves room for permits that entries
 	// have not told it of yet.
 	settleTime = time.Second
+	// defaultQueueLimit bounds the queue of a service whose configuration does
+	// not.
+	defaultQueueLimit = 2000
+	// repeatShare is how much of the bound on repeats is used; the rest is for
+	// those that a change of owners doubles.
+	repeatShare = 0.7
+	// A customer's quota is shared between the services: nearly all of its tokens
+	// go to models.
+	modelQuotaShare = 0.96
+	plainQuotaShare = 0.04
 )
 
 // Owner decides for the services that this host owns.
@@ -89,6 +99,10 @@
 	o.outbox = peer.Outbox{To: kernel.Dispatch, Service: peers, Address: o.members.Address, Failed: o.members.Avoid}
 	peers.Handle(kernel.Owner, peer.Inbox(o.accept))
 	go o.run(changes)
+	if o.common.Settings.Platform != nil {
+		// There each poll is paid for, and comes late; answers tell as much.
+		return nil
+	}
 	p := &poller{owner: o, client: newLoadClient(), failures: map[string]int{}, closed: map[string]string{}}
 	go p.run(ctx)
 	return nil
@@ -159,6 +173,7 @@
 		ask := *m.Ask
 		ask.Host = from
 		ask.Deadline = now.After(m.Budget)
+		ask.Goal, ask.Patience = instantIn(now, m.Goal), instantIn(now, m.Patience)
 		return permit.Asked{At: now, Ask: ask}
 	case withdrawKind:
 		return permit.Withdrawn{At: now, ID: m.ID}
@@ -170,12 +185,20 @@
 	case failKind:
 		return permit.Failed{At: now, ID: m.ID}
 	case listKind:
-		return permit.Listed{At: now, Host: from, Permits: m.Permits}
+		return permit.Listed{At: now, Host: from, Permits: m.Permits, Spent: m.Spent}
 	default:
 		return nil
 	}
 }
 
+// instantIn gives the time so much later; zero stays untold.
+func instantIn(now permit.Instant, wait time.Duration) permit.Instant {
+	if wait == 0 {
+		return 0
+	}
+	return now.After(wait)
+}
+
 // seat gives the seat for a service, and opens it at the first message: an
 // entry that takes this host for the owner may know better than this host.
 func (o *Owner) seat(service string) *seat {
@@ -214,17 +237,44 @@
 	event := permit.Configured{
 		At:            instantNow(),
 		Version:       current.Version,
-		Tiers:         len(current.Configuration.Tiers),
+		Tiers:         current.Configuration.TierCount(),
 		QueueLimit:    service.QueueLimit,
 		GoodputWeight: current.Configuration.GoodputWeight,
 		Endpoints:     rulesOf(service),
 		Settle:        settleTime,
 	}
+	s.owner.bound(&event, service, &current.Configuration)
 	if !s.events.Offer(event) {
 		s.owner.common.Count("owner.events.dropped")
 	}
 }
 
+// bound adds what the platform bounds over all hosts together.
+func (o *Owner) bound(event *permit.Configured, service *configuration.Service, c *configuration.Configuration) {
+	p := o.common.Settings.Platform
+	if p == nil {
+		return
+	}
+	event.QueueLimit = defaultQueueLimit
+	event.Repeats = permit.RepeatBound{
+		Ratio:  p.RepeatRatio * repeatShare,
+		Slack:  p.RepeatSlack * repeatShare,
+		Window: p.RepeatWindow.Std(),
+	}
+	share := plainQuotaShare
+	if service.Kind == configuration.Model {
+		share = modelQuotaShare
+	}
+	for _, customer := range c.Customers {
+		if customer.Quota == nil || !customer.Quota.Bounded() {
+			continue
+		}
+		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
+		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share})
+	}
+	event.QuotaWindow = p.QuotaWindow.Std()
+}
+
 func rulesOf(service *configuration.Service) []permit.EndpointRules {
 	rules := make([]permit.EndpointRules, len(service.Endpoints))
 	for i, e := range service.Endpoints {
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -28,6 +28,11 @@
 	// Budget is the time to the ask's deadline when the message was made: the
 	// owner adds it to its own clock, so that clocks need not agree.
 	Budget time.Duration `cbor:"7,keyasint,omitempty"`
+	// Goal and Patience are the times to those of the ask; zero is not told.
+	Goal     time.Duration `cbor:"8,keyasint,omitempty"`
+	Patience time.Duration `cbor:"9,keyasint,omitempty"`
+	// Spent is what this host was granted by an earlier owner.
+	Spent []permit.Spending `cbor:"10,keyasint,omitempty"`
 }
 
 // ownerMessage goes from the owner of a service to an entry.
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,7 @@
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/configuration"
-	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/release"
@@ -36,13 +37,16 @@
 	bytesPerToken       = 4
 	defaultAnswerTokens = 256
 	maxAnswerTokens     = 1 << 20
+	// defaultBodyLimit bounds the body of a request whose service does not, in
+	// bytes.
+	defaultBodyLimit = 8 << 20
 )
 
 // Headers that callers send.
 const (
-	keyHeader     = "Idempotency-Key"
-	tierHeader    = "Request-Tier"
-	timeoutHeader = "Request-Timeout"
+	keyHeader     = exchange.IdempotencyKeyHeader
+	tierHeader    = exchange.TierHeader
+	timeoutHeader = exchange.TimeoutHeader
 )
 
 // Service is the HTTP server for callers.
@@ -51,6 +55,8 @@
 	release *release.Service
 	serving *serving.Service
 	server  *http.Server
+	// stopping makes each answer the last one of its connection.
+	stopping atomic.Bool
 }
 
 // New makes the service.
@@ -69,10 +75,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers; set a free listen address")
 	}
-	router := chi.NewRouter()
-	router.HandleFunc("/*", s.serve)
 	s.server = &http.Server{
-		Handler:           router,
+		Handler:           s.handler(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -81,12 +85,27 @@
 	return nil
 }
 
+// handler serves every method and path. The platform's callers may use any
+// form of a path, so nothing there cleans or redirects it.
+func (s *Service) handler() http.Handler {
+	if s.common.Settings.Platform != nil {
+		return http.HandlerFunc(s.serve)
+	}
+	router := chi.NewRouter()
+	router.HandleFunc("/*", s.serve)
+	return router
+}
+
 func (s *Service) run(listener net.Listener) {
 	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		s.common.Log.Error("the callers' listener ended", zap.Error(err))
 	}
 }
 
+// BeginStop tells callers with each answer to use another connection, so that
+// they come to other hosts.
+func (s *Service) BeginStop() { s.stopping.Store(true) }
+
 // Stop takes no new connection and waits for every request in progress. When
 // ctx ends first, the rest is cut.
 func (s *Service) Stop(ctx context.Context) error {
@@ -103,21 +122,27 @@
 
 // fault is a request that cannot be served as it stands.
 type fault struct {
-	status int
-	reason text.Reason
+	status     int
+	reason     text.Reason
+	retryAfter time.Duration
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	current := s.release.Current()
 	if current == nil {
 		s.refuse(w, "", http.StatusServiceUnavailable, serving.Refused{Outcome: text.NotRun, Reason: text.NotReady, RetryAfter: time.Second})
 		return
 	}
-	request, wrong := s.read(w, r, &current.Configuration, arrived)
+	request, wrong := s.readAny(w, r, current, arrived)
 	if wrong != nil {
 		s.common.Count("front.faults." + string(wrong.reason))
-		s.refuse(w, request.ID, wrong.status, serving.Refused{Outcome: text.NotRun, Reason: wrong.reason})
+		s.common.Log.Info("request refused", zap.String("caller-id", request.CallerID), zap.String("reason", string(wrong.reason)),
+			zap.Int("status", wrong.status), zap.Int64("version", current.Version))
+		s.refuse(w, request.ID, wrong.status, serving.Refused{Outcome: text.NotRun, Reason: wrong.reason, RetryAfter: wrong.retryAfter})
 		return
 	}
 	c := &caller{writer: w, control: http.NewResponseController(w), request: request.ID, host: s.common.Self.Name}
@@ -132,17 +157,26 @@
 	}
 }
 
+// readAny makes a request by the routes of the configuration, where it has
+// some, or else by the services' prefixes and the rules.
+func (s *Service) readAny(w http.ResponseWriter, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *fault) {
+	if s.common.Settings.Platform != nil {
+		return s.readRouted(w, r, current, arrived)
+	}
+	return s.read(w, r, &current.Configuration, arrived)
+}
+
 // read makes a request of what the caller sent, or says what is wrong with it.
 func (s *Service) read(w http.ResponseWriter, r *http.Request, c *configuration.Configuration, arrived time.Time) (serving.Request, *fault) {
 	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Claims: c.Claims}
 	customer, known := customerOf(c, r)
 	if !known {
-		return request, &fault{http.StatusUnauthorized, text.Unauthorized}
+		return request, &fault{status: http.StatusUnauthorized, reason: text.Unauthorized}
 	}
 	request.Customer = customer.Name
 	service, path, found := c.Route(r.URL.Path)
 	if !found {
-		return request, &fault{http.StatusNotFound, text.NoSuchService}
+		return request, &fault{status: http.StatusNotFound, reason: text.NoSuchService}
 	}
 	request.Service = *service
 	request.Path = withQuery(path, r.URL.RawQuery)
@@ -161,6 +195,7 @@
 		return request, wrong
 	}
 	request.Header = headerOf(r)
+	request.Streams = service.Kind == configuration.Model
 	if service.Kind == configuration.Model {
 		request.PromptTokens, request.AnswerTokens = estimate(request.Body)
 	}
@@ -194,10 +229,10 @@
 	if asked != "" {
 		rank, known := c.TierRank(asked)
 		if !known {
-			return &fault{http.StatusBadRequest, text.UnknownTier}
+			return &fault{status: http.StatusBadRequest, reason: text.UnknownTier}
 		}
 		if !slices.Contains(customer.Tiers, asked) {
-			return &fault{http.StatusForbidden, text.TierNotGranted}
+			return &fault{status: http.StatusForbidden, reason: text.TierNotGranted}
 		}
 		request.Tier, request.Rank = asked, rank
 		return nil
@@ -209,7 +244,7 @@
 			return nil
 		}
 	}
-	return &fault{http.StatusForbidden, text.TierNotGranted}
+	return &fault{status: http.StatusForbidden, reason: text.TierNotGranted}
 }
 
 func setDeadline(request *serving.Request, c *configuration.Configuration, asked string) *fault {
@@ -217,7 +252,7 @@
 	if asked != "" {
 		timeout, err := time.ParseDuration(asked)
 		if err != nil || timeout <= 0 {
-			return &fault{http.StatusBadRequest, text.BadTimeout}
+			return &fault{status: http.StatusBadRequest, reason: text.BadTimeout}
 		}
 		allowed = min(allowed, timeout)
 	}
@@ -230,16 +265,16 @@
 		return nil
 	}
 	if key == "" {
-		return &fault{http.StatusBadRequest, text.KeyMissing}
+		return &fault{status: http.StatusBadRequest, reason: text.KeyMissing}
 	}
 	// The published form of the header puts the key in quotes.
 	parsed, err := uuid.Parse(strings.Trim(key, `"`))
 	if err != nil {
-		return &fault{http.StatusBadRequest, text.KeyMalformed}
+		return &fault{status: http.StatusBadRequest, reason: text.KeyMalformed}
 	}
 	request.Key = parsed.String()
 	if _, err := (claim.Key{ID: request.Key}).Created(); err != nil {
-		return &fault{http.StatusBadRequest, text.KeyMalformed}
+		return &fault{status: http.StatusBadRequest, reason: text.KeyMalformed}
 	}
 	return nil
 }
@@ -249,14 +284,18 @@
 	// A caller that sends its body too slowly is cut off; the deadline is lifted
 	// again, since the server reads on to notice callers that go away.
 	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, request.Service.BodyLimit))
+	limit := request.Service.BodyLimit
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &fault{http.StatusRequestEntityTooLarge, text.BodyTooLarge}
+		return &fault{status: http.StatusRequestEntityTooLarge, reason: text.BodyTooLarge}
 	}
 	if err != nil {
-		return &fault{http.StatusBadRequest, text.BadBody}
+		return &fault{status: http.StatusBadRequest, reason: text.BadBody}
 	}
 	request.Body = body
 	return nil
@@ -267,7 +306,7 @@
 var dropped = []string{
 	"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
 	"Authorization", "Expect", keyHeader, "X-Idempotency-Key", tierHeader, timeoutHeader,
-	attempt.RequestHeader, attempt.AttemptHeader, attempt.KeyHeader, attempt.OffsetHeader,
+	exchange.RequestHeader, exchange.AttemptHeader, exchange.KeyHeader, exchange.OffsetHeader,
 }
 
 func headerOf(r *http.Request) http.Header {
--- a/godwitmoord/pkg/front/reply.go
+++ b/godwitmoord/pkg/front/reply.go
@@ -35,8 +35,7 @@
 		header.Set(requestHeader, request)
 	}
 	if refused.RetryAfter > 0 {
-		seconds := int64((refused.RetryAfter + time.Second - 1) / time.Second)
-		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		header.Set("Retry-After", s.seconds(refused.RetryAfter))
 	}
 	w.WriteHeader(status)
 	// A caller that is gone needs no refusal.
@@ -51,6 +50,14 @@
 	})
 }
 
+// seconds writes a wait. The platform's callers read fractions; others may not.
+func (s *Service) seconds(wait time.Duration) string {
+	if s.common.Settings.Platform != nil {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+}
+
 func statusOf(refused serving.Refused) int {
 	switch refused.Reason {
 	case text.KeyConflict:
@@ -61,10 +68,15 @@
 		return http.StatusBadRequest
 	case text.StillRunning:
 		return http.StatusConflict
+	case text.OverQuota:
+		return http.StatusTooManyRequests
 	}
 	if refused.Outcome == text.NotRun {
 		return http.StatusServiceUnavailable
 	}
+	if refused.Reason == text.Deadline {
+		return http.StatusGatewayTimeout
+	}
 	return http.StatusBadGateway
 }
 
--- /dev/null
+++ b/godwitmoord/pkg/front/routed.go
@@ -0,0 +1,133 @@
+package front
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/exchange"
+	"godwitmoor.example/godwitmoord/pkg/release"
+	"godwitmoor.example/godwitmoord/pkg/serving"
+	"godwitmoor.example/godwitmoord/pkg/text"
+)
+
+const (
+	// unconfirmedRetry is when a caller should come back whose key could not be
+	// confirmed: by then the balancer sends it to another host.
+	unconfirmedRetry = 200 * time.Millisecond
+	// Patience of a caller that waits for the first part of a stream: the longest
+	// of a fixed time, a multiple of its goal and one of the pause wanted.
+	leastPatience   = 2 * time.Second
+	goalsOfPatience = 4
+	gapsOfPatience  = 8
+)
+
+// readRouted makes a request by the routes of the configuration.
+func (s *Service) readRouted(w http.ResponseWriter, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *fault) {
+	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Keyless: true}
+	call, err := s.common.Dialect.ReadCall(r.Header)
+	request.CallerID = call.ID
+	if err != nil {
+		return request, &fault{status: http.StatusBadRequest, reason: text.BadHeader}
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, found := current.Index.Route(hostName(r.Host), path)
+	if !found {
+		return request, &fault{status: http.StatusNotFound, reason: text.NoSuchService}
+	}
+	request.Route = route.Name
+	if wrong := s.setCustomer(&request, route, call, current); wrong != nil {
+		return request, wrong
+	}
+	service, known := current.Configuration.Service(route.ServiceFor(call.ID))
+	if !known {
+		return request, &fault{status: http.StatusServiceUnavailable, reason: text.NoEndpoint, retryAfter: time.Second}
+	}
+	request.Service = *service
+	setRoute(&request, route, call)
+	if wrong := readBody(&request, w, r); wrong != nil {
+		return request, wrong
+	}
+	request.Path = r.RequestURI
+	request.HostName = r.Host
+	request.Header = endToEnd(r.Header)
+	return request, nil
+}
+
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// setCustomer finds who holds the caller's key. Where the configuration names
+// no customers, everyone may send.
+func (s *Service) setCustomer(request *serving.Request, route *configuration.Route, call exchange.Call, current *release.InForce) *fault {
+	if route.Anonymous || len(current.Configuration.Customers) == 0 {
+		return nil
+	}
+	if !s.release.AcceptsKeys() {
+		return &fault{status: http.StatusServiceUnavailable, reason: text.KeysUnconfirmed, retryAfter: unconfirmedRetry}
+	}
+	customer, known := current.Index.Customer(call.Key)
+	if !known {
+		return &fault{status: http.StatusUnauthorized, reason: text.Unauthorized}
+	}
+	request.Customer = customer.Name
+	if customer.Quota != nil {
+		request.QuotaTokens = customer.Quota.PlainTokens
+		if call.Counted {
+			request.QuotaTokens = call.PromptTokens + call.AnswerTokens
+		}
+	}
+	return nil
+}
+
+// setRoute takes over what the route says of its requests.
+func setRoute(request *serving.Request, route *configuration.Route, call exchange.Call) {
+	request.Rank = route.Rank
+	request.Tier = "rank-" + string(rune('0'+min(route.Rank, 9)))
+	request.Idempotent = route.Repeat != configuration.Never
+	request.Resumable = route.Repeat == configuration.Resumed
+	request.Streams = route.Streams
+	request.MaxAttempts = route.MaxAttempts
+	request.Goal, request.GapGoal = route.Goal.Std(), route.GapGoal.Std()
+	request.LastEvent = call.LastEvent
+	request.PromptTokens = call.PromptTokens
+	allowed := route.Timeout.Std()
+	if call.Wait > 0 && call.Wait < allowed {
+		allowed = call.Wait
+	}
+	request.Deadline = request.Arrived.Add(allowed)
+	likely := call.AnswerTokens
+	if call.LikelyTokens > 0 {
+		likely = call.LikelyTokens
+	}
+	request.AnswerTokens = likely / max(request.Service.EventTokens, 1)
+	if route.Streams {
+		request.Patience = max(leastPatience, goalsOfPatience*request.Goal, gapsOfPatience*request.GapGoal)
+	}
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection"}
+
+// endToEnd gives the headers that go on to an endpoint: all but those of one
+// connection, and those that the caller names as such.
+func endToEnd(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, names := range header["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		passed.Del(name)
+	}
+	passed.Del("Expect")
+	return passed
+}
--- a/godwitmoord/pkg/kernel/kernel.go
+++ b/godwitmoord/pkg/kernel/kernel.go
@@ -26,6 +26,7 @@
 	Peer       = "peer"
 	Membership = "membership"
 	Release    = "release"
+	Discovery  = "discovery"
 	Claims     = "claims"
 	Owner      = "owner"
 	Load       = "load"
--- a/godwitmoord/pkg/membership/lister.go
+++ b/godwitmoord/pkg/membership/lister.go
@@ -30,6 +30,25 @@
 	State   string `json:"state"`
 }
 
+// Listed is a host that is known to exist, from elsewhere.
+type Listed struct {
+	// Name is the host's name; empty if it is not known.
+	Name string
+	// Address is its address for peers, IP:PORT.
+	Address string
+}
+
+// SetListed replaces the hosts known from elsewhere, in place of a host list.
+func (s *Service) SetListed(known []Listed) {
+	listed := make([]listedHost, len(known))
+	for i, k := range known {
+		listed[i] = listedHost{Name: k.Name, Address: k.Address, Role: entryRole, State: liveState}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = listed
+}
+
 // lister reads the platform's host list.
 type lister struct{ service *Service }
 
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -39,6 +39,7 @@
 	forgetAfter   = 60
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
+	settleBeats   = 4
 	// introduction is the number of heartbeats in which a new phase is heard.
 	introduction = 5
 )
@@ -187,6 +188,10 @@
 	s.started = time.Now()
 	peers.Handle(kernel.Membership, s.answer)
 	go s.run(ctx)
+	if s.common.Settings.HostListURL == "" {
+		// SetListed brings the hosts.
+		return nil
+	}
 	l := &lister{service: s}
 	go l.run(ctx)
 	return nil
@@ -241,7 +246,7 @@
 func (s *Service) Settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.started) > settleBound {
+	if time.Since(s.started) > s.settleBound() {
 		return true
 	}
 	self := false
@@ -260,6 +265,15 @@
 	return self
 }
 
+// settleBound is how long a host waits at most until it knows the others.
+func (s *Service) settleBound() time.Duration {
+	if s.common.Settings.HostListURL == "" {
+		// What is listed may be long gone: a few heartbeats must do.
+		return settleBeats * s.common.Settings.Heartbeat.Std()
+	}
+	return settleBound
+}
+
 // Avoid gives a host no role for a short while, after a call to it failed.
 func (s *Service) Avoid(name string) {
 	s.mu.Lock()
@@ -387,6 +401,12 @@
 
 // refute contradicts what others say of this life of this host; s.mu is held.
 func (s *Service) refute(r row) {
+	if r.Incarnation > s.self.row.Incarnation {
+		// An earlier life started by a clock that ran ahead of the present one.
+		s.self.row.Incarnation = r.Incarnation + 1
+		s.speak(s.self.row.Revision + 1)
+		return
+	}
 	own := r.Incarnation == s.self.row.Incarnation
 	if own && r.State != Alive && r.Revision >= s.self.row.Revision {
 		s.common.Count("membership.refuted")
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -102,7 +102,7 @@
 		if l.Role != entryRole || l.Name == s.self.row.Name {
 			continue
 		}
-		if e := s.table[l.Name]; e == nil || e.row.State == Dead {
+		if s.isStranger(l) {
 			strangers = append(strangers, l.Address)
 		}
 	}
@@ -112,6 +112,24 @@
 	return strangers[rand.IntN(len(strangers))], true
 }
 
+// isStranger tells whether a listed host is unknown or counts as gone; s.mu is
+// held. One without a name is known by its address.
+func (s *Service) isStranger(l listedHost) bool {
+	if l.Name != "" {
+		e := s.table[l.Name]
+		return e == nil || e.row.State == Dead
+	}
+	if l.Address == s.self.row.Address {
+		return false
+	}
+	for _, e := range s.table {
+		if e.row.Address == l.Address {
+			return e.row.State == Dead
+		}
+	}
+	return true
+}
+
 // probe is one look at one host.
 type probe struct {
 	service *Service
--- a/godwitmoord/pkg/release/release.go
+++ b/godwitmoord/pkg/release/release.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/boottime"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/membership"
@@ -39,7 +40,9 @@
 type InForce struct {
 	Version       int64
 	Configuration configuration.Configuration
-	release       configuration.Release
+	// Index finds the routes and customers of the configuration.
+	Index   *configuration.Index
+	release configuration.Release
 }
 
 // Service holds the configuration in force.
@@ -52,6 +55,14 @@
 	inForce  atomic.Pointer[InForce]
 	lastRead atomic.Int64
 	mu       sync.Mutex
+	// sights is what was found of endpoints; nil where the configuration lists
+	// them itself.
+	sights map[string][]configuration.Endpoint
+	// confirmed is the boot time at which the version in force was known to be
+	// the newest, in nanoseconds; zero if it never was.
+	confirmed atomic.Int64
+	// now gives the boot time; tests replace it.
+	now func() time.Duration
 }
 
 type releaseReply struct {
@@ -62,9 +73,9 @@
 	Earlier []string `cbor:"5,keyasint,omitempty"`
 }
 
-// New makes the service.
+// New makes the service. Without a register, Install brings configurations.
 func New(c *common.Common, register *configuration.Register) *Service {
-	return &Service{common: c, register: register}
+	return &Service{common: c, register: register, now: boottime.Now}
 }
 
 // Start begins reading and fetching.
@@ -78,8 +89,12 @@
 		return err
 	}
 	s.members, s.peers = members, peers
-	peers.Handle(kernel.Release, s.give)
 	s.lastRead.Store(time.Now().UnixNano())
+	if s.register == nil {
+		// A follower of the platform's store installs what it finds.
+		return nil
+	}
+	peers.Handle(kernel.Release, s.give)
 	go s.run(ctx)
 	go s.loop(ctx)
 	return nil
@@ -97,6 +112,9 @@
 	if s.Current() == nil {
 		return false
 	}
+	if s.register == nil {
+		return s.KeysTrusted(readyReserve)
+	}
 	sinceRead := time.Since(time.Unix(0, s.lastRead.Load()))
 	return sinceRead < isolationAfter || !s.members.Alone()
 }
@@ -217,7 +235,7 @@
 		s.common.Log.Error("invalid configuration refused", zap.String("source", source), zap.Error(errors.Wrapf(err, "version %d", r.Version)))
 		return
 	}
-	s.inForce.Store(&InForce{Version: r.Version, Configuration: decoded, release: r})
+	s.inForce.Store(&InForce{Version: r.Version, Configuration: decoded, Index: configuration.NewIndex(&decoded), release: r})
 	s.members.SetVersion(r.Version)
 	s.common.Log.Info("configuration in force", zap.Int64("version", r.Version), zap.String("change", r.Change), zap.String("source", source))
 	s.common.Kernel.Announce(kernel.ConfigurationChanged, nil)
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -21,6 +21,9 @@
 	eventStream = "text/event-stream"
 )
 
+// idField begins the line of an event that holds its id.
+var idField = []byte("id:")
+
 // errCallerGone ends a relay whose caller takes no more.
 var errCallerGone = errors.New("the caller is gone")
 
@@ -33,13 +36,17 @@
 type relay struct {
 	caller Caller
 	answer *attempt.Answer
-	kind   configuration.Kind
-	begun  bool
+	// streams says that answers may be streams of events. Marked ones end with an
+	// event that says so; others end with their body.
+	streams bool
+	marked  bool
+	begun   bool
 	// status and contentType are those of the first answer.
 	status      int
 	contentType string
-	// events is the number of events passed on.
-	events int
+	// events is the number of events passed on, lastEvent the id of the last one.
+	events    int
+	lastEvent string
 	// kept holds the body up to keepLimit bytes, for a repeated key.
 	kept      bytes.Buffer
 	keepLimit int
@@ -57,7 +64,7 @@
 // that the answer stopped short.
 func (l *relay) pass(a *attempt.Answer) error {
 	l.answer = a
-	if l.kind == configuration.Model && strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
+	if l.streams && strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
 		return l.passEvents(a.Body)
 	}
 	return l.passBytes(a.Body)
@@ -112,18 +119,21 @@
 		whole := bytes.LastIndex(partial, []byte("\n\n"))
 		if whole >= 0 {
 			events := partial[:whole+2]
-			l.events += bytes.Count(events, []byte("\n\n"))
-			done = done || bytes.Contains(events, []byte("data: [DONE]"))
+			done = done || (l.marked && bytes.Contains(events, []byte("data: [DONE]")))
 			if err := l.give(events); err != nil {
 				return err
 			}
+			l.events += bytes.Count(events, []byte("\n\n"))
+			l.noteLast(events)
 			partial = append(partial[:0], partial[whole+2:]...)
 		}
 		switch {
 		case done:
 			return nil
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && l.marked:
 			return errShort
+		case errors.Is(err, io.EOF):
+			return l.finishEvents(partial)
 		case err != nil:
 			return err
 		case len(partial) > maxEvent:
@@ -132,6 +142,25 @@
 	}
 }
 
+// finishEvents passes on what a whole body ends with.
+func (l *relay) finishEvents(rest []byte) error {
+	if len(rest) > 0 {
+		return l.give(rest)
+	}
+	l.begin()
+	return nil
+}
+
+// noteLast remembers the id of the last event that has one.
+func (l *relay) noteLast(events []byte) {
+	at := bytes.LastIndex(events, idField)
+	if at < 0 || (at > 0 && events[at-1] != '\n') {
+		return
+	}
+	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
+	l.lastEvent = string(bytes.TrimSpace(line))
+}
+
 func (l *relay) give(data []byte) error {
 	l.begin()
 	if l.firstByte.IsZero() {
@@ -155,6 +184,14 @@
 	return nil
 }
 
+// unitEvents is the number of events that carry no token: the mark of the end.
+func (l *relay) unitEvents() int {
+	if l.marked {
+		return 1
+	}
+	return 0
+}
+
 // usage tells what an attempt that began at start and passed events from the
 // given one on has taken.
 func (l *relay) usage(r Request, start time.Time, from int) permit.Usage {
@@ -164,8 +201,7 @@
 	u := permit.Usage{FirstByte: l.firstByte.Sub(start), Total: time.Since(start)}
 	if r.Service.Kind == configuration.Model {
 		u.PromptTokens = r.PromptTokens
-		// The last event carries no token.
-		u.AnswerTokens = max(l.events-from-1, 0)
+		u.AnswerTokens = max(l.events-from-l.unitEvents(), 0)
 	}
 	return u
 }
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -11,31 +11,61 @@
 
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/text"
 )
 
 // Request is one request as the rules see it.
 type Request struct {
-	ID       string
+	ID string
+	// CallerID is the caller's own id of this try, which the endpoint echoes;
+	// empty where the system names its attempts itself.
+	CallerID string
 	Customer string
 	Service  configuration.Service
 	Claims   configuration.Claims
+	Route    string
 	Tier     string
 	Rank     int
 	Method   string
-	// Path is the path and query below the service's prefix.
-	Path       string
+	// Path is the path and query that the endpoint sees.
+	Path string
+	// HostName is the Host header that the endpoint sees; empty means its own
+	// address.
+	HostName   string
 	Header     http.Header
 	Body       []byte
 	Idempotent bool
+	// Resumable streams go on at another endpoint after the last event passed on.
+	Resumable bool
+	// Streams says that the answer is a stream of server-sent events.
+	Streams bool
 	// Key is the caller's key of a non-idempotent request.
-	Key      string
-	Arrived  time.Time
-	Deadline time.Time
+	Key string
+	// Keyless requests come once to one host, each under its own id, so that
+	// nothing need be claimed for them.
+	Keyless bool
+	// MaxAttempts bounds the endpoints that it may run at; zero means the
+	// default.
+	MaxAttempts int
+	Arrived     time.Time
+	Deadline    time.Time
+	// Goal is how long after its arrival the first part of the answer is wanted,
+	// GapGoal the longest pause wanted after that; zero is not told.
+	Goal    time.Duration
+	GapGoal time.Duration
+	// Patience is how long the caller waits for a first part; zero is as long as
+	// for the whole.
+	Patience time.Duration
 	// PromptTokens and AnswerTokens are the caller's own figures, or estimates.
+	// AnswerTokens counts in parts of the answer.
 	PromptTokens int
 	AnswerTokens int
+	// QuotaTokens is what the request counts against its customer's quota.
+	QuotaTokens int
+	// LastEvent is the id of the last event that the caller has already.
+	LastEvent string
 }
 
 // WithDeadline gives a copy with another deadline.
@@ -44,21 +74,33 @@
 	return r
 }
 
-func (r Request) parcel(attemptID string) attempt.Parcel {
-	return attempt.Parcel{
+// parcel makes what goes to an endpoint.
+func (r Request) parcel(attemptID, endpoint string) attempt.Parcel {
+	p := attempt.Parcel{
 		Method:           r.Method,
-		Path:             r.Path,
+		Target:           r.Path,
+		Host:             r.HostName,
 		Header:           r.Header,
 		Body:             r.Body,
-		Request:          r.ID,
-		Attempt:          attemptID,
-		Key:              r.Key,
-		Tier:             r.Tier,
-		Idempotent:       r.Idempotent,
+		Shared:           r.Idempotent || r.Keyless,
 		Echoes:           r.Service.EchoesAttempt,
 		FirstByteTimeout: r.Service.FirstByteTimeout.Std(),
 		GapTimeout:       r.Service.GapTimeout.Std(),
 	}
+	p.Order = exchange.Order{
+		Request:  r.ID,
+		Attempt:  attemptID,
+		Key:      r.Key,
+		Tier:     r.Tier,
+		Customer: r.Customer,
+		Endpoint: endpoint,
+	}
+	if r.CallerID != "" {
+		p.Order.Attempt = r.CallerID
+		p.Echoes = true
+		p.Order.Wait = max(time.Until(r.Deadline), time.Millisecond)
+	}
+	return p
 }
 
 func (r Request) application(attemptID string) claim.Application {
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +41,11 @@
 }
 
 // New makes the service.
-func New(c *common.Common) *Service { return &Service{common: c} }
+func New(c *common.Common) *Service {
+	s := &Service{common: c}
+	s.sender.Dialect = c.Dialect
+	return s
+}
 
 // Start finds the services that a request needs.
 func (s *Service) Start(context.Context) error {
@@ -51,7 +56,11 @@
 	if s.entry, err = kernel.Lookup[*dispatch.Entry](s.common.Kernel, kernel.Dispatch); err != nil {
 		return err
 	}
-	if s.claims, err = kernel.Lookup[*claims.Service](s.common.Kernel, kernel.Claims); err != nil {
+	if s.common.Settings.Platform == nil {
+		// The platform's callers bring no keys to claim.
+		s.claims, err = kernel.Lookup[*claims.Service](s.common.Kernel, kernel.Claims)
+	}
+	if err != nil {
 		return err
 	}
 	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
@@ -68,11 +77,16 @@
 // beginning of it, when Serve returns; a Refused ending is still to be told.
 func (s *Service) Serve(ctx context.Context, r Request, c Caller) Ending {
 	j := &journey{service: s, request: r}
-	j.relay = relay{caller: c, kind: r.Service.Kind}
+	j.relay = relay{caller: c, streams: r.Streams, marked: !r.Keyless, lastEvent: r.LastEvent}
 	var ending Ending
-	if r.Idempotent {
-		ending = j.repeatable(ctx)
-	} else {
+	switch {
+	case r.Keyless:
+		bounded, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+		defer cancel()
+		ending = j.direct(bounded)
+	case r.Idempotent:
+		ending = j.direct(ctx)
+	default:
 		j.relay.keepLimit = r.Claims.StoredAnswerLimit
 		j.relay.detached = true
 		ending = j.once(ctx)
@@ -81,6 +95,9 @@
 	return ending
 }
 
+// errDeadline ends a request whose time is over.
+var errDeadline = errors.New("the deadline has passed")
+
 // journey is one request on its way.
 type journey struct {
 	service  *Service
@@ -89,50 +106,18 @@
 	attempts []string
 	avoid    []string
 	endpoint string
-	// sent is set once any byte may have gone out.
+	// sent is set once any byte may have gone out and was not turned down.
 	sent bool
+	// runs counts the attempts that may have run.
+	runs int
+	// failure is a failed answer that is told when no better one comes.
+	failure *failedAnswer
 	// claimTried is set once a write of the request's claim may be under way.
 	claimTried bool
 	// suspensions counts the attempts that gave way to a higher tier.
 	suspensions int
 }
 
-// repeatable serves an idempotent request: what fails before or within the
-// answer is sent to another endpoint, and a stream goes on where it stopped.
-func (j *journey) repeatable(ctx context.Context) Ending {
-	for failures := 0; failures < maxAttempts; failures++ {
-		grant, ending := j.acquire(ctx)
-		if ending != nil {
-			return ending
-		}
-		err := j.send(ctx, grant)
-		switch {
-		case err == nil:
-			return Delivered{}
-		case errors.Is(err, errSuspended):
-			j.suspensions++
-			failures--
-			continue
-		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
-			return Broken{Reason: text.AnswerLost}
-		case j.relay.begun && !j.resumable():
-			return Broken{Reason: text.AnswerLost}
-		}
-		j.service.common.Log.Info("attempt failed", zap.String("request", j.request.ID),
-			zap.String("endpoint", j.endpoint), zap.Error(err))
-		j.avoid = append(j.avoid, j.endpoint)
-	}
-	if j.relay.begun {
-		return Broken{Reason: text.AnswerLost}
-	}
-	return Refused{Outcome: j.unsent(), Reason: text.NoEndpoint, RetryAfter: time.Second}
-}
-
-// resumable tells whether another attempt can go on with the answer.
-func (j *journey) resumable() bool {
-	return j.request.Service.Resumes && j.relay.events > 0
-}
-
 // ask makes the wish for one more permit, for what is left of the answer.
 func (j *journey) ask(id string) permit.Ask {
 	r := j.request
@@ -142,6 +127,9 @@
 		Tier:         r.Rank,
 		PromptTokens: r.PromptTokens,
 		AnswerTokens: max(r.AnswerTokens-j.relay.events, 0),
+		Customer:     r.Customer,
+		QuotaTokens:  r.QuotaTokens,
+		Repeat:       j.runs > 0 || len(j.avoid) > 0,
 		Suspendable:  r.Idempotent && r.Service.Resumes,
 		Suspensions:  j.suspensions,
 		Begun:        j.relay.begun || j.suspensions > 0,
@@ -169,7 +157,7 @@
 	j.attempts = append(j.attempts, id)
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), deadline)
+	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), j.times(deadline))
 	if err == nil {
 		j.endpoint = grant.Permit.Endpoint
 		return grant, nil
@@ -186,8 +174,27 @@
 	return nil, refused
 }
 
+// times gives what the owner must know of the time left.
+func (j *journey) times(deadline time.Time) dispatch.Times {
+	t := dispatch.Times{Deadline: deadline}
+	if j.relay.begun {
+		return t
+	}
+	if j.request.Goal > 0 {
+		t.Goal = j.request.Arrived.Add(j.request.Goal)
+	}
+	if j.request.Patience > 0 {
+		t.Patience = j.request.Arrived.Add(j.request.Patience)
+	}
+	return t
+}
+
 func reasonOf(r permit.Reason) text.Reason {
 	switch r {
+	case permit.OverQuota:
+		return text.OverQuota
+	case permit.NoRepeat:
+		return text.NoEndpoint
 	case permit.QueueFull:
 		return text.QueueFull
 	case permit.Displaced:
@@ -205,23 +212,28 @@
 		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("it left the configuration")}
 	}
 	start, from := time.Now(), j.relay.events
-	parcel := j.request.parcel(grant.Permit.ID).WithAttempt(grant.Permit.ID, from)
-	parcel.FirstByteTimeout = j.silenceBound(parcel.FirstByteTimeout, grant.Estimate)
-	parcel.GapTimeout = j.silenceBound(parcel.GapTimeout, grant.Estimate)
+	parcel := j.parcel(grant)
 	j.relay.firstByte = time.Time{}
 	answer, err := j.service.sender.Send(ctx, address, parcel)
 	if err != nil {
-		j.sent = j.sent || !errors.HasType(err, (*attempt.NotSentError)(nil))
-		j.giveBack(ctx, grant)
+		if !errors.HasType(err, (*attempt.NotSentError)(nil)) {
+			j.sent = true
+			j.runs++
+		}
+		j.giveBack(ctx, grant, err)
 		return err
 	}
 	j.sent = true
+	j.runs++
 	defer answer.Close()
 	var yielded atomic.Bool
 	grant.OnSuspended(func() {
 		yielded.Store(true)
 		answer.Close()
 	})
+	if j.mayRepeat() && answer.Status >= http.StatusInternalServerError && j.request.Keyless {
+		return j.keepFailure(answer, grant)
+	}
 	err = j.relay.pass(answer)
 	if err != nil && yielded.Load() {
 		grant.Unused()
@@ -232,23 +244,35 @@
 		return err
 	}
 	if err != nil {
-		j.giveBack(ctx, grant)
+		j.giveBack(ctx, grant, err)
 		return err
 	}
 	grant.Done(j.relay.usage(j.request, start, from))
 	return nil
 }
 
+// parcel makes what goes to the granted endpoint.
+func (j *journey) parcel(grant *dispatch.Grant) attempt.Parcel {
+	parcel := j.request.parcel(grant.Permit.ID, grant.Permit.Endpoint)
+	parcel.Order.Offset = j.relay.events
+	parcel.Order.LastEvent = j.relay.lastEvent
+	parcel.FirstByteTimeout = j.silenceBound(parcel.FirstByteTimeout, grant.Estimate)
+	parcel.GapTimeout = j.silenceBound(parcel.GapTimeout, grant.Estimate)
+	return parcel
+}
+
 // errSuspended ends an attempt that gave way to a higher tier.
 var errSuspended = errors.New("the attempt gave way to a higher tier")
 
-// giveBack returns the permit of a failed attempt. A caller that went away says
-// nothing about the endpoint.
-func (j *journey) giveBack(ctx context.Context, grant *dispatch.Grant) {
+// giveBack returns the permit of a failed attempt. A caller that went away, or
+// a request whose time was over, says nothing about the endpoint.
+func (j *journey) giveBack(ctx context.Context, grant *dispatch.Grant, err error) {
 	if ctx.Err() != nil {
 		grant.Unused()
 		return
 	}
+	j.service.common.Log.Info("attempt failed", zap.String("request", j.request.ID), zap.String("caller-id", j.request.CallerID),
+		zap.String("endpoint", j.endpoint), zap.Bool("may-have-run", j.sent), zap.Error(err))
 	grant.Failed()
 }
 
@@ -256,6 +280,9 @@
 // hold for all; an idempotent request moves on earlier, while what is left of
 // its time still lets another endpoint finish it.
 func (j *journey) silenceBound(timeout, estimate time.Duration) time.Duration {
+	if j.request.Keyless {
+		return j.keylessSilence(estimate)
+	}
 	if !j.request.Idempotent {
 		return timeout
 	}
@@ -273,7 +300,7 @@
 	}
 	for _, e := range service.Endpoints {
 		if e.Name == endpoint {
-			return e.Address, true
+			return e.Address, !e.Leaving || !j.request.Keyless
 		}
 	}
 	return "", false
@@ -305,7 +332,9 @@
 		line.Outcome, line.Reason = string(text.BrokenOff), string(e.Reason)
 	}
 	s.record.Add(record.Line{Request: &line})
-	s.common.Log.Info("request finished", zap.String("request", r.ID), zap.Strings("attempts", j.attempts),
+	s.common.Log.Info("request finished", zap.String("request", r.ID), zap.String("caller-id", r.CallerID),
+		zap.String("route", r.Route), zap.String("customer", r.Customer), zap.String("tier", r.Tier),
+		zap.Strings("attempts", j.attempts), zap.String("endpoint", j.endpoint), zap.Int("runs", j.runs),
 		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason), zap.Float64("took-ms", line.Took))
 	payload, err := json.Marshal(line)
 	if err != nil {
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -30,9 +30,9 @@
 	// StatusListen is the address for health, metrics and operators, IP:PORT.
 	StatusListen string `json:"status-listen"`
 	// KeyValueURL is the platform's key-value service.
-	KeyValueURL string `json:"key-value-url"`
+	KeyValueURL string `json:"key-value-url,omitempty"`
 	// HostListURL is the platform's host list.
-	HostListURL string `json:"host-list-url"`
+	HostListURL string `json:"host-list-url,omitempty"`
 	// Heartbeat is the time between two probes of other hosts; default 500ms.
 	Heartbeat document.Duration `json:"heartbeat,omitempty"`
 	// DeadAfter is how long a suspected host may stay silent before it counts as
@@ -45,6 +45,32 @@
 	StopBound document.Duration `json:"stop-bound,omitempty"`
 	// Record writes every decision to the log.
 	Record bool `json:"record,omitempty"`
+	// Platform is set where the platform's store holds the configuration, the
+	// endpoints and the hosts, and callers speak the platform's protocol.
+	Platform *Platform `json:"platform,omitempty"`
+}
+
+// Platform is what a host is told of the platform it runs on.
+type Platform struct {
+	// Store is the address of the platform's key-value service, IP:PORT.
+	Store string `json:"store"`
+	// Readiness is the address where the balancer asks whether this host is
+	// ready, IP:PORT.
+	Readiness string `json:"readiness"`
+	// Hosts are addresses of other hosts for peers, which may be out of date.
+	Hosts []string `json:"hosts"`
+	// KeyRevocation is how long after its removal a customer's key may still be
+	// accepted.
+	KeyRevocation document.Duration `json:"key-revocation"`
+	// StopGrace is the time between the signal to stop and the kill.
+	StopGrace document.Duration `json:"stop-grace"`
+	// RepeatRatio is the share of a service's requests that may be sent once
+	// more; RepeatSlack is how many more may be, in RepeatWindow.
+	RepeatRatio  float64           `json:"repeat-ratio"`
+	RepeatSlack  float64           `json:"repeat-slack"`
+	RepeatWindow document.Duration `json:"repeat-window"`
+	// QuotaWindow is the span in which a customer's quota is counted.
+	QuotaWindow document.Duration `json:"quota-window"`
 }
 
 const (
@@ -127,6 +153,11 @@
 		}
 	}
 	urls := []struct{ field, value string }{{"/key-value-url", s.KeyValueURL}, {"/host-list-url", s.HostListURL}}
+	if s.Platform != nil {
+		// The platform's store stands for both.
+		urls = nil
+		problems = append(problems, s.Platform.check()...)
+	}
 	for _, u := range urls {
 		parsed, err := url.Parse(u.value)
 		if err != nil || parsed.Scheme != "http" || parsed.Host == "" {
@@ -150,3 +181,29 @@
 	}
 	return problems
 }
+
+func (p *Platform) check() []document.Problem {
+	var problems []document.Problem
+	add := func(field, message, remedy string) {
+		problems = append(problems, document.Problem{Field: "/platform/" + field, Message: message, Remedy: remedy})
+	}
+	addresses := []struct{ field, value string }{{"store", p.Store}, {"readiness", p.Readiness}}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			add(a.field, fmt.Sprintf("%q is not an IP number with a port", a.value), `write it as "127.0.0.1:8080"`)
+		}
+	}
+	if p.KeyRevocation <= 0 {
+		add("key-revocation", "is not above zero", `set a duration such as "5s"`)
+	}
+	if p.StopGrace <= 0 {
+		add("stop-grace", "is not above zero", `set a duration such as "8s"`)
+	}
+	if p.QuotaWindow <= 0 {
+		add("quota-window", "is not above zero", `set a duration such as "8s"`)
+	}
+	if p.RepeatRatio < 0 || p.RepeatSlack < 0 || p.RepeatWindow < 0 {
+		add("repeat-ratio", "the bound on repeats is below zero", "set ratio, slack and window to zero or above")
+	}
+	return problems
+}
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -79,6 +79,19 @@
 	}
 	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
 	go s.run(listener)
+	return s.listenForBalancer()
+}
+
+// listenForBalancer opens the address where the platform's balancer asks.
+func (s *Service) listenForBalancer() error {
+	if s.common.Settings.Platform == nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.common.Settings.Platform.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer; set a free readiness address")
+	}
+	go s.run(listener)
 	return nil
 }
 
--- a/godwitmoord/pkg/text/text.go
+++ b/godwitmoord/pkg/text/text.go
@@ -43,6 +43,9 @@
 	AnswerNotKept     Reason = "answer-not-kept"
 	AnswerCrossed     Reason = "answer-crossed"
 	Stopped           Reason = "stopped"
+	OverQuota         Reason = "over-quota"
+	KeysUnconfirmed   Reason = "keys-unconfirmed"
+	BadHeader         Reason = "bad-header"
 )
 
 // Texts gives the words for each reason. The zero value holds the English ones.
@@ -87,5 +90,8 @@
 	AnswerLost:        {"the request was sent and its answer did not come", "find out from the service itself whether the request ran"},
 	AnswerNotKept:     {"the request ran; its answer was too large to keep", "ask the service itself for the result"},
 	AnswerCrossed:     {"the endpoint answered another request", "find out from the service itself whether the request ran"},
+	OverQuota:         {"the customer has sent what its quota allows", "send it again after Retry-After"},
+	KeysUnconfirmed:   {"the host cannot find out whether the customer's key still stands", "send it again to another host"},
+	BadHeader:         {"a header of the request cannot be read", "send it in its documented form or leave it out"},
 	Stopped:           {"the host was stopped", "send it again to another host"},
 }
