Order waiting work by the c-mu rule and learn the cost of prompts by least squares

The cost of a prompt's token was learned from the whole time to the first byte until a short prompt had come by (130 us where 8 are right), so that long prompts seemed to fit nowhere and the order of the queue by rank alone starved the last rank.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -37,19 +37,12 @@
 )
 
 const (
-	// lookahead is how many requests of a tier are tried for a free place that
-	// does not suit the first of them.
-	lookahead = 16
-	// patientLookahead is how many more are tried before a lower tier gets the
-	// place.
-	patientLookahead = 256
 	// grantGrace is how long a permit may be missing from its host's list while
 	// the message that grants it is under way.
 	grantGrace = 3 * time.Second
 	// lostGrace is how long the places of a lost host stay taken, as its last
 	// requests may still be running.
-	lostGrace     = 5 * time.Second
-	queuesPerTier = 2
+	lostGrace = 5 * time.Second
 	// minRetryAfter is the shortest wait advised to a refused caller.
 	minRetryAfter = time.Second
 )
@@ -64,9 +57,15 @@
 	goodputWeight float64
 	suspending    int
 	settled       Instant
-	// queues holds two queues for each tier: requests that were begun, and the
-	// others.
-	queues    []queue
+	// queues holds queuesPerTier queues for each tier; ranking is their order.
+	queues  []queue
+	ranking []int
+	weights []float64
+	// worked is the mean time that a request of each tier holds a place, in
+	// seconds.
+	worked []float64
+	// offered is the work that was asked for lately, by tier, in seconds.
+	offered   []tally
 	waiting   map[string]*waiter
 	held      map[string]*holding
 	endpoints map[string]*endpoint
@@ -76,6 +75,7 @@
 	repeats   repeats
 	free      []*endpoint
 	aside     []*waiter
+	scratch   []*waiter
 	actions   []Action
 }
 
@@ -111,7 +111,9 @@
 	case Finished:
 		c.finish(e.ID, e.Usage)
 	case Failed:
-		c.fail(e.ID)
+		c.fail(e.ID, e.Fault)
+	case Stalled:
+		c.stall(e.ID)
 	case Listed:
 		c.reconcile(e)
 	case Reported:
@@ -125,6 +127,10 @@
 	}
 	c.place()
 	c.interrupt()
+	if asked, isAsk := event.(Asked); isAsk && c.waiting[asked.Ask.ID] != nil {
+		// Who can't be served in time hears so at once.
+		c.shed()
+	}
 	return c.actions
 }
 
@@ -139,6 +145,7 @@
 		c.settled = c.now.After(e.Settle)
 	}
 	c.queueLimit = e.QueueLimit
+	c.weights = e.Weights
 	c.goodputWeight = e.GoodputWeight
 	c.resizeQueues(e.Tiers)
 	c.setQuotas(e.Quotas, e.QuotaWindow)
@@ -176,20 +183,19 @@
 		c.queues = c.queues[:last]
 		for _, w := range orphans {
 			w.ask.Tier = tiers - 1
-			heap.Push(c.queueOf(w.ask), w)
+			heap.Push(c.queueOf(w), w)
 		}
 	}
-}
-
-// queueOf gives the queue a request waits in. What was begun goes before the
-// rest of its tier, so that nothing is interrupted and then forgotten.
-func (c *Core) queueOf(a Ask) *queue {
-	if a.Begun {
-		return &c.queues[queuesPerTier*a.Tier]
+	for len(c.worked) < tiers {
+		c.worked = append(c.worked, 0)
+		c.offered = append(c.offered, tally{width: int64(offeredWindow) / windowSlots})
 	}
-	return &c.queues[queuesPerTier*a.Tier+1]
+	c.worked, c.offered = c.worked[:tiers], c.offered[:tiers]
 }
 
+// queueOf gives the queue a request waits in.
+func (c *Core) queueOf(w *waiter) *queue { return &c.queues[queuesPerTier*w.ask.Tier+w.kind()] }
+
 func (c *Core) lowestTier() int { return len(c.queues)/queuesPerTier - 1 }
 
 func (c *Core) ask(a Ask) {
@@ -204,16 +210,18 @@
 	a.Tier = min(max(a.Tier, 0), c.lowestTier())
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
-	w.latestStart = c.latestStart(a)
+	c.judge(w)
 	if !c.admit(w) {
 		return
 	}
+	c.offered[a.Tier].advance(c.now)
+	c.offered[a.Tier].add(c.now, c.workOf(w))
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
 		c.refuse(w, QueueFull)
 		return
 	}
 	c.waiting[a.ID] = w
-	heap.Push(c.queueOf(a), w)
+	heap.Push(c.queueOf(w), w)
 }
 
 // admit holds a new ask against the bounds of its customer and on repeats.
@@ -236,21 +244,23 @@
 // makeRoom refuses a waiting request of a tier below the given one.
 func (c *Core) makeRoom(tier int) bool {
 	for lowest := c.lowestTier(); lowest > tier; lowest-- {
-		q := c.queueOf(Ask{Tier: lowest})
-		if q.Len() == 0 {
-			continue
+		for _, kind := range []int{lateQueue, freshQueue} {
+			q := c.queues[queuesPerTier*lowest+kind]
+			if len(q) == 0 {
+				continue
+			}
+			// The last leaf of the heap is never the most urgent one.
+			w := q[len(q)-1]
+			c.dequeue(w)
+			c.refuse(w, Displaced)
+			return true
 		}
-		// The last leaf of the heap is never the most urgent one.
-		w := (*q)[q.Len()-1]
-		c.dequeue(w)
-		c.refuse(w, Displaced)
-		return true
 	}
 	return false
 }
 
 func (c *Core) dequeue(w *waiter) {
-	heap.Remove(c.queueOf(w.ask), w.position)
+	heap.Remove(c.queueOf(w), w.position)
 	delete(c.waiting, w.ask.ID)
 }
 
@@ -301,19 +311,28 @@
 		return
 	}
 	if usage.Total > 0 {
-		h.endpoint.succeed()
+		h.endpoint.succeed(c.now)
+		blend(&c.worked[min(h.ask.Tier, c.lowestTier())], usage.Total.Seconds())
 	}
 	h.endpoint.learn(h, usage)
 	c.release(id, h)
 }
 
-func (c *Core) fail(id string) {
+func (c *Core) fail(id string, fault Fault) {
 	if h := c.held[id]; h != nil {
-		h.endpoint.fail(c.now)
+		h.endpoint.fail(c.now, fault)
 		c.release(id, h)
 	}
 }
 
+// stall keeps new work off an endpoint that is silent on a request it has.
+func (c *Core) stall(id string) {
+	if h := c.held[id]; h != nil && h.endpoint.answered <= h.granted {
+		// Where others were answered since, the request itself is the slow one.
+		h.endpoint.stall(c.now)
+	}
+}
+
 func (c *Core) release(id string, h *holding) {
 	if h.suspending {
 		c.suspending--
@@ -387,156 +406,7 @@
 	for tier := range c.queues {
 		c.expire(&c.queues[tier])
 	}
-}
-
-// expire refuses the requests at the head of a queue that are too late. Speeds
-// change while requests wait, so the head is judged, and ordered, anew.
-func (c *Core) expire(q *queue) {
-	for q.Len() > 0 {
-		w := (*q)[0]
-		if !c.isTooLate(w) {
-			heap.Fix(q, 0)
-			if (*q)[0] == w {
-				return
-			}
-			continue
-		}
-		c.dequeue(w)
-		c.refuse(w, TooLate)
-	}
-}
-
-// isTooLate tells whether no open endpoint could finish the request in time.
-// While none is open, a request may wait until its deadline itself.
-func (c *Core) isTooLate(w *waiter) bool {
-	if c.now > w.ask.Deadline {
-		return true
-	}
-	w.latestStart = c.latestStart(w.ask)
-	return c.now > w.latestStart
-}
-
-func (c *Core) latestStart(a Ask) Instant {
-	best := time.Duration(-1)
-	for _, e := range c.order {
-		if !e.open() {
-			continue
-		}
-		if estimate := e.cautious(e.expected(a)); best < 0 || estimate < best {
-			best = estimate
-		}
-	}
-	return a.Deadline.After(-max(best, 0))
-}
-
-// place gives free places to waiting requests, the highest tier first.
-func (c *Core) place() {
-	if len(c.waiting) == 0 {
-		return
-	}
-	c.findFree()
-	for tier := range c.queues {
-		if len(c.free) == 0 {
-			return
-		}
-		c.placeTier(&c.queues[tier])
-	}
-}
-
-func (c *Core) placeTier(q *queue) {
-	c.aside = c.aside[:0]
-	for q.Len() > 0 && len(c.free) > 0 && len(c.aside) < lookahead {
-		w := (*q)[0]
-		best := c.bestFor(w.ask)
-		if best != nil {
-			c.dequeue(w)
-			c.grant(w, best)
-			continue
-		}
-		heap.Pop(q)
-		if c.isTooLate(w) {
-			delete(c.waiting, w.ask.ID)
-			c.refuse(w, TooLate)
-			continue
-		}
-		c.aside = append(c.aside, w)
-	}
-	for _, w := range c.aside {
-		heap.Push(q, w)
-	}
-	c.placePatient(q)
-}
-
-// placePatient tries requests that can wait longer for places that the most
-// urgent ones have no use for: those must wait for a faster endpoint, and a
-// place must not go to a lower tier while one of this tier fits.
-func (c *Core) placePatient(q *queue) {
-	for i, tried := q.Len()-1, 0; i >= 0 && tried < patientLookahead && len(c.free) > 0; i, tried = i-1, tried+1 {
-		// The leaves of the heap, at its end, hold the patient ones. Taking one
-		// out moves only entries that were tried or come later.
-		w := (*q)[i]
-		if best := c.bestFor(w.ask); best != nil {
-			c.dequeue(w)
-			c.grant(w, best)
-			i = min(i, q.Len())
-		}
-	}
-}
-
-func (c *Core) findFree() {
-	c.free = c.free[:0]
-	settling := c.now < c.settled
-	for _, e := range c.order {
-		if e.hasPlace(c.now, settling) {
-			c.free = append(c.free, e)
-		}
-	}
-}
-
-// bestFor gives the free endpoint that would answer soonest, or nil if the
-// request could finish in time at none of them. One that failed lately is taken
-// only where no other will do.
-func (c *Core) bestFor(a Ask) *endpoint {
-	var best *endpoint
-	var bestScore time.Duration
-	avoids := c.canAvoid(a)
-	for _, e := range c.free {
-		estimate := e.estimate(a, c.now)
-		if c.now.After(estimate) > a.Deadline || e.harms(a) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
-			continue
-		}
-		score := e.score(estimate)
-		if best == nil || e.betterThan(best, score, bestScore) {
-			best, bestScore = e, score
-		}
-	}
-	return best
-}
-
-// canAvoid tells whether an open endpoint is left that the request does not
-// avoid. Where all have failed it once, another try there beats none.
-func (c *Core) canAvoid(a Ask) bool {
-	if len(a.Avoid) == 0 {
-		return false
-	}
-	return slices.ContainsFunc(c.order, func(e *endpoint) bool {
-		return e.open() && !slices.Contains(a.Avoid, e.rules.Name)
-	})
-}
-
-func (c *Core) grant(w *waiter, e *endpoint) {
-	estimate := e.estimate(w.ask, c.now)
-	c.hold(w.ask, e, estimate)
-	c.actions = append(c.actions, Granted{
-		ID:       w.ask.ID,
-		Host:     w.ask.Host,
-		Endpoint: e.rules.Name,
-		Waited:   c.now.Since(w.since),
-		Estimate: estimate,
-	})
-	if !e.hasPlace(c.now, c.now < c.settled) {
-		c.free = slices.DeleteFunc(c.free, func(other *endpoint) bool { return other == e })
-	}
+	c.shed()
 }
 
 func (c *Core) hold(a Ask, e *endpoint, estimate time.Duration) {
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -12,15 +12,23 @@
 	// caution is how many of it are added to an estimate.
 	firstDeviation = 0.15
 	caution        = 2
-	// longPrompt is the length, in tokens, from which a prompt teaches the speed
-	// of taking prompts in.
-	longPrompt = 256
 	// shortPrompt is the time to take a prompt in that harms no neighbour.
 	shortPrompt = 20 * time.Millisecond
 	// firstBackoff is how long an endpoint gets no work after a failure; each
 	// further one doubles it, up to longBackoff.
 	firstBackoff = time.Second
 	longBackoff  = 30 * time.Second
+	// fullRest is how long an endpoint gets no work that had no place, stallRest
+	// one that is silent.
+	fullRest  = 150 * time.Millisecond
+	stallRest = 800 * time.Millisecond
+	// guessedShare is the share of a guessed length that must fit the time left.
+	guessedShare = 0.75
+	// lossyShare is the share of lost answers from which an endpoint rests.
+	lossyShare = 0.6
+	// lossPenalty is how much longer an endpoint that loses all answers is taken
+	// to work than it does.
+	lossPenalty = 4
 )
 
 // endpoint is what the core knows of one endpoint.
@@ -34,6 +42,10 @@
 	// endpoint gets no work, and then one request at a time until it answers.
 	failures  int
 	restUntil Instant
+	// answered is when the endpoint last answered a request whole.
+	answered Instant
+	// losses is the share of answers that were lost lately.
+	losses float64
 	// peak is the most permits held since the last load report; foreign is the
 	// load beyond it that the report showed.
 	peak    int
@@ -42,6 +54,8 @@
 	prefillCost float64
 	decodeCost  float64
 	fixedCost   float64
+	// prompts is what was measured of first bytes, by the length of the prompt.
+	prompts line
 	// deviation is the mean relative error of the estimates made with them.
 	deviation float64
 	// prefillUntil is when the prompts sent so far will have been taken in. A
@@ -78,21 +92,42 @@
 	return e.open() && len(e.holdings)+e.foreign < limit
 }
 
-func (e *endpoint) fail(now Instant) {
+func (e *endpoint) fail(now Instant, fault Fault) {
 	if now < e.restUntil {
 		// The requests that were open at the first failure tell nothing new.
 		return
 	}
+	switch fault {
+	case TurnedDown:
+		e.restUntil = now.After(fullRest)
+		return
+	case Lost:
+		blend01(&e.losses, 1)
+		if e.losses < lossyShare {
+			return
+		}
+	}
 	backoff := firstBackoff << min(e.failures, 10)
 	e.failures++
 	e.restUntil = now.After(min(backoff, longBackoff))
 }
 
-func (e *endpoint) succeed() {
+func (e *endpoint) succeed(now Instant) {
+	e.answered = now
 	e.failures = 0
 	e.restUntil = 0
+	blend01(&e.losses, 0)
+}
+
+// stall keeps new work off for a moment. The holder says so again while the
+// silence lasts.
+func (e *endpoint) stall(now Instant) {
+	e.restUntil = max(e.restUntil, now.After(stallRest))
 }
 
+// blend01 moves a share towards its newest sample.
+func blend01(share *float64, sample float64) { *share += learningRate * (sample - *share) }
+
 // betterThan prefers endpoints without a recent failure, then the lower score.
 func (e *endpoint) betterThan(other *endpoint, score, otherScore time.Duration) bool {
 	if (e.failures > 0) != (other.failures > 0) {
@@ -122,17 +157,30 @@
 
 // harms tells whether taking in the request's prompt would make work of the
 // same tier or a higher one late.
-func (e *endpoint) harms(a Ask) bool {
+func (e *endpoint) harms(a Ask, now Instant) bool {
 	prompt := e.promptTime(a)
 	if prompt < shortPrompt {
 		return false
 	}
+	if a.Goal > 0 {
+		return e.breaksGaps(a, now)
+	}
 	return slices.ContainsFunc(e.holdings, func(h *holding) bool {
 		inTime := h.finish <= h.ask.Deadline
 		return h.ask.Tier <= a.Tier && inTime && h.finish.After(prompt) > h.ask.Deadline
 	})
 }
 
+// breaksGaps tells whether the prompts to be taken in would hold up a running
+// answer for longer than the pause wanted between its parts.
+func (e *endpoint) breaksGaps(a Ask, now Instant) bool {
+	backlog := max(0, e.prefillUntil.Since(now)) + e.promptTime(a)
+	part := time.Duration(e.decodeCost * float64(time.Second))
+	return slices.ContainsFunc(e.holdings, func(h *holding) bool {
+		return h.ask.GapGoal > 0 && backlog+part > h.ask.GapGoal
+	})
+}
+
 // report takes in a load report, which is late: it still counts requests that
 // ended since. So it only ever adds what our own permits cannot explain.
 func (e *endpoint) report(running int) {
@@ -151,10 +199,34 @@
 	return e.promptTime(a) + time.Duration(seconds*float64(time.Second))
 }
 
+// firstCost gives the time to the first part of an answer if no other prompt
+// was before it.
+func (e *endpoint) firstCost(a Ask) time.Duration {
+	if a.PromptTokens == 0 {
+		return e.expected(a)
+	}
+	return e.promptTime(a) + time.Duration(e.fixedCost*float64(time.Second))
+}
+
+// firstPart gives the time to the first part of an answer.
+func (e *endpoint) firstPart(a Ask, now Instant) time.Duration {
+	return e.firstCost(a) + max(0, e.prefillUntil.Since(now))
+}
+
 // estimate gives a time in which the request will most likely be answered, the
 // prompts before it included.
 func (e *endpoint) estimate(a Ask, now Instant) time.Duration {
-	return e.cautious(e.expected(a)) + max(0, e.prefillUntil.Since(now))
+	return e.whole(a) + max(0, e.prefillUntil.Since(now))
+}
+
+// whole gives the time in which the answer must be expected to end. Where the
+// first part counts most, a request is not held back for a length that its
+// caller only guessed.
+func (e *endpoint) whole(a Ask) time.Duration {
+	if a.Goal > 0 {
+		return time.Duration(float64(e.expected(a)) * guessedShare)
+	}
+	return e.cautious(e.expected(a))
 }
 
 func (e *endpoint) cautious(expected time.Duration) time.Duration {
@@ -166,7 +238,7 @@
 func (e *endpoint) score(estimate time.Duration) time.Duration {
 	const unknownCost = time.Millisecond
 	inUse := float64(len(e.holdings)+e.foreign) / float64(max(e.rules.Limit, 1))
-	return time.Duration(float64(max(estimate, unknownCost)) * (1 + inUse))
+	return time.Duration(float64(max(estimate, unknownCost)) * (1 + inUse) * (1 + lossPenalty*e.losses))
 }
 
 func (e *endpoint) learn(h *holding, u Usage) {
@@ -186,16 +258,22 @@
 }
 
 // learnPrompt splits the time to the first byte into a part that every request
-// has, learned from short prompts, and one by token, learned from long ones.
-// Beside other prompts the first byte tells of theirs too, and teaches nothing.
+// has and one by token. Beside other prompts the first byte tells of theirs too,
+// and teaches nothing.
 func (e *endpoint) learnPrompt(h *holding, u Usage) {
-	switch first := u.FirstByte.Seconds(); {
-	case !h.alone:
-	case u.PromptTokens < longPrompt:
-		blend(&e.fixedCost, max(0, first-float64(u.PromptTokens)*e.prefillCost))
-	default:
-		blend(&e.prefillCost, max(0, first-e.fixedCost)/float64(u.PromptTokens))
+	if !h.alone {
+		return
+	}
+	e.prompts.add(float64(u.PromptTokens), u.FirstByte.Seconds())
+	if fixed, each, fits := e.prompts.solve(); fits {
+		e.fixedCost, e.prefillCost = fixed, each
+		return
 	}
+	// Prompts of one length can't be told apart: what is known of the cost of a
+	// token stays, and the rest is the part that all have.
+	each := min(e.prefillCost, u.FirstByte.Seconds()/float64(u.PromptTokens))
+	e.prefillCost = each
+	blend(&e.fixedCost, max(0, u.FirstByte.Seconds()-each*float64(u.PromptTokens)))
 }
 
 func blend(value *float64, sample float64) {
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -43,8 +43,10 @@
 	Avoid []string `json:"avoid,omitempty"`
 	// Goal is when the first part of the answer is wanted, and Patience when the
 	// caller leaves without one; zero is not told.
-	Goal     Instant `json:"goal,omitempty"`
-	Patience Instant `json:"patience,omitempty"`
+	Goal Instant `json:"goal,omitempty"`
+	// GapGoal is the longest pause wanted between two parts of the answer.
+	GapGoal  time.Duration `json:"gap-goal,omitempty"`
+	Patience Instant       `json:"patience,omitempty"`
 	// Customer and QuotaTokens are what the ask counts for, and how much.
 	Customer    string `json:"customer,omitempty"`
 	QuotaTokens int    `json:"quota-tokens,omitempty"`
@@ -86,7 +88,7 @@
 }
 
 // Event is what the core is told. It is one of Configured, Asked, Withdrawn,
-// Finished, Failed, Listed, Reported, Marked, HostLost and Ticked.
+// Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -97,6 +99,9 @@
 		Version    int64   `json:"version"`
 		Tiers      int     `json:"tiers"`
 		QueueLimit int     `json:"queue-limit"`
+		// Weights are what answers of each tier are worth beside each other, the
+		// highest tier first; none means that a higher tier always goes first.
+		Weights []float64 `json:"weights,omitempty"`
 		// GoodputWeight is from 0 to 1. A waiting request may interrupt running
 		// work of a lower tier when half this share of the time that it could
 		// wait is left: at 1, when half of it has passed; at 0, at the last moment.
@@ -126,6 +131,13 @@
 	// Failed gives back a permit whose endpoint refused, was silent or cut the
 	// answer short.
 	Failed struct {
+		At    Instant `json:"at"`
+		ID    string  `json:"id"`
+		Fault Fault   `json:"fault,omitempty"`
+	}
+	// Stalled says that the endpoint has been silent on a request for longer than
+	// it should; the permit is still held.
+	Stalled struct {
 		At Instant `json:"at"`
 		ID string  `json:"id"`
 	}
@@ -166,12 +178,26 @@
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
+func (e Stalled) at() Instant    { return e.At }
 func (e Listed) at() Instant     { return e.At }
 func (e Reported) at() Instant   { return e.At }
 func (e Marked) at() Instant     { return e.At }
 func (e HostLost) at() Instant   { return e.At }
 func (e Ticked) at() Instant     { return e.At }
 
+// Fault says how an endpoint failed a request.
+type Fault uint8
+
+// The faults.
+const (
+	// Unanswered means that the endpoint could not be reached or did not answer.
+	Unanswered Fault = iota
+	// Lost means that the answer did not come, or not whole.
+	Lost
+	// TurnedDown means that the endpoint had no place.
+	TurnedDown
+)
+
 // Reason says why a request was refused.
 type Reason string
 
@@ -185,6 +211,8 @@
 	Displaced Reason = "displaced"
 	// OverQuota means that the customer has sent what it may for now.
 	OverQuota Reason = "over-quota"
+	// Crowded means that more work waits before it than it can wait for.
+	Crowded Reason = "crowded"
 	// NoRepeat means that too many requests were sent once more lately.
 	NoRepeat Reason = "no-repeat"
 )
--- a/coordination/pkg/permit/interrupt.go
+++ b/coordination/pkg/permit/interrupt.go
@@ -20,7 +20,7 @@
 func (c *Core) interrupt() {
 	coming := c.suspending
 	for tier := 0; tier < c.lowestTier(); tier++ {
-		q := *c.queueOf(Ask{Tier: tier})
+		q := c.queues[queuesPerTier*tier+freshQueue]
 		urgent := c.countUrgent(q)
 		// Places that are being freed already will do for some.
 		c.freePlaces(q, tier, urgent-coming)
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -8,6 +8,30 @@
 	latestStart Instant
 	sequence    uint64
 	position    int
+	// late is set once the first part can't come by its goal any more.
+	late bool
+}
+
+// The queues of one tier. What was begun goes before the rest of it, so that
+// nothing is interrupted and then forgotten.
+const (
+	begunQueue = iota
+	// freshQueue holds requests that can still meet their goals.
+	freshQueue
+	lateQueue
+	queuesPerTier
+)
+
+// kind gives which queue of its tier the request waits in.
+func (w *waiter) kind() int {
+	switch {
+	case w.ask.Begun:
+		return begunQueue
+	case w.late:
+		return lateQueue
+	default:
+		return freshQueue
+	}
 }
 
 // queue is a heap of the waiting requests of one tier; first is the one that
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -47,6 +47,10 @@
 	// that for each further part.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
+	// Silent is called whenever the endpoint has been silent for another Notice;
+	// zero never calls it.
+	Notice time.Duration
+	Silent func()
 }
 
 // NotSentError says that the endpoint did not run the request and will not: no
@@ -158,7 +162,7 @@
 func (x *passage) read() (*http.Response, exchange.Head, error) {
 	var crossed error
 	for range maxStrays {
-		response, err := x.link.read(x.parcel.Method, x.parcel.FirstByteTimeout)
+		response, err := x.link.read(x.parcel.Method, x.wait(x.parcel.FirstByteTimeout))
 		if err != nil && crossed != nil {
 			return nil, exchange.Head{}, crossed
 		}
@@ -177,6 +181,11 @@
 	return nil, exchange.Head{}, crossed
 }
 
+// wait makes the bound on one silence.
+func (x *passage) wait(bound time.Duration) silence {
+	return silence{bound: bound, notice: x.parcel.Notice, tell: x.parcel.Silent}
+}
+
 // end gives the connection back when it is fit for another request, and closes
 // it otherwise. It is called once or more.
 func (x *passage) end(fit bool) {
@@ -217,7 +226,9 @@
 }
 
 func (r *partReader) Read(into []byte) (int, error) {
-	r.passage.link.expectWithin(r.passage.parcel.GapTimeout)
+	if err := r.passage.link.await(r.passage.wait(r.passage.parcel.GapTimeout)); err != nil && !errors.Is(err, io.EOF) {
+		return 0, err
+	}
 	n, err := r.body.Read(into)
 	if errors.Is(err, io.EOF) && r.reusable {
 		r.passage.link.keepFor(r.idle)
--- a/godwitmoord/pkg/attempt/link.go
+++ b/godwitmoord/pkg/attempt/link.go
@@ -249,10 +249,47 @@
 	_ = l.conn.SetReadDeadline(time.Now().Add(wait))
 }
 
+// silence bounds one wait for bytes of an endpoint.
+type silence struct {
+	bound  time.Duration
+	notice time.Duration
+	tell   func()
+}
+
+// await waits until something came, and leaves bound for what follows it.
+func (l *link) await(s silence) error {
+	started := time.Now()
+	for l.reader.Buffered() == 0 {
+		left := s.bound - time.Since(started)
+		if s.bound > 0 && left <= 0 {
+			return errSilent
+		}
+		step := max(left, 0)
+		if s.notice > 0 && s.tell != nil && (step == 0 || s.notice < step) {
+			step = s.notice
+		}
+		l.expectWithin(step)
+		_, err := l.reader.Peek(1)
+		var timeout net.Error
+		switch {
+		case err == nil:
+		case !errors.As(err, &timeout) || !timeout.Timeout():
+			return err
+		case s.tell != nil:
+			s.tell()
+		}
+	}
+	l.expectWithin(s.bound)
+	return nil
+}
+
 // read gives the next final answer on the connection.
-func (l *link) read(method string, wait time.Duration) (*http.Response, error) {
+func (l *link) read(method string, wait silence) (*http.Response, error) {
 	for {
-		l.expectWithin(wait)
+		if err := l.await(wait); errors.Is(err, errSilent) {
+			l.sender.Forget(l.address)
+			return nil, err
+		}
 		response, err := http.ReadResponse(l.reader, &http.Request{Method: method})
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
@@ -269,11 +306,11 @@
 }
 
 // skip reads an answer that belongs to an earlier attempt to its end.
-func (l *link) skip(response *http.Response, wait time.Duration) bool {
+func (l *link) skip(response *http.Response, bound time.Duration) bool {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return false
 	}
-	l.expectWithin(wait)
+	l.expectWithin(bound)
 	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
 	return err == nil && !response.Close
 }
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -32,11 +32,9 @@
 	// firstPause is the wait after a failed call; it doubles up to longPause.
 	firstPause = 100 * time.Millisecond
 	longPause  = time.Second
-	// lapseGrace is how long an endpoint is used whose entry went away beside a
-	// disruption of the store: those that live are back in about two seconds.
-	lapseGrace = 2500 * time.Millisecond
-	// disrupted is how long after a failed call the store counts as disrupted.
-	disrupted = 5 * time.Second
+	// lapseGrace is how long after the store's return an endpoint is used whose
+	// entry went away: those that live are back in about two seconds.
+	lapseGrace = 2200 * time.Millisecond
 )
 
 // Store is what the follower needs of the platform's store.
@@ -68,10 +66,11 @@
 
 	table Table
 	hosts map[string]string
-	// failed is when a call last failed; lost is set until one succeeds.
-	failed time.Time
-	lost   bool
-	pause  time.Duration
+	// lost is set from a failed call until one succeeds, at regained.
+	lost     bool
+	since    time.Time
+	regained time.Time
+	pause    time.Duration
 }
 
 // New makes the service.
@@ -130,9 +129,9 @@
 
 func (s *Service) storeLost(ctx context.Context, err error) {
 	if !s.lost {
+		s.lost, s.since = true, time.Now()
 		s.common.Log.Warn("store lost", zap.Error(err))
 	}
-	s.lost, s.failed = true, time.Now()
 	s.common.Count("store.failed")
 	s.pause = min(max(2*s.pause, firstPause), longPause)
 	if s.table.Expire(time.Now()) {
@@ -146,17 +145,18 @@
 
 func (s *Service) storeFound() {
 	if s.lost {
-		s.common.Log.Info("store regained", zap.Duration("after", time.Since(s.failed)))
+		s.regained = time.Now()
+		s.common.Log.Info("store regained", zap.Duration("after", time.Since(s.since)))
 	}
 	s.lost, s.pause = false, 0
 }
 
 // lapseUntil gives until when an endpoint is used whose entry is missing.
 func (s *Service) lapseUntil() time.Time {
-	if s.failed.IsZero() || time.Since(s.failed) > disrupted {
-		return time.Time{}
+	if s.lost {
+		return time.Now().Add(lapseGrace)
 	}
-	return time.Now().Add(lapseGrace)
+	return s.regained.Add(lapseGrace)
 }
 
 func (s *Service) list(ctx context.Context) (int64, error) {
@@ -209,7 +209,7 @@
 		return false
 	}
 	s.common.Log.Info("endpoint entry gone", zap.String("endpoint", name), zap.Int64("revision", revision),
-		zap.Bool("may-come-back", !until.IsZero()))
+		zap.Bool("may-come-back", time.Now().Before(until)))
 	s.table.Expire(time.Now())
 	return true
 }
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -193,8 +193,14 @@
 }
 
 // Failed gives a permit back whose endpoint did not answer as it should.
-func (g *Grant) Failed() {
-	g.giveBack(entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID})
+func (g *Grant) Failed(fault permit.Fault) {
+	g.giveBack(entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID, Fault: fault})
+}
+
+// Stalled tells that the endpoint has been silent for longer than it should. The
+// permit is still held.
+func (g *Grant) Stalled() {
+	g.entry.send(g.owner, entryMessage{Kind: stallKind, Service: g.service, ID: g.Permit.ID})
 }
 
 func (g *Grant) giveBack(m entryMessage) {
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -183,7 +183,9 @@
 		}
 		return permit.Finished{At: now, ID: m.ID, Usage: *m.Usage}
 	case failKind:
-		return permit.Failed{At: now, ID: m.ID}
+		return permit.Failed{At: now, ID: m.ID, Fault: m.Fault}
+	case stallKind:
+		return permit.Stalled{At: now, ID: m.ID}
 	case listKind:
 		return permit.Listed{At: now, Host: from, Permits: m.Permits, Spent: m.Spent}
 	default:
@@ -256,6 +258,7 @@
 		return
 	}
 	event.QueueLimit = defaultQueueLimit
+	event.Weights = p.RankWeights
 	event.Repeats = permit.RepeatBound{
 		Ratio:  p.RepeatRatio * repeatShare,
 		Slack:  p.RepeatSlack * repeatShare,
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -15,6 +15,7 @@
 	finishKind
 	listKind
 	failKind
+	stallKind
 )
 
 // entryMessage goes from an entry to the owner of a service.
@@ -31,6 +32,8 @@
 	// Goal and Patience are the times to those of the ask; zero is not told.
 	Goal     time.Duration `cbor:"8,keyasint,omitempty"`
 	Patience time.Duration `cbor:"9,keyasint,omitempty"`
+	// Fault says how the endpoint failed.
+	Fault permit.Fault `cbor:"11,keyasint,omitempty"`
 	// Spent is what this host was granted by an earlier owner.
 	Spent []permit.Spending `cbor:"10,keyasint,omitempty"`
 }
--- a/godwitmoord/pkg/serving/direct.go
+++ b/godwitmoord/pkg/serving/direct.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/dispatch"
 	"godwitmoor.example/godwitmoord/pkg/text"
@@ -23,6 +24,9 @@
 	// firstSilence is how long an endpoint may be silent before a request that
 	// may run elsewhere moves on; beside it counts what the work should take.
 	firstSilence = 400 * time.Millisecond
+	// silenceNotice is the least silence after which the owner of an endpoint is
+	// told of it.
+	silenceNotice = 450 * time.Millisecond
 )
 
 // direct serves a request that needs no claim. What may run again is sent to
@@ -116,15 +120,16 @@
 var errFailed = errors.New("the endpoint answered with a failure")
 
 // keepFailure reads a failed answer of a request that may run again elsewhere.
-func (j *journey) keepFailure(answer *attempt.Answer, grant *dispatch.Grant) error {
+func (j *journey) keepFailure(answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, keptFailureBytes+1))
 	if err != nil || len(body) > keptFailureBytes {
-		grant.Failed()
+		grant.Failed(permit.Lost)
 		return errors.CombineErrors(err, errFailed)
 	}
 	j.failure = &failedAnswer{status: answer.Status, header: answer.Header, body: body}
-	// It did run the request: that it failed says nothing about its places.
-	grant.Unused()
+	// It did run the request in its time: what failed is the request.
+	took := time.Since(start)
+	grant.Done(permit.Usage{FirstByte: took, Total: took})
 	return errFailed
 }
 
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -116,6 +116,8 @@
 	claimTried bool
 	// suspensions counts the attempts that gave way to a higher tier.
 	suspensions int
+	// queued is the time spent waiting for permits.
+	queued time.Duration
 }
 
 // ask makes the wish for one more permit, for what is left of the answer.
@@ -129,6 +131,7 @@
 		AnswerTokens: max(r.AnswerTokens-j.relay.events, 0),
 		Customer:     r.Customer,
 		QuotaTokens:  r.QuotaTokens,
+		GapGoal:      r.GapGoal,
 		Repeat:       j.runs > 0 || len(j.avoid) > 0,
 		Suspendable:  r.Idempotent && r.Service.Resumes,
 		Suspensions:  j.suspensions,
@@ -157,7 +160,9 @@
 	j.attempts = append(j.attempts, id)
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	asked := time.Now()
 	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), j.times(deadline))
+	j.queued += time.Since(asked)
 	if err == nil {
 		j.endpoint = grant.Permit.Endpoint
 		return grant, nil
@@ -195,7 +200,7 @@
 		return text.OverQuota
 	case permit.NoRepeat:
 		return text.NoEndpoint
-	case permit.QueueFull:
+	case permit.QueueFull, permit.Crowded:
 		return text.QueueFull
 	case permit.Displaced:
 		return text.Displaced
@@ -232,7 +237,7 @@
 		answer.Close()
 	})
 	if j.mayRepeat() && answer.Status >= http.StatusInternalServerError && j.request.Keyless {
-		return j.keepFailure(answer, grant)
+		return j.keepFailure(answer, grant, start)
 	}
 	err = j.relay.pass(answer)
 	if err != nil && yielded.Load() {
@@ -258,6 +263,10 @@
 	parcel.Order.LastEvent = j.relay.lastEvent
 	parcel.FirstByteTimeout = j.silenceBound(parcel.FirstByteTimeout, grant.Estimate)
 	parcel.GapTimeout = j.silenceBound(parcel.GapTimeout, grant.Estimate)
+	if j.request.Keyless {
+		parcel.Notice = max(silenceNotice, grant.Estimate)
+		parcel.Silent = grant.Stalled
+	}
 	return parcel
 }
 
@@ -273,7 +282,20 @@
 	}
 	j.service.common.Log.Info("attempt failed", zap.String("request", j.request.ID), zap.String("caller-id", j.request.CallerID),
 		zap.String("endpoint", j.endpoint), zap.Bool("may-have-run", j.sent), zap.Error(err))
-	grant.Failed()
+	grant.Failed(faultOf(err))
+}
+
+// faultOf gives the kind of failure that an endpoint's owner learns from.
+func faultOf(err error) permit.Fault {
+	var notSent *attempt.NotSentError
+	switch {
+	case !errors.As(err, &notSent):
+		return permit.Lost
+	case notSent.Refused:
+		return permit.TurnedDown
+	default:
+		return permit.Unanswered
+	}
 }
 
 // silenceBound gives how long an attempt may be silent. The service's timeouts
@@ -335,7 +357,8 @@
 	s.common.Log.Info("request finished", zap.String("request", r.ID), zap.String("caller-id", r.CallerID),
 		zap.String("route", r.Route), zap.String("customer", r.Customer), zap.String("tier", r.Tier),
 		zap.Strings("attempts", j.attempts), zap.String("endpoint", j.endpoint), zap.Int("runs", j.runs),
-		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason), zap.Float64("took-ms", line.Took))
+		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason), zap.Float64("queued-ms", milliseconds(j.queued)),
+		zap.Float64("first-part-ms", j.firstPart()), zap.Float64("took-ms", line.Took))
 	payload, err := json.Marshal(line)
 	if err != nil {
 		s.common.Log.Error("finished request cannot be encoded", zap.Error(err))
@@ -344,4 +367,13 @@
 	s.common.Kernel.Announce(kernel.RequestFinished, payload)
 }
 
+// firstPart gives when the first part of the answer came, in milliseconds from
+// the request's arrival; zero if none did.
+func (j *journey) firstPart() float64 {
+	if j.relay.firstByte.IsZero() {
+		return 0
+	}
+	return milliseconds(j.relay.firstByte.Sub(j.request.Arrived))
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -69,6 +69,10 @@
 	RepeatRatio  float64           `json:"repeat-ratio"`
 	RepeatSlack  float64           `json:"repeat-slack"`
 	RepeatWindow document.Duration `json:"repeat-window"`
+	// RankWeights are what answers of each rank are worth beside each other, the
+	// highest rank first; ranks beyond count as the last. None means that a
+	// higher rank always goes first.
+	RankWeights []float64 `json:"rank-weights,omitempty"`
 	// QuotaWindow is the span in which a customer's quota is counted.
 	QuotaWindow document.Duration `json:"quota-window"`
 }
