Keep quotas over a change of owner, over cut-off hosts and over the death of all

An owner now writes the grants of customers beyond three quarters of their quota to the store twice a second; a process that is younger than the window reads them, and takes 0.6 of the quota as used of those not written, all of it where nothing can be read. Hosts tell a new owner what they were granted, and an owner grants only the part of a quota that its part of the fleet has.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -138,7 +138,8 @@
 func (c *Core) Load() (waiting, held int) { return len(c.waiting), len(c.held) }
 
 func (c *Core) configure(e Configured) {
-	if c.waiting == nil {
+	begins := c.waiting == nil
+	if begins {
 		c.waiting = map[string]*waiter{}
 		c.held = map[string]*holding{}
 		c.endpoints = map[string]*endpoint{}
@@ -149,6 +150,9 @@
 	c.goodputWeight = e.GoodputWeight
 	c.resizeQueues(e.Tiers)
 	c.setQuotas(e.Quotas, e.QuotaWindow)
+	if begins {
+		c.begin(e.Before)
+	}
 	c.repeats.configure(e.Repeats)
 	listed := make(map[string]bool, len(e.Endpoints))
 	c.order = c.order[:0]
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -87,6 +87,16 @@
 	Leaving      bool    `json:"leaving,omitempty"`
 }
 
+// Before is what a new owner knows of earlier grants. The zero value means that
+// the hosts will tell.
+type Before struct {
+	// Assumed is the share of its quota that a customer is taken to have used of
+	// whom nothing was found.
+	Assumed float64 `json:"assumed,omitempty"`
+	// Spent is what was found written of them.
+	Spent []Spending `json:"spent,omitempty"`
+}
+
 // Event is what the core is told. It is one of Configured, Asked, Withdrawn,
 // Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
@@ -110,7 +120,9 @@
 		Settle        time.Duration   `json:"settle,omitempty"`
 		Quotas        []Quota         `json:"quotas,omitempty"`
 		QuotaWindow   time.Duration   `json:"quota-window,omitempty"`
-		Repeats       RepeatBound     `json:"repeats,omitzero"`
+		// Before says what is known of grants before this owner, when it begins.
+		Before  Before      `json:"before,omitzero"`
+		Repeats RepeatBound `json:"repeats,omitzero"`
 	}
 	// Asked brings a waiting request. Asking again with the same ID is harmless.
 	Asked struct {
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -1,6 +1,10 @@
 package permit
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// windowSlots divides each window over which something is counted.
@@ -142,6 +146,51 @@
 	return 0, true
 }
 
+// begin takes in what is known of grants before this owner. Customers of whom
+// nothing was found are taken to have used a share of their quotas, evenly.
+func (c *Core) begin(b Before) {
+	found := map[string]bool{}
+	for _, s := range b.Spent {
+		found[s.Customer] = true
+	}
+	c.recall(b.Spent)
+	for customer, k := range c.accounts {
+		if found[customer] || b.Assumed == 0 {
+			continue
+		}
+		k.granted.advance(c.now)
+		for i := range windowSlots {
+			k.granted.add(c.now.After(-time.Duration(int64(i)*k.granted.width)), b.Assumed*k.limit/windowSlots)
+		}
+	}
+}
+
+// Spent gives what was granted in the window to the customers that have used
+// more than a share of their quotas, by age.
+func (c *Core) Spent(share float64) []Spending {
+	var spent []Spending
+	for _, customer := range slices.Sorted(maps.Keys(c.accounts)) {
+		k := c.accounts[customer]
+		k.granted.advance(c.now)
+		if k.granted.sum() > share*k.limit {
+			spent = append(spent, k.granted.spending(customer, c.now)...)
+		}
+	}
+	return spent
+}
+
+// spending gives the amounts by age.
+func (t *tally) spending(customer string, now Instant) []Spending {
+	var spent []Spending
+	for slot := t.slot; slot > t.slot-int64(len(t.amounts)) && slot >= 0; slot-- {
+		if tokens := t.amounts[t.index(slot)]; tokens > 0 {
+			age := max(0, now.Since(Instant(slot*t.width)))
+			spent = append(spent, Spending{Customer: customer, Tokens: tokens, Age: age})
+		}
+	}
+	return spent
+}
+
 // refund gives back what a request was charged that is not sent.
 func (c *Core) refund(w *waiter) {
 	if k := c.accounts[w.ask.Customer]; k != nil && !w.ask.Repeat {
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -35,6 +35,9 @@
 	// lapseGrace is how long after the store's return an endpoint is used whose
 	// entry went away: those that live are back in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// goneGrace is how long after its entry went away it is used at the most, as
+	// it may have left for good.
+	goneGrace = 1600 * time.Millisecond
 )
 
 // Store is what the follower needs of the platform's store.
@@ -52,6 +55,7 @@
 	EndpointName(key string) (string, bool)
 	HostName(key string) (string, bool)
 	HostKey(name string) string
+	KeptKey(name string) string
 	Configuration(value []byte) (int64, configuration.Configuration, error)
 	Endpoint(name string, value []byte) (string, configuration.Endpoint, error)
 }
@@ -66,6 +70,8 @@
 
 	table Table
 	hosts map[string]string
+	// kept holds the revisions of what was kept, for the one who keeps.
+	kept map[string]int64
 	// lost is set from a failed call until one succeeds, at regained.
 	lost     bool
 	since    time.Time
@@ -75,7 +81,7 @@
 
 // New makes the service.
 func New(c *common.Common, store Store, layout Layout) *Service {
-	return &Service{common: c, store: store, layout: layout, hosts: map[string]string{}}
+	return &Service{common: c, store: store, layout: layout, hosts: map[string]string{}, kept: map[string]int64{}}
 }
 
 // Start begins to follow.
@@ -153,10 +159,11 @@
 
 // lapseUntil gives until when an endpoint is used whose entry is missing.
 func (s *Service) lapseUntil() time.Time {
-	if s.lost {
-		return time.Now().Add(lapseGrace)
+	until := s.regained.Add(lapseGrace)
+	if latest := time.Now().Add(goneGrace); s.lost || latest.Before(until) {
+		until = latest
 	}
-	return s.regained.Add(lapseGrace)
+	return until
 }
 
 func (s *Service) list(ctx context.Context) (int64, error) {
@@ -276,6 +283,25 @@
 	}
 }
 
+// Keep writes what must outlast the hosts, whatever stands there.
+func (s *Service) Keep(ctx context.Context, key string, value []byte) error {
+	outcome, err := s.store.Put(ctx, s.layout.KeptKey(key), value, s.kept[key])
+	if err == nil && !outcome.Applied {
+		s.kept[key] = outcome.Current.Revision
+		outcome, err = s.store.Put(ctx, s.layout.KeptKey(key), value, outcome.Current.Revision)
+	}
+	if err == nil && outcome.Applied {
+		s.kept[key] = outcome.Revision
+	}
+	return err
+}
+
+// Kept reads what was kept; nil if nothing was.
+func (s *Service) Kept(ctx context.Context, key string) ([]byte, error) {
+	entry, err := s.store.Read(ctx, s.layout.KeptKey(key))
+	return entry.Value, err
+}
+
 func (s *Service) register(ctx context.Context) bool {
 	key := s.layout.HostKey(s.common.Self.Name)
 	address := s.common.Settings.PeerListen
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -53,11 +53,16 @@
 	record  *record.Service
 	outbox  peer.Outbox
 	// local takes the decisions for requests that wait on this host itself.
-	local func(from host.Identity, m ownerMessage)
-	ctx   context.Context
+	local   func(from host.Identity, m ownerMessage)
+	ctx     context.Context
+	started time.Time
+	keeper  keeper
 
 	mu    sync.Mutex
 	seats map[string]*seat
+
+	shareMu sync.Mutex
+	share   float64
 }
 
 // seat is this host's ownership of one service.
@@ -68,6 +73,10 @@
 	number  int64
 	core    permit.Core
 	events  ring.Ring[permit.Event]
+	// before is what was found of grants before this seat was opened.
+	before permit.Before
+	// kept is when the grants were last written down.
+	kept time.Time
 }
 
 // NewOwner makes the service.
@@ -98,6 +107,16 @@
 	o.ctx = ctx
 	o.outbox = peer.Outbox{To: kernel.Dispatch, Service: peers, Address: o.members.Address, Failed: o.members.Avoid}
 	peers.Handle(kernel.Owner, peer.Inbox(o.accept))
+	o.started = time.Now()
+	if o.common.Settings.Platform != nil {
+		if o.keeper.store, err = kernel.Lookup[keptStore](o.common.Kernel, kernel.Discovery); err != nil {
+			return err
+		}
+		o.keeper.owner = o
+		o.keeper.pages = ring.New[keptPage](keptRing)
+		go o.keeper.run(ctx)
+		go o.keeper.loop(ctx)
+	}
 	go o.run(changes)
 	if o.common.Settings.Platform != nil {
 		// There each poll is paid for, and comes late; answers tell as much.
@@ -223,20 +242,27 @@
 		events:  ring.New[permit.Event](eventRing),
 	}
 	o.seats[service] = s
-	s.configure()
 	go s.run(o.ctx)
 	return s
 }
 
 // configure queues the rules in force.
 func (s *seat) configure() {
+	event, known := s.rules()
+	if known && !s.events.Offer(event) {
+		s.owner.common.Count("owner.events.dropped")
+	}
+}
+
+// rules gives the rules in force. A service that was removed keeps its last ones
+// until its requests end.
+func (s *seat) rules() (event permit.Configured, known bool) {
 	current := s.owner.release.Current()
 	service, known := current.Configuration.Service(s.service)
 	if !known {
-		// A service that was removed keeps its last rules until its requests end.
-		return
+		return event, false
 	}
-	event := permit.Configured{
+	event = permit.Configured{
 		At:            instantNow(),
 		Version:       current.Version,
 		Tiers:         current.Configuration.TierCount(),
@@ -244,11 +270,10 @@
 		GoodputWeight: current.Configuration.GoodputWeight,
 		Endpoints:     rulesOf(service),
 		Settle:        settleTime,
+		Before:        s.before,
 	}
 	s.owner.bound(&event, service, &current.Configuration)
-	if !s.events.Offer(event) {
-		s.owner.common.Count("owner.events.dropped")
-	}
+	return event, true
 }
 
 // bound adds what the platform bounds over all hosts together.
@@ -273,7 +298,7 @@
 			continue
 		}
 		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
-		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share})
+		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * o.fleetShare()})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
 }
@@ -292,8 +317,13 @@
 	return rules
 }
 
-// run decides, one event at a time.
+// run decides, one event at a time. The rules come first, and before them what
+// is known of grants by earlier owners.
 func (s *seat) run(ctx context.Context) {
+	s.before = s.owner.keeper.before(s.service)
+	if event, known := s.rules(); known {
+		s.step(event)
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -307,6 +337,7 @@
 			if waiting, held := s.core.Load(); waiting+held > 0 {
 				s.step(permit.Ticked{At: instantNow()})
 			}
+			s.keep()
 		}
 	}
 }
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -40,6 +40,8 @@
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
 	settleBeats   = 4
+	// shareMemory is how long a silent host may yet be serving by itself.
+	shareMemory = 15 * time.Second
 	// introduction is the number of heartbeats in which a new phase is heard.
 	introduction = 5
 )
@@ -330,6 +332,23 @@
 	return names
 }
 
+// Share gives the part of the fleet that this host is in touch with. Hosts that
+// have not answered for a while no longer count as part of it.
+func (s *Service) Share() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive, lost := 1, 0
+	for _, e := range s.table {
+		switch {
+		case e.row.State == Alive && e.row.Phase != Leaving:
+			alive++
+		case e.row.State != Alive && time.Since(e.since) < shareMemory && e.row.Phase != Leaving:
+			lost++
+		}
+	}
+	return float64(alive) / float64(alive+lost)
+}
+
 // Members gives all the hosts known, this one first.
 func (s *Service) Members() []Member {
 	s.mu.Lock()
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -73,6 +73,9 @@
 	// highest rank first; ranks beyond count as the last. None means that a
 	// higher rank always goes first.
 	RankWeights []float64 `json:"rank-weights,omitempty"`
+	// FirstStart says that the whole deployment starts for the first time, so that
+	// nothing can have been granted before.
+	FirstStart bool `json:"first-start,omitempty"`
 	// QuotaWindow is the span in which a customer's quota is counted.
 	QuotaWindow document.Duration `json:"quota-window"`
 }
