Learn of endpoints by first parts; give unknown ones two requests until then

Cause: in the first two seconds nothing was known of the endpoints, and slow ones were filled before they showed; streams moved on from endpoints that were only slow, and lost the prompt taken in.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -90,7 +90,9 @@
 	expected time.Duration
 	finish   Instant
 	// alone is set when no other prompt was being taken in at the grant.
-	alone      bool
+	alone bool
+	// taught is set when its first part was learned from.
+	taught     bool
 	suspending bool
 	// lost is set when the host that held the permit is gone.
 	lost Instant
@@ -110,6 +112,8 @@
 		c.withdraw(e.ID)
 	case Finished:
 		c.finish(e.ID, e.Usage)
+	case Progressed:
+		c.progress(e.ID, e.Usage)
 	case Failed:
 		c.fail(e.ID, e.Fault)
 	case Stalled:
@@ -322,6 +326,14 @@
 	c.release(id, h)
 }
 
+// progress learns from the first part of an answer that still runs.
+func (c *Core) progress(id string, usage Usage) {
+	if h := c.held[id]; h != nil && !h.taught {
+		h.taught = true
+		h.endpoint.learnPrompt(h, usage)
+	}
+}
+
 func (c *Core) fail(id string, fault Fault) {
 	if h := c.held[id]; h != nil {
 		h.endpoint.fail(c.now, fault)
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -18,6 +18,11 @@
 	// further one doubles it, up to longBackoff.
 	firstBackoff = time.Second
 	longBackoff  = 30 * time.Second
+	// firstRequests is how many requests an endpoint gets of which nothing is
+	// known.
+	firstRequests = 2
+	// fewPrompts is the weight of measured prompts up to which more are asked for.
+	fewPrompts = 4
 	// fullRest is how long an endpoint gets no work that had no place, stallRest
 	// one that is silent.
 	fullRest  = 150 * time.Millisecond
@@ -92,6 +97,13 @@
 	return e.open() && len(e.holdings)+e.foreign < limit
 }
 
+// known tells whether enough was measured of the endpoint to place by.
+func (e *endpoint) known() bool { return e.fixedCost > 0 || e.prefillCost > 0 }
+
+// trusts tells whether an endpoint may get one more request while little is
+// known of it: a slow one would else be filled before it shows.
+func (e *endpoint) trusts() bool { return e.known() || len(e.holdings) < firstRequests }
+
 func (e *endpoint) fail(now Instant, fault Fault) {
 	if now < e.restUntil {
 		// The requests that were open at the first failure tell nothing new.
@@ -253,7 +265,9 @@
 		blend(&e.fixedCost, u.Total.Seconds())
 		return
 	}
-	e.learnPrompt(h, u)
+	if !h.taught {
+		e.learnPrompt(h, u)
+	}
 	blend(&e.decodeCost, (u.Total-u.FirstByte).Seconds()/float64(u.AnswerTokens))
 }
 
@@ -261,7 +275,7 @@
 // has and one by token. Beside other prompts the first byte tells of theirs too,
 // and teaches nothing.
 func (e *endpoint) learnPrompt(h *holding, u Usage) {
-	if !h.alone {
+	if !h.alone || u.PromptTokens == 0 {
 		return
 	}
 	e.prompts.add(float64(u.PromptTokens), u.FirstByte.Seconds())
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -98,7 +98,7 @@
 }
 
 // Event is what the core is told. It is one of Configured, Asked, Withdrawn,
-// Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -140,6 +140,13 @@
 		ID    string  `json:"id"`
 		Usage Usage   `json:"usage"`
 	}
+	// Progressed tells what a running request took until its first part, where the
+	// grant asked for that.
+	Progressed struct {
+		At    Instant `json:"at"`
+		ID    string  `json:"id"`
+		Usage Usage   `json:"usage"`
+	}
 	// Failed gives back a permit whose endpoint refused, was silent or cut the
 	// answer short.
 	Failed struct {
@@ -190,6 +197,7 @@
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
+func (e Progressed) at() Instant { return e.At }
 func (e Stalled) at() Instant    { return e.At }
 func (e Listed) at() Instant     { return e.At }
 func (e Reported) at() Instant   { return e.At }
@@ -242,6 +250,9 @@
 		Waited time.Duration `json:"waited"`
 		// Estimate is the time the request is expected to take there.
 		Estimate time.Duration `json:"estimate"`
+		// Teach asks for Progressed with the first part: little is known yet of
+		// the endpoint.
+		Teach bool `json:"teach,omitempty"`
 	}
 	// Suspended stops a running request, so that a higher tier gets its place.
 	// The host cancels the attempt, gives the permit back and asks again.
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -8,7 +8,7 @@
 
 const (
 	// windowSlots divides each window over which something is counted.
-	windowSlots = 16
+	windowSlots = 64
 	// settlingShare is the part of a quota that a new owner grants until it has
 	// heard what was granted before it.
 	settlingShare = 0.5
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -118,12 +118,15 @@
 	c.free = c.free[:0]
 	settling := c.now < c.settled
 	for _, e := range c.order {
-		if e.hasPlace(c.now, settling) {
+		if e.hasPlace(c.now, settling) && c.mayTry(e) {
 			c.free = append(c.free, e)
 		}
 	}
 }
 
+// mayTry tells whether an endpoint may get more work by what is known of it.
+func (c *Core) mayTry(e *endpoint) bool { return len(c.weights) == 0 || e.trusts() }
+
 // bestFor gives the free endpoint that would answer soonest, or nil if the
 // request could finish in time at none of them. One that failed lately is taken
 // only where no other will do, and one where the request would hold up others
@@ -197,8 +200,9 @@
 		Endpoint: e.rules.Name,
 		Waited:   c.now.Since(w.since),
 		Estimate: estimate,
+		Teach:    len(c.weights) > 0 && w.ask.PromptTokens > 0 && e.prompts.n < fewPrompts,
 	})
-	if !e.hasPlace(c.now, c.now < c.settled) {
+	if !e.hasPlace(c.now, c.now < c.settled) || !c.mayTry(e) {
 		c.free = slices.DeleteFunc(c.free, func(other *endpoint) bool { return other == e })
 	}
 }
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -47,6 +47,8 @@
 	// that for each further part.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
+	// AliveTimeout is how much longer both are while the endpoint answers others.
+	AliveTimeout time.Duration
 	// Silent is called whenever the endpoint has been silent for another Notice;
 	// zero never calls it.
 	Notice time.Duration
@@ -183,7 +185,7 @@
 
 // wait makes the bound on one silence.
 func (x *passage) wait(bound time.Duration) silence {
-	return silence{bound: bound, notice: x.parcel.Notice, tell: x.parcel.Silent}
+	return silence{bound: bound, alive: x.parcel.AliveTimeout, notice: x.parcel.Notice, tell: x.parcel.Silent}
 }
 
 // end gives the connection back when it is fit for another request, and closes
--- a/godwitmoord/pkg/attempt/link.go
+++ b/godwitmoord/pkg/attempt/link.go
@@ -52,6 +52,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*link
+	// heard is when something last came from each address.
+	heard map[string]time.Time
 	// Dials counts new connections.
 	Dials atomic.Int64
 }
@@ -249,9 +251,30 @@
 	_ = l.conn.SetReadDeadline(time.Now().Add(wait))
 }
 
+// note remembers that an endpoint lives.
+func (s *Sender) note(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard == nil {
+		s.heard = map[string]time.Time{}
+	}
+	s.heard[address] = time.Now()
+}
+
+// silentFor gives how long nothing has come from an endpoint on any connection,
+// at most as long as the wait that began at a time.
+func (s *Sender) silentFor(address string, began time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(time.Since(began), time.Since(s.heard[address]))
+}
+
 // silence bounds one wait for bytes of an endpoint.
 type silence struct {
-	bound  time.Duration
+	bound time.Duration
+	// alive is how much longer the bound is while the endpoint sends something on
+	// other connections.
+	alive  time.Duration
 	notice time.Duration
 	tell   func()
 }
@@ -260,7 +283,10 @@
 func (l *link) await(s silence) error {
 	started := time.Now()
 	for l.reader.Buffered() == 0 {
-		left := s.bound - time.Since(started)
+		left := s.bound - l.sender.silentFor(l.address, started)
+		if whole := s.bound + s.alive - time.Since(started); whole < left || s.alive == 0 {
+			left = whole
+		}
 		if s.bound > 0 && left <= 0 {
 			return errSilent
 		}
@@ -275,10 +301,11 @@
 		case err == nil:
 		case !errors.As(err, &timeout) || !timeout.Timeout():
 			return err
-		case s.tell != nil:
+		case s.tell != nil && l.sender.silentFor(l.address, started) >= s.notice:
 			s.tell()
 		}
 	}
+	l.sender.note(l.address)
 	l.expectWithin(s.bound)
 	return nil
 }
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -30,9 +30,11 @@
 type Grant struct {
 	Permit   permit.Permit
 	Estimate time.Duration
-	entry    *Entry
-	service  string
-	owner    string
+	// Teach asks for Progressed with the first part of the answer.
+	Teach   bool
+	entry   *Entry
+	service string
+	owner   string
 	// stop ends the attempt when the owner wants the place for a higher tier;
 	// told is set when it does.
 	stop func()
@@ -197,6 +199,11 @@
 	g.giveBack(entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID, Fault: fault})
 }
 
+// Progressed tells what a request took until the first part of its answer.
+func (g *Grant) Progressed(usage permit.Usage) {
+	g.entry.send(g.owner, entryMessage{Kind: progressKind, Service: g.service, ID: g.Permit.ID, Usage: &usage})
+}
+
 // Stalled tells that the endpoint has been silent for longer than it should. The
 // permit is still held.
 func (g *Grant) Stalled() {
@@ -287,6 +294,7 @@
 		result = answer{grant: &Grant{
 			Permit:   permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
 			Estimate: m.Estimate,
+			Teach:    m.Teach,
 			entry:    e,
 			service:  p.service,
 			owner:    from.Name,
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -39,9 +39,9 @@
 	// repeatShare is how much of the bound on repeats is used; the rest is for
 	// those that a change of owners doubles.
 	repeatShare = 0.7
-	// A customer's quota is shared between the services: nearly all of its tokens
-	// go to models.
-	modelQuotaShare = 0.96
+	// Nearly all of a customer's tokens go to models. Plain services grant a small
+	// part beside, which the tolerance of quotas covers.
+	modelQuotaShare = 1.0
 	plainQuotaShare = 0.04
 )
 
@@ -203,6 +203,11 @@
 		return permit.Finished{At: now, ID: m.ID, Usage: *m.Usage}
 	case failKind:
 		return permit.Failed{At: now, ID: m.ID, Fault: m.Fault}
+	case progressKind:
+		if m.Usage == nil {
+			return nil
+		}
+		return permit.Progressed{At: now, ID: m.ID, Usage: *m.Usage}
 	case stallKind:
 		return permit.Stalled{At: now, ID: m.ID}
 	case listKind:
@@ -361,7 +366,7 @@
 func (s *seat) announce(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate})
+		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate, Teach: a.Teach})
 	case permit.Suspended:
 		s.tell(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -16,6 +16,7 @@
 	listKind
 	failKind
 	stallKind
+	progressKind
 )
 
 // entryMessage goes from an entry to the owner of a service.
@@ -47,6 +48,8 @@
 	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Estimate   time.Duration `cbor:"5,keyasint,omitempty"`
+	// Teach asks for word of the first part.
+	Teach bool `cbor:"7,keyasint,omitempty"`
 	// Suspend asks for a permit that was granted back.
 	Suspend bool `cbor:"6,keyasint,omitempty"`
 }
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -52,6 +52,8 @@
 	keepLimit int
 	tooLong   bool
 	firstByte time.Time
+	// onFirst is called with the first byte of each attempt; nil is not.
+	onFirst func()
 	// detached keeps reading when the caller is gone.
 	detached bool
 	gone     bool
@@ -165,6 +167,9 @@
 	l.begin()
 	if l.firstByte.IsZero() {
 		l.firstByte = time.Now()
+		if l.onFirst != nil {
+			l.onFirst()
+		}
 	}
 	if l.keepLimit > 0 && !l.tooLong {
 		l.tooLong = l.kept.Len()+len(data) > l.keepLimit
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -219,6 +219,7 @@
 	start, from := time.Now(), j.relay.events
 	parcel := j.parcel(grant)
 	j.relay.firstByte = time.Time{}
+	j.relay.onFirst = j.teacher(grant, start)
 	answer, err := j.service.sender.Send(ctx, address, parcel)
 	if err != nil {
 		if !errors.HasType(err, (*attempt.NotSentError)(nil)) {
@@ -256,6 +257,16 @@
 	return nil
 }
 
+// teacher gives what tells the owner of the first part; nil if it need not know.
+func (j *journey) teacher(grant *dispatch.Grant, start time.Time) func() {
+	if !grant.Teach {
+		return nil
+	}
+	return func() {
+		grant.Progressed(permit.Usage{PromptTokens: j.request.PromptTokens, FirstByte: time.Since(start)})
+	}
+}
+
 // parcel makes what goes to the granted endpoint.
 func (j *journey) parcel(grant *dispatch.Grant) attempt.Parcel {
 	parcel := j.request.parcel(grant.Permit.ID, grant.Permit.Endpoint)
@@ -266,6 +277,7 @@
 	if j.request.Keyless {
 		parcel.Notice = max(silenceNotice, grant.Estimate)
 		parcel.Silent = grant.Stalled
+		parcel.AliveTimeout = j.request.Patience / 2
 	}
 	return parcel
 }
