Hosts that start together meet at once and agree on owners

Hosts now greet two strangers a beat, beat five times as fast until they know the fleet, and rank those that start while none is ready; the unmet ones count against the share of quotas. A process that just started outranks a life of its host with a later number, which a clock that ran ahead gave it; ruled out: always, since a life that was only paused came back (TestRestartedHostEndsItsEarlierLife).

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -72,11 +72,13 @@
 	order     []*endpoint
 	sequence  uint64
 	accounts  map[string]*account
-	repeats   repeats
-	free      []*endpoint
-	aside     []*waiter
-	scratch   []*waiter
-	actions   []Action
+	// told is set when the owner began with what was written of earlier grants.
+	told    bool
+	repeats repeats
+	free    []*endpoint
+	aside   []*waiter
+	scratch []*waiter
+	actions []Action
 }
 
 // holding is a permit that was granted and not given back.
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -10,7 +10,7 @@
 	// windowSlots divides each window over which something is counted.
 	windowSlots = 64
 	// settlingShare is the part of a quota that a new owner grants until it has
-	// heard what was granted before it.
+	// heard from the hosts what was granted before it.
 	settlingShare = 0.5
 )
 
@@ -133,7 +133,7 @@
 		return 0, true
 	}
 	limit := k.limit
-	if c.now < c.settled {
+	if c.now < c.settled && !c.told {
 		limit *= settlingShare
 	}
 	k.granted.advance(c.now)
@@ -149,6 +149,7 @@
 // begin takes in what is known of grants before this owner. Customers of whom
 // nothing was found are taken to have used a share of their quotas, evenly.
 func (c *Core) begin(b Before) {
+	c.told = b.Assumed > 0
 	found := map[string]bool{}
 	for _, s := range b.Spent {
 		found[s.Customer] = true
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -40,6 +40,8 @@
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
 	settleBeats   = 4
+	// newLife is how long a process is certainly the newest of its host.
+	newLife = time.Second
 	// shareMemory is how long a silent host may yet be serving by itself.
 	shareMemory = 15 * time.Second
 	// introduction is the number of heartbeats in which a new phase is heard.
@@ -325,6 +327,10 @@
 			names = append(names, name)
 		}
 	}
+	if len(names) == 0 && s.self.row.Phase == Starting {
+		// All start together: those who know each other agree.
+		names = s.startingNames()
+	}
 	if s.self.row.Phase == Ready || len(names) == 0 {
 		names = append(names, s.self.row.Name)
 	}
@@ -332,12 +338,27 @@
 	return names
 }
 
+// startingNames gives this host and the others that start; s.mu is held.
+func (s *Service) startingNames() []string {
+	names := []string{s.self.row.Name}
+	for name, e := range s.table {
+		if e.row.Phase == Starting && e.row.State == Alive && time.Since(e.avoided) >= avoidInterval {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Share gives the part of the fleet that this host is in touch with. Hosts that
 // have not answered for a while no longer count as part of it.
 func (s *Service) Share() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	alive, lost := 1, 0
+	if time.Since(s.started) < s.settleBound() {
+		// Whoever is listed may be serving, and is met in a moment.
+		lost = s.unmet()
+	}
 	for _, e := range s.table {
 		switch {
 		case e.row.State == Alive && e.row.Phase != Leaving:
@@ -349,6 +370,17 @@
 	return float64(alive) / float64(alive+lost)
 }
 
+// unmet counts the listed hosts that are not known yet; s.mu is held.
+func (s *Service) unmet() int {
+	count := 0
+	for _, l := range s.listed {
+		if l.Name != "" && l.Name != s.self.row.Name && s.table[l.Name] == nil {
+			count++
+		}
+	}
+	return count
+}
+
 // Members gives all the hosts known, this one first.
 func (s *Service) Members() []Member {
 	s.mu.Lock()
@@ -420,8 +452,9 @@
 
 // refute contradicts what others say of this life of this host; s.mu is held.
 func (s *Service) refute(r row) {
-	if r.Incarnation > s.self.row.Incarnation {
-		// An earlier life started by a clock that ran ahead of the present one.
+	if r.Incarnation > s.self.row.Incarnation && time.Since(s.started) < newLife {
+		// An earlier life started by a clock that ran ahead of the present one. A
+		// host that has lived for longer is itself the earlier one.
 		s.self.row.Incarnation = r.Incarnation + 1
 		s.speak(s.self.row.Revision + 1)
 		return
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -14,6 +14,10 @@
 )
 
 const (
+	// greetings is how many strangers are met at each beat.
+	greetings = 2
+	// startBeats is how many probes fit in a heartbeat while the fleet is unknown.
+	startBeats = 5
 	// relays is how many others probe a host that did not answer.
 	relays = 3
 	// newsLimit bounds the rows that travel with a probe.
@@ -58,7 +62,7 @@
 			p := &probe{service: s, target: r}
 			go p.run(ctx)
 		}
-		if address, found := s.stranger(); found {
+		for _, address := range s.strangers() {
 			g := &greeting{service: s, address: address}
 			go g.run(ctx)
 		}
@@ -66,11 +70,21 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(s.common.Settings.Heartbeat.Std()):
+		case <-time.After(s.beat()):
 		}
 	}
 }
 
+// beat gives the time to the next probe: less while this host does not know the
+// fleet yet.
+func (s *Service) beat() time.Duration {
+	beat := s.common.Settings.Heartbeat.Std()
+	if s.common.Settings.HostListURL == "" && !s.Settled() {
+		return beat / startBeats
+	}
+	return beat
+}
+
 // nextToProbe goes through all hosts that are not gone, in an order that is
 // shuffled anew each time round, so that everyone's turn comes.
 func (s *Service) nextToProbe() (row, bool) {
@@ -92,9 +106,9 @@
 	return row{}, false
 }
 
-// stranger picks a listed host that is unknown here or counts as gone: so
+// strangers picks a few listed hosts that are unknown here or count as gone: so
 // newcomers are met, and two halves that lost each other find together again.
-func (s *Service) stranger() (string, bool) {
+func (s *Service) strangers() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var strangers []string
@@ -106,10 +120,8 @@
 			strangers = append(strangers, l.Address)
 		}
 	}
-	if len(strangers) == 0 {
-		return "", false
-	}
-	return strangers[rand.IntN(len(strangers))], true
+	rand.Shuffle(len(strangers), func(i, j int) { strangers[i], strangers[j] = strangers[j], strangers[i] })
+	return strangers[:min(greetings, len(strangers))]
 }
 
 // isStranger tells whether a listed host is unknown or counts as gone; s.mu is
