Use most of what is tolerated beyond a quota where an owner knows all grants

Tolerance is used only by an owner that has granted for a whole window and is in touch with the whole fleet.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -73,12 +73,14 @@
 	sequence  uint64
 	accounts  map[string]*account
 	// told is set when the owner began with what was written of earlier grants.
-	told    bool
-	repeats repeats
-	free    []*endpoint
-	aside   []*waiter
-	scratch []*waiter
-	actions []Action
+	told bool
+	// complete is from when on all grants of a window are this owner's own.
+	complete Instant
+	repeats  repeats
+	free     []*endpoint
+	aside    []*waiter
+	scratch  []*waiter
+	actions  []Action
 }
 
 // holding is a permit that was granted and not given back.
@@ -158,6 +160,9 @@
 	c.setQuotas(e.Quotas, e.QuotaWindow)
 	if begins {
 		c.begin(e.Before)
+		if !e.Before.First {
+			c.complete = c.now.After(e.QuotaWindow)
+		}
 	}
 	c.repeats.configure(e.Repeats)
 	listed := make(map[string]bool, len(e.Endpoints))
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -90,6 +90,8 @@
 // Before is what a new owner knows of earlier grants. The zero value means that
 // the hosts will tell.
 type Before struct {
+	// First says that there was no owner before.
+	First bool `json:"first,omitempty"`
 	// Assumed is the share of its quota that a customer is taken to have used of
 	// whom nothing was found.
 	Assumed float64 `json:"assumed,omitempty"`
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -20,6 +20,9 @@
 	Customer string `json:"customer"`
 	// Limit is in tokens a window.
 	Limit float64 `json:"limit"`
+	// Tolerance is what may be granted beyond the limit by an owner that knows
+	// all grants of the window.
+	Tolerance float64 `json:"tolerance,omitempty"`
 }
 
 // Spending is what a host was granted for a customer, some time ago.
@@ -99,8 +102,9 @@
 
 // account is what one customer was granted lately.
 type account struct {
-	limit   float64
-	granted tally
+	limit     float64
+	tolerance float64
+	granted   tally
 }
 
 // setQuotas takes the quotas in force over. A lower one takes effect at once.
@@ -115,6 +119,7 @@
 			c.accounts[q.Customer] = &account{}
 		}
 		c.accounts[q.Customer].limit = q.Limit
+		c.accounts[q.Customer].tolerance = q.Tolerance
 		c.accounts[q.Customer].granted.width = int64(window) / windowSlots
 	}
 	for customer := range c.accounts {
@@ -133,8 +138,11 @@
 		return 0, true
 	}
 	limit := k.limit
-	if c.now < c.settled && !c.told {
+	switch {
+	case c.now < c.settled && !c.told:
 		limit *= settlingShare
+	case c.now >= c.complete:
+		limit += k.tolerance
 	}
 	k.granted.advance(c.now)
 	tokens := float64(a.QuotaTokens)
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -118,12 +118,15 @@
 // before gives what is known of grants before a seat is opened. In a process
 // that has run for a while the hosts remember them.
 func (k *keeper) before(service string) permit.Before {
-	if k.store == nil || k.owner.common.Settings.Platform.FirstStart {
+	if k.store == nil {
 		return permit.Before{}
 	}
 	if time.Since(k.owner.started) > k.owner.common.Settings.Platform.QuotaWindow.Std() {
 		return permit.Before{}
 	}
+	if k.owner.common.Settings.Platform.FirstStart {
+		return permit.Before{First: true}
+	}
 	ctx, cancel := context.WithTimeout(k.owner.ctx, keepTimeout)
 	defer cancel()
 	page, err := k.read(ctx, service)
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -25,6 +25,7 @@
 	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/release"
 	"godwitmoor.example/godwitmoord/pkg/ring"
+	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// part beside, which the tolerance of quotas covers.
 	modelQuotaShare = 1.0
 	plainQuotaShare = 0.04
+	// toleranceShare is the part of what is tolerated beyond a quota that is used;
+	// the rest is for plain services and for changes of owners.
+	toleranceShare = 0.7
 )
 
 // Owner decides for the services that this host owns.
@@ -294,6 +298,7 @@
 		Slack:  p.RepeatSlack * repeatShare,
 		Window: p.RepeatWindow.Std(),
 	}
+	fleet := o.fleetShare()
 	share := plainQuotaShare
 	if service.Kind == configuration.Model {
 		share = modelQuotaShare
@@ -303,11 +308,20 @@
 			continue
 		}
 		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
-		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * o.fleetShare()})
+		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * fleet, Tolerance: tolerance(limit, p, service, fleet)})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
 }
 
+// tolerance gives the part of what the platform tolerates beyond a limit that an
+// owner may use that is in touch with the whole fleet.
+func tolerance(limit float64, p *settings.Platform, service *configuration.Service, fleet float64) float64 {
+	if fleet < 1 || service.Kind != configuration.Model {
+		return 0
+	}
+	return toleranceShare * (p.QuotaOvershoot*limit + p.QuotaSlack)
+}
+
 func rulesOf(service *configuration.Service) []permit.EndpointRules {
 	rules := make([]permit.EndpointRules, len(service.Endpoints))
 	for i, e := range service.Endpoints {
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -78,6 +78,10 @@
 	FirstStart bool `json:"first-start,omitempty"`
 	// QuotaWindow is the span in which a customer's quota is counted.
 	QuotaWindow document.Duration `json:"quota-window"`
+	// QuotaOvershoot and QuotaSlack are what the platform tolerates beyond a quota
+	// in any window: a share of it, and tokens.
+	QuotaOvershoot float64 `json:"quota-overshoot,omitempty"`
+	QuotaSlack     float64 `json:"quota-slack,omitempty"`
 }
 
 const (
