--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -1,6 +1,7 @@
-// Package discovery follows the platform's store: the operators' configuration,
-// the endpoints and the hosts. One watch over all keys serves the three, since
-// every call is paid for; its regular ends prove that nothing changed.
+// Package discovery follows the platform's store: the operators' configuration
+// and the endpoints by a watch each, since every call is paid for. The regular
+// ends of a watch prove that nothing changed. Hosts are listed once; after that
+// they know each other.
 //
 // # Usage
 //
@@ -11,14 +12,11 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/keyvalue"
-	"godwitmoor.example/godwitmoord/pkg/boottime"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/membership"
@@ -26,12 +24,15 @@
 )
 
 const (
-	// watchWait is how long a watch without changes lasts. A third of the bound
-	// for keys taken away leaves room for one that fails.
-	watchWait = 1300 * time.Millisecond
-	// firstPause is the wait after a failed call; it doubles up to longPause.
-	firstPause = 100 * time.Millisecond
-	longPause  = time.Second
+	// declaredWait is how long a watch of the configuration lasts without changes.
+	// A third of the bound for keys taken away leaves room for one that fails.
+	declaredWait = 1500 * time.Millisecond
+	// declaredPause bounds the pause between failed reads of the configuration:
+	// callers with keys wait for the first that succeeds.
+	declaredPause = 300 * time.Millisecond
+	// endpointsWait is the same for the endpoints: a connection that went silent
+	// must show before an endpoint that leaves may get no more work.
+	endpointsWait = 2 * time.Second
 	// lapseGrace is how long after the store's return an endpoint is used whose
 	// entry went away: those that live are back in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -52,6 +53,7 @@
 // Layout is where things lie in the store and what they look like.
 type Layout interface {
 	ConfigurationKey() string
+	EndpointPrefix() string
 	EndpointName(key string) (string, bool)
 	HostName(key string) (string, bool)
 	HostKey(name string) string
@@ -69,14 +71,11 @@
 	members *membership.Service
 
 	table Table
-	hosts map[string]string
+	// endpoints follows the entries of endpoints.
+	endpoints *follower
+	hosts     map[string]string
 	// kept holds the revisions of what was kept, for the one who keeps.
 	kept map[string]int64
-	// lost is set from a failed call until one succeeds, at regained.
-	lost     bool
-	since    time.Time
-	regained time.Time
-	pause    time.Duration
 }
 
 // New makes the service.
@@ -94,122 +93,78 @@
 		return err
 	}
 	s.tellHosts()
+	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: declaredWait, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
+	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: endpointsWait, longest: longPause, take: s.takeEndpoints, done: s.expire}
+	go declared.run(ctx)
+	go s.endpoints.run(ctx)
 	go s.run(ctx)
-	go s.loop(ctx)
 	return nil
 }
 
 // Stop has nothing to end beyond the context.
 func (s *Service) Stop(context.Context) error { return nil }
 
-// run lists all keys and then watches them, and lists them again where changes
-// were missed.
-func (s *Service) run(ctx context.Context) {
-	revision, known := int64(0), false
-	for ctx.Err() == nil {
-		asked := boottime.Now()
-		var err error
-		if known {
-			revision, err = s.watch(ctx, revision)
-		} else {
-			revision, err = s.list(ctx)
-		}
-		var compacted *keyvalue.CompactedError
-		if errors.As(err, &compacted) {
-			s.common.Log.Info("store changes were dropped, listing again", zap.Int64("revision", revision))
-			known = false
+// takeDeclared takes in the operators' configuration.
+func (s *Service) takeDeclared(n news) {
+	for _, c := range n.changes {
+		if c.Removed || c.Entry.Key != s.layout.ConfigurationKey() {
 			continue
 		}
+		version, declared, err := s.layout.Configuration(c.Entry.Value)
 		if err != nil {
-			s.storeLost(ctx, err)
+			s.common.Log.Error("configuration cannot be read", zap.Int64("revision", c.Entry.Revision), zap.Error(err))
 			continue
 		}
-		known = true
-		s.storeFound()
-		s.release.Confirm(asked)
-		if s.table.Expire(time.Now()) {
-			s.release.Found(s.table.ByService())
-		}
+		s.release.Install(version, declared)
 	}
 }
 
-func (s *Service) storeLost(ctx context.Context, err error) {
-	if !s.lost {
-		s.lost, s.since = true, time.Now()
-		s.common.Log.Warn("store lost", zap.Error(err))
+// confirm notes that nothing newer had been declared at a moment.
+func (s *Service) confirm(upTo time.Duration) { s.release.Confirm(upTo) }
+
+// takeEndpoints takes in the entries of endpoints.
+func (s *Service) takeEndpoints(n news) {
+	changed := n.whole
+	standing := map[string]bool{}
+	for _, c := range n.changes {
+		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
+		switch {
+		case !isEndpoint:
+		case c.Removed:
+			changed = s.remove(name, c.Entry.Revision) || changed
+		default:
+			standing[name] = true
+			changed = s.takeEndpoint(name, c.Entry) || changed
+		}
 	}
-	s.common.Count("store.failed")
-	s.pause = min(max(2*s.pause, firstPause), longPause)
-	if s.table.Expire(time.Now()) {
-		s.release.Found(s.table.ByService())
+	if n.whole {
+		for _, name := range s.table.Names() {
+			if !standing[name] {
+				s.remove(name, n.revision)
+			}
+		}
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(s.pause):
+	if changed {
+		s.release.Found(s.table.ByService())
 	}
 }
 
-func (s *Service) storeFound() {
-	if s.lost {
-		s.regained = time.Now()
-		s.common.Log.Info("store regained", zap.Duration("after", time.Since(s.since)))
+// expire forgets endpoints whose entries did not come back.
+func (s *Service) expire(time.Duration) {
+	if s.table.Expire(time.Now()) {
+		s.release.Found(s.table.ByService())
 	}
-	s.lost, s.pause = false, 0
 }
 
 // lapseUntil gives until when an endpoint is used whose entry is missing.
 func (s *Service) lapseUntil() time.Time {
-	until := s.regained.Add(lapseGrace)
-	if latest := time.Now().Add(goneGrace); s.lost || latest.Before(until) {
+	until := s.endpoints.regained.Add(lapseGrace)
+	if latest := time.Now().Add(goneGrace); s.endpoints.lost || latest.Before(until) {
 		until = latest
 	}
 	return until
 }
 
-func (s *Service) list(ctx context.Context) (int64, error) {
-	listing, err := s.store.List(ctx, "")
-	if err != nil {
-		return 0, err
-	}
-	var standing []string
-	for _, e := range listing.Entries {
-		s.take(e)
-		if name, isEndpoint := s.layout.EndpointName(e.Key); isEndpoint {
-			standing = append(standing, name)
-		}
-	}
-	for _, name := range s.table.Names() {
-		if !slices.Contains(standing, name) {
-			s.remove(name, listing.Revision)
-		}
-	}
-	s.release.Found(s.table.ByService())
-	s.tellHosts()
-	return listing.Revision, nil
-}
-
-func (s *Service) watch(ctx context.Context, revision int64) (int64, error) {
-	changes, err := s.store.Watch(ctx, "", revision, watchWait)
-	if err != nil {
-		return revision, err
-	}
-	changed := false
-	for _, c := range changes.Changes {
-		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
-		switch {
-		case c.Removed && isEndpoint:
-			changed = s.remove(name, c.Entry.Revision) || changed
-		case !c.Removed:
-			changed = s.take(c.Entry) || changed
-		}
-	}
-	if changed {
-		s.release.Found(s.table.ByService())
-		s.tellHosts()
-	}
-	return changes.Revision, nil
-}
-
 func (s *Service) remove(name string, revision int64) bool {
 	until := s.lapseUntil()
 	if !s.table.Remove(name, revision, until) {
@@ -221,24 +176,7 @@
 	return true
 }
 
-// take takes in one entry, and tells whether endpoints or hosts changed.
-func (s *Service) take(e keyvalue.Entry) bool {
-	if e.Key == s.layout.ConfigurationKey() {
-		version, declared, err := s.layout.Configuration(e.Value)
-		if err != nil {
-			s.common.Log.Error("configuration cannot be read", zap.Int64("revision", e.Revision), zap.Error(err))
-			return false
-		}
-		s.release.Install(version, declared)
-		return false
-	}
-	if name, isHost := s.layout.HostName(e.Key); isHost {
-		return s.takeHost(name, string(e.Value))
-	}
-	name, isEndpoint := s.layout.EndpointName(e.Key)
-	if !isEndpoint {
-		return false
-	}
+func (s *Service) takeEndpoint(name string, e keyvalue.Entry) bool {
 	service, endpoint, err := s.layout.Endpoint(name, e.Value)
 	if err != nil {
 		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
@@ -252,12 +190,10 @@
 	return changed
 }
 
-func (s *Service) takeHost(name, address string) bool {
-	if _, err := netip.ParseAddrPort(address); err != nil || s.hosts[name] == address {
-		return false
+func (s *Service) takeHost(name, address string) {
+	if _, err := netip.ParseAddrPort(address); err == nil {
+		s.hosts[name] = address
 	}
-	s.hosts[name] = address
-	return true
 }
 
 // tellHosts passes on where other hosts may be.
@@ -272,9 +208,10 @@
 	s.members.SetListed(known)
 }
 
-// loop registers this host, until that is done.
-func (s *Service) loop(ctx context.Context) {
-	for !s.register(ctx) {
+// run registers this host and finds those that were registered, until both are
+// done. Later ones make themselves known.
+func (s *Service) run(ctx context.Context) {
+	for !s.register(ctx) || !s.findHosts(ctx) {
 		select {
 		case <-ctx.Done():
 			return
@@ -283,6 +220,21 @@
 	}
 }
 
+func (s *Service) findHosts(ctx context.Context) bool {
+	listing, err := s.store.List(ctx, s.layout.HostKey(""))
+	if err != nil {
+		s.common.Log.Warn("hosts not listed yet", zap.Error(err))
+		return false
+	}
+	for _, e := range listing.Entries {
+		if name, isHost := s.layout.HostName(e.Key); isHost {
+			s.takeHost(name, string(e.Value))
+		}
+	}
+	s.tellHosts()
+	return true
+}
+
 // Keep writes what must outlast the hosts, whatever stands there.
 func (s *Service) Keep(ctx context.Context, key string, value []byte) error {
 	outcome, err := s.store.Put(ctx, s.layout.KeptKey(key), value, s.kept[key])
--- /dev/null
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -0,0 +1,117 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/godwitmoord/pkg/boottime"
+)
+
+const (
+	// firstPause is the wait after a failed call; it doubles up to the follower's
+	// own bound, longPause for those that can wait.
+	firstPause = 100 * time.Millisecond
+	longPause  = time.Second
+	// answerSlack is how long before its arrival a watch's answer may have been
+	// made.
+	answerSlack = 300 * time.Millisecond
+)
+
+// news is what one call of the store brought.
+type news struct {
+	changes  []keyvalue.Change
+	revision int64
+	// whole is set when all keys were listed, so that what is missing is gone.
+	whole bool
+}
+
+// follower lists the keys below a prefix and then watches them, and lists them
+// again where changes were missed.
+type follower struct {
+	service *Service
+	prefix  string
+	wait    time.Duration
+	// longest bounds the pause between failed calls.
+	longest time.Duration
+	take    func(news)
+	// done is called after each call, with the boot time up to which the store is
+	// known to have brought all news; a failed one calls it with zero.
+	done func(upTo time.Duration)
+
+	revision int64
+	known    bool
+	// lost is set from a failed call until one succeeds, at regained.
+	lost     bool
+	since    time.Time
+	regained time.Time
+	pause    time.Duration
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := boottime.Now()
+		n, err := f.call(ctx)
+		var compacted *keyvalue.CompactedError
+		switch {
+		case errors.As(err, &compacted):
+			f.service.common.Log.Info("store changes were dropped, listing again", zap.String("prefix", f.prefix), zap.Int64("revision", f.revision))
+			f.known = false
+		case err != nil:
+			f.fail(ctx, err)
+		default:
+			upTo := f.provenUpTo(asked, n)
+			f.take(n)
+			f.revision, f.known = n.revision, true
+			f.succeed()
+			f.done(upTo)
+		}
+	}
+}
+
+// provenUpTo gives until when nothing newer than n had come. A watch that ends
+// without changes after its whole wait proves that to near its end.
+func (f *follower) provenUpTo(asked time.Duration, n news) time.Duration {
+	waited := !n.whole && len(n.changes) == 0 && boottime.Now()-asked >= f.wait
+	if waited {
+		return asked + f.wait - answerSlack
+	}
+	return asked
+}
+
+func (f *follower) call(ctx context.Context) (news, error) {
+	if f.known {
+		changes, err := f.service.store.Watch(ctx, f.prefix, f.revision, f.wait)
+		return news{changes: changes.Changes, revision: changes.Revision}, err
+	}
+	listing, err := f.service.store.List(ctx, f.prefix)
+	n := news{revision: listing.Revision, whole: true}
+	for _, e := range listing.Entries {
+		n.changes = append(n.changes, keyvalue.Change{Entry: e})
+	}
+	return n, err
+}
+
+func (f *follower) fail(ctx context.Context, err error) {
+	if !f.lost {
+		f.lost, f.since = true, time.Now()
+		f.service.common.Log.Warn("store lost", zap.String("prefix", f.prefix), zap.Error(err))
+	}
+	f.service.common.Count("store.failed")
+	f.done(0)
+	f.pause = min(max(2*f.pause, firstPause), f.longest)
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.pause):
+	}
+}
+
+func (f *follower) succeed() {
+	if f.lost {
+		f.regained = time.Now()
+		f.service.common.Log.Info("store regained", zap.String("prefix", f.prefix), zap.Duration("after", time.Since(f.since)))
+	}
+	f.lost, f.pause = false, 0
+}
