Log through a bounded ring, reload on SIGHUP, keep the core off the wall clock

SIGHUP ended the process, a stuck standard output held up requests, and a jump of the time of day moved every goal and deadline in the core.

--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -32,6 +32,7 @@
 	"godwitmoor.example/godwitmoord/pkg/dispatch"
 	"godwitmoor.example/godwitmoord/pkg/front"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/logs"
 	"godwitmoor.example/godwitmoord/pkg/membership"
 	"godwitmoor.example/godwitmoord/pkg/memory"
 	"godwitmoor.example/godwitmoord/pkg/peer"
@@ -75,32 +76,61 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	s, err := settings.Load(c.String("settings"), settings.Overrides{
-		Name:         c.String("name"),
-		Listen:       c.String("listen"),
-		PeerListen:   c.String("peer-listen"),
-		StatusListen: c.String("status-listen"),
-	})
+	s, err := load(c)
 	if err != nil || c.Bool("check") {
 		return err
 	}
-	log, err := newLog(s)
-	if err != nil {
-		return err
-	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	writer := logs.New(os.Stdout)
+	go writer.Run()
+	defer writer.Close()
+	log := logs.Logger(writer).With(zap.String("host", s.Name))
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	d := New(s, log)
 	if err := d.Start(ctx); err != nil {
 		return err
 	}
-	received := <-signals
+	r := &reloader{log: log, signals: reloads, inForce: s, load: func() (settings.Settings, error) { return load(c) }}
+	go r.run()
+	received := <-stops
 	log.Info("stopping", zap.String("signal", received.String()))
-	n := &ignorer{log: log, signals: signals}
+	n := &ignorer{log: log, signals: stops}
 	go n.run()
 	return d.Stop()
 }
 
+func load(c *cli.Command) (settings.Settings, error) {
+	return settings.Load(c.String("settings"), settings.Overrides{
+		Name:         c.String("name"),
+		Listen:       c.String("listen"),
+		PeerListen:   c.String("peer-listen"),
+		StatusListen: c.String("status-listen"),
+	})
+}
+
+// reloader reads the settings again when it is told to. All that a running host
+// needs to follow comes from the store and from other hosts; so changes are
+// told, and count from the next start on.
+type reloader struct {
+	log     *zap.Logger
+	signals <-chan os.Signal
+	inForce settings.Settings
+	load    func() (settings.Settings, error)
+}
+
+func (r *reloader) run() {
+	for range r.signals {
+		read, err := r.load()
+		if err != nil {
+			r.log.Error("settings not reloaded, the earlier ones stay", zap.Error(err))
+			continue
+		}
+		r.log.Info("settings reloaded", zap.Strings("from-next-start", settings.Changed(r.inForce, read)))
+	}
+}
+
 // ignorer says that a further signal does not hurry the stop.
 type ignorer struct {
 	log     *zap.Logger
@@ -113,18 +143,6 @@
 	}
 }
 
-func newLog(s settings.Settings) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.OutputPaths = []string{"stdout"}
-	// Sampling would drop lines that an explanation needs.
-	config.Sampling = nil
-	log, err := config.Build()
-	if err != nil {
-		return nil, errors.Wrap(err, "open the log")
-	}
-	return log.With(zap.String("host", s.Name)), nil
-}
-
 // Daemon is one host's process.
 type Daemon struct {
 	common  *common.Common
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -54,4 +54,9 @@
 	Suspend bool `cbor:"6,keyasint,omitempty"`
 }
 
-func instantNow() permit.Instant { return permit.Instant(time.Now().UnixNano()) }
+// started ties the core's time to the clock that never jumps.
+var started = time.Now()
+
+func instantNow() permit.Instant {
+	return permit.Instant(started.UnixNano()).After(time.Since(started))
+}
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -33,7 +33,8 @@
 	if err != nil {
 		return request, &fault{status: http.StatusBadRequest, reason: text.BadHeader}
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+	target := targetOf(r)
+	path, _, _ := strings.Cut(target, "?")
 	route, found := current.Index.Route(hostName(r.Host), path)
 	if !found {
 		return request, &fault{status: http.StatusNotFound, reason: text.NoSuchService}
@@ -51,12 +52,20 @@
 	if wrong := readBody(&request, w, r); wrong != nil {
 		return request, wrong
 	}
-	request.Path = r.RequestURI
+	request.Path = target
 	request.HostName = r.Host
 	request.Header = endToEnd(r.Header)
 	return request, nil
 }
 
+// targetOf gives the path and query as the caller wrote them.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- /dev/null
+++ b/godwitmoord/pkg/logs/logs_test.go
@@ -0,0 +1,62 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+)
+
+// stuck is a standard output that nobody reads, until it is released.
+type stuck struct {
+	mu      sync.Mutex
+	written bytes.Buffer
+	release chan struct{}
+}
+
+func (s *stuck) Write(line []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.written.Write(line)
+}
+
+func TestStuckOutputHoldsUpNobodyAndTellsWhatWasDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{release: make(chan struct{})}
+		w := New(out)
+		go w.Run()
+		log := Logger(w)
+		for range ringLines + 100 {
+			log.Info("request finished") // returns, though nothing can be written
+		}
+		close(out.release)
+		synctest.Wait()
+		log.Info("after")
+		w.Close()
+		is.True(strings.Contains(out.written.String(), `"msg":"log lines dropped"`))
+		is.True(strings.Contains(out.written.String(), `"msg":"after"`))
+	})
+}
+
+func TestRateOfLinesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		w := New(&out)
+		go w.Run()
+		log := Logger(w)
+		long := strings.Repeat("x", 4<<10)
+		for range 2000 { // eight megabytes in no time
+			log.Info("line", zap.String("long", long))
+			synctest.Wait()
+		}
+		w.Close()
+		is.True(out.Len() <= burstBytes+8<<10)
+	})
+}
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -27,10 +27,12 @@
 	// protocolVersion is refused by hosts that do not know it.
 	protocolVersion = 1
 	callTimeout     = 2 * time.Second
-	dialTimeout     = time.Second
-	idleLink        = 8 * time.Second
-	rpcName         = "Host"
-	rpcMethod       = "Host.Call"
+	// heartbeatsPerCall bounds a call on the platform.
+	heartbeatsPerCall = 3
+	dialTimeout       = time.Second
+	idleLink          = 8 * time.Second
+	rpcName           = "Host"
+	rpcMethod         = "Host.Call"
 )
 
 // Handler answers a call of another host.
@@ -244,7 +246,7 @@
 	if err != nil {
 		return nil, &SilentError{Address: address, Cause: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
 	var reply []byte
 	call := link.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
@@ -267,6 +269,15 @@
 	return reply, nil
 }
 
+// timeout bounds a call. On the platform callers wait for owners for less than a
+// second, so a silent one must show before.
+func (s *Service) timeout() time.Duration {
+	if s.common.Settings.Platform != nil {
+		return heartbeatsPerCall * s.common.Settings.Heartbeat.Std()
+	}
+	return callTimeout
+}
+
 // dial gives the link to a host, a new one if there is none.
 func (s *Service) dial(address string) (*client, error) {
 	s.mu.Lock()
@@ -282,7 +293,7 @@
 	if known != nil {
 		return known, nil
 	}
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", address, min(dialTimeout, s.timeout()))
 	if err != nil {
 		return nil, err
 	}
--- a/godwitmoord/pkg/serving/direct.go
+++ b/godwitmoord/pkg/serving/direct.go
@@ -133,6 +133,20 @@
 	return errFailed
 }
 
+// misleads tells whether a caller would read an answer's status as word that its
+// request did not run, though the endpoint did not say that.
+func (j *journey) misleads(status int) bool {
+	if !j.request.Keyless || j.request.Idempotent {
+		return false
+	}
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // instead gives a failed answer that was kept in place of a refusal.
 func (j *journey) instead(ending Ending) Ending {
 	if _, refused := ending.(Refused); !refused || j.failure == nil {
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -240,6 +240,10 @@
 	if j.mayRepeat() && answer.Status >= http.StatusInternalServerError && j.request.Keyless {
 		return j.keepFailure(answer, grant, start)
 	}
+	if j.misleads(answer.Status) {
+		grant.Done(permit.Usage{Total: time.Since(start)})
+		return &attempt.LostError{Address: address, Cause: errFailed}
+	}
 	err = j.relay.pass(answer)
 	if err != nil && yielded.Load() {
 		grant.Unused()
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -218,3 +220,16 @@
 	}
 	return problems
 }
+
+// Changed gives the fields, by JSON name, in which two settings differ.
+func Changed(before, after Settings) []string {
+	var names []string
+	old, fresh := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range old.NumField() {
+		if !reflect.DeepEqual(old.Field(i).Interface(), fresh.Field(i).Interface()) {
+			name, _, _ := strings.Cut(old.Type().Field(i).Tag.Get("json"), ",")
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -29,11 +29,13 @@
 
 // Service serves the status port.
 type Service struct {
-	common   *common.Common
-	members  *membership.Service
-	release  *release.Service
-	record   *record.Service
-	server   *http.Server
+	common  *common.Common
+	members *membership.Service
+	release *release.Service
+	record  *record.Service
+	server  *http.Server
+	// balancer answers the platform's balancer, on an address of its own.
+	balancer *http.Server
 	stopping atomic.Bool
 }
 
@@ -78,7 +80,7 @@
 		return errors.Wrap(err, "listen for operators; set a free status-listen address")
 	}
 	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
-	go s.run(listener)
+	go s.serve(s.server, listener)
 	return s.listenForBalancer()
 }
 
@@ -91,7 +93,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer; set a free readiness address")
 	}
-	go s.run(listener)
+	router := chi.NewRouter()
+	router.Get("/readyz", s.readyz)
+	s.balancer = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	go s.serve(s.balancer, listener)
 	return nil
 }
 
@@ -106,8 +111,9 @@
 	return r
 }
 
-func (s *Service) run(listener net.Listener) {
-	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+// serve answers on one listener until its server is shut down.
+func (s *Service) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		s.common.Log.Error("the status listener ended", zap.Error(err))
 	}
 }
@@ -139,7 +145,11 @@
 	if s.server == nil {
 		return nil
 	}
-	return errors.Wrap(s.server.Shutdown(ctx), "close the status port")
+	err := s.server.Shutdown(ctx)
+	if s.balancer != nil {
+		err = errors.CombineErrors(err, s.balancer.Shutdown(ctx))
+	}
+	return errors.Wrap(err, "close the status port")
 }
 
 // BeginStop makes the host not ready, so that the balancer sends no more.
