Grants of owners that did not know of each other: pages per owner, shares that rise late

Each owner now writes its own grants under its own key and a new one reads all; a host that was on its own counts against the share for a window; missed hosts make a host look around at once.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -72,10 +72,9 @@
 	order     []*endpoint
 	sequence  uint64
 	accounts  map[string]*account
-	// told is set when the owner began with what was written of earlier grants.
-	told bool
 	// complete is from when on all grants of a window are this owner's own.
 	complete Instant
+	window   time.Duration
 	repeats  repeats
 	free     []*endpoint
 	aside    []*waiter
@@ -110,6 +109,8 @@
 	switch e := event.(type) {
 	case Configured:
 		c.configure(e)
+	case Regained:
+		c.regain(e.Before)
 	case Asked:
 		c.ask(e.Ask)
 	case Withdrawn:
@@ -159,11 +160,12 @@
 	c.resizeQueues(e.Tiers)
 	c.setQuotas(e.Quotas, e.QuotaWindow)
 	if begins {
-		c.begin(e.Before)
-		if !e.Before.First {
-			c.complete = c.now.After(e.QuotaWindow)
-		}
+		c.recall(e.Before)
+	}
+	if e.Partial || (begins && !e.Before.First) {
+		c.complete = c.now.After(e.QuotaWindow)
 	}
+	c.window = e.QuotaWindow
 	c.repeats.configure(e.Repeats)
 	listed := make(map[string]bool, len(e.Endpoints))
 	c.order = c.order[:0]
@@ -367,7 +369,6 @@
 // reconcile takes up permits that an earlier owner granted, and gives back the
 // places of permits that the host no longer knows.
 func (c *Core) reconcile(e Listed) {
-	c.recall(e.Spent)
 	listed := make(map[string]bool, len(e.Permits))
 	for _, p := range e.Permits {
 		listed[p.ID] = true
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -88,7 +88,7 @@
 }
 
 // Before is what a new owner knows of earlier grants. The zero value means that
-// the hosts will tell.
+// there is nothing to know.
 type Before struct {
 	// First says that there was no owner before.
 	First bool `json:"first,omitempty"`
@@ -99,7 +99,7 @@
 	Spent []Spending `json:"spent,omitempty"`
 }
 
-// Event is what the core is told. It is one of Configured, Asked, Withdrawn,
+// Event is what the core is told. It is one of Configured, Regained, Asked, Withdrawn,
 // Progressed, Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
@@ -122,10 +122,17 @@
 		Settle        time.Duration   `json:"settle,omitempty"`
 		Quotas        []Quota         `json:"quotas,omitempty"`
 		QuotaWindow   time.Duration   `json:"quota-window,omitempty"`
+		// Partial says that other owners may be granting of the same quotas.
+		Partial bool `json:"partial,omitempty"`
 		// Before says what is known of grants before this owner, when it begins.
 		Before  Before      `json:"before,omitzero"`
 		Repeats RepeatBound `json:"repeats,omitzero"`
 	}
+	// Regained tells an owner that decides again what others granted meanwhile.
+	Regained struct {
+		At     Instant `json:"at"`
+		Before Before  `json:"before"`
+	}
 	// Asked brings a waiting request. Asking again with the same ID is harmless.
 	Asked struct {
 		At  Instant `json:"at"`
@@ -167,8 +174,6 @@
 		At      Instant  `json:"at"`
 		Host    string   `json:"host"`
 		Permits []Permit `json:"permits"`
-		// Spent is what the host was granted by an earlier owner; it comes once.
-		Spent []Spending `json:"spent,omitempty"`
 	}
 	// Reported is an endpoint's own, late word on the requests it runs.
 	Reported struct {
@@ -195,6 +200,7 @@
 )
 
 func (e Configured) at() Instant { return e.At }
+func (e Regained) at() Instant   { return e.At }
 func (e Asked) at() Instant      { return e.At }
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -9,9 +9,6 @@
 const (
 	// windowSlots divides each window over which something is counted.
 	windowSlots = 64
-	// settlingShare is the part of a quota that a new owner grants until it has
-	// heard from the hosts what was granted before it.
-	settlingShare = 0.5
 )
 
 // Quota bounds the tokens of one customer that one owner grants in any window.
@@ -104,7 +101,26 @@
 type account struct {
 	limit     float64
 	tolerance float64
-	granted   tally
+	// own is what this owner granted, others what others are known to have.
+	own, others tally
+	// untold is what was granted since Spent was last asked for.
+	untold float64
+}
+
+func (k *account) advance(now Instant) {
+	k.own.advance(now)
+	k.others.advance(now)
+}
+
+func (k *account) sum() float64 { return k.own.sum() + k.others.sum() }
+
+// both gives the grants of all owners together.
+func (k *account) both() tally {
+	both := k.own
+	for i, amount := range k.others.amounts {
+		both.amounts[i] += amount
+	}
+	return both
 }
 
 // setQuotas takes the quotas in force over. A lower one takes effect at once.
@@ -118,12 +134,15 @@
 		if c.accounts[q.Customer] == nil {
 			c.accounts[q.Customer] = &account{}
 		}
-		c.accounts[q.Customer].limit = q.Limit
-		c.accounts[q.Customer].tolerance = q.Tolerance
-		c.accounts[q.Customer].granted.width = int64(window) / windowSlots
+		k := c.accounts[q.Customer]
+		k.limit, k.tolerance = q.Limit, q.Tolerance
+		k.own.width = int64(window) / windowSlots
+		k.others.width = k.own.width
 	}
-	for customer := range c.accounts {
-		if !kept[customer] {
+	for customer, k := range c.accounts {
+		k.advance(c.now)
+		if !kept[customer] && k.sum() <= 0 {
+			// Not before: one version may leave out a customer that the next names.
 			delete(c.accounts, customer)
 		}
 	}
@@ -138,51 +157,79 @@
 		return 0, true
 	}
 	limit := k.limit
-	switch {
-	case c.now < c.settled && !c.told:
-		limit *= settlingShare
-	case c.now >= c.complete:
+	if c.now >= c.complete {
 		limit += k.tolerance
 	}
-	k.granted.advance(c.now)
+	k.advance(c.now)
 	tokens := float64(a.QuotaTokens)
 	room := limit - min(tokens, limit)
-	if k.granted.sum() > room {
-		return k.granted.fallsTo(room, c.now), false
+	if k.sum() > room {
+		both := k.both()
+		return both.fallsTo(room, c.now), false
 	}
-	k.granted.add(c.now, tokens)
+	k.own.add(c.now, tokens)
+	k.untold += tokens
 	return 0, true
 }
 
-// begin takes in what is known of grants before this owner. Customers of whom
-// nothing was found are taken to have used a share of their quotas, evenly.
-func (c *Core) begin(b Before) {
-	c.told = b.Assumed > 0
+// recall takes in what is known of the grants of others, in place of what was
+// known before. Customers of whom nothing was found are taken to have used a
+// share of their quotas, evenly.
+func (c *Core) recall(b Before) {
 	found := map[string]bool{}
 	for _, s := range b.Spent {
 		found[s.Customer] = true
 	}
-	c.recall(b.Spent)
 	for customer, k := range c.accounts {
+		k.advance(c.now)
+		k.others = tally{width: k.others.width, slot: k.others.slot}
 		if found[customer] || b.Assumed == 0 {
 			continue
 		}
-		k.granted.advance(c.now)
 		for i := range windowSlots {
-			k.granted.add(c.now.After(-time.Duration(int64(i)*k.granted.width)), b.Assumed*k.limit/windowSlots)
+			k.others.add(c.now.After(-time.Duration(int64(i)*k.others.width)), b.Assumed*k.limit/windowSlots)
+		}
+	}
+	for _, s := range b.Spent {
+		if k := c.accounts[s.Customer]; k != nil {
+			k.others.add(c.now.After(-s.Age), s.Tokens)
+		}
+	}
+}
+
+// regain takes in what others granted while this owner did not decide.
+func (c *Core) regain(b Before) {
+	c.complete = c.now.After(c.window)
+	if b.Assumed == 1 {
+		// Nothing could be read: what was known before is better than nothing.
+		return
+	}
+	b.Assumed = 0
+	c.recall(b)
+}
+
+// Untold gives the largest share of a quota that was granted since Spent was
+// last asked for, of customers that have used more than a share of theirs.
+func (c *Core) Untold(share float64) float64 {
+	largest := 0.0
+	for _, k := range c.accounts {
+		if k.limit > 0 && k.untold > 0 && k.sum() > share*k.limit {
+			largest = max(largest, k.untold/k.limit)
 		}
 	}
+	return largest
 }
 
-// Spent gives what was granted in the window to the customers that have used
-// more than a share of their quotas, by age.
+// Spent gives what this owner granted in the window to the customers that have
+// used more than a share of their quotas, by age.
 func (c *Core) Spent(share float64) []Spending {
 	var spent []Spending
 	for _, customer := range slices.Sorted(maps.Keys(c.accounts)) {
 		k := c.accounts[customer]
-		k.granted.advance(c.now)
-		if k.granted.sum() > share*k.limit {
-			spent = append(spent, k.granted.spending(customer, c.now)...)
+		k.advance(c.now)
+		if k.sum() > share*k.limit {
+			k.untold = 0
+			spent = append(spent, k.own.spending(customer, c.now)...)
 		}
 	}
 	return spent
@@ -203,18 +250,8 @@
 // refund gives back what a request was charged that is not sent.
 func (c *Core) refund(w *waiter) {
 	if k := c.accounts[w.ask.Customer]; k != nil && !w.ask.Repeat {
-		k.granted.advance(c.now)
-		k.granted.add(w.since, -float64(w.ask.QuotaTokens))
-	}
-}
-
-// recall counts what a host was granted by an earlier owner.
-func (c *Core) recall(spent []Spending) {
-	for _, s := range spent {
-		if k := c.accounts[s.Customer]; k != nil {
-			k.granted.advance(c.now)
-			k.granted.add(c.now.After(-s.Age), s.Tokens)
-		}
+		k.advance(c.now)
+		k.own.add(w.since, -float64(w.ask.QuotaTokens))
 	}
 }
 
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -44,7 +44,6 @@
 // Store is what the follower needs of the platform's store.
 type Store interface {
 	keyvalue.Watcher
-	Read(ctx context.Context, key string) (keyvalue.Entry, error)
 	// Put writes a key if it still stands at revision; zero means that it must
 	// not exist.
 	Put(ctx context.Context, key string, value []byte, revision int64) (keyvalue.Outcome, error)
@@ -248,10 +247,17 @@
 	return err
 }
 
-// Kept reads what was kept; nil if nothing was.
-func (s *Service) Kept(ctx context.Context, key string) ([]byte, error) {
-	entry, err := s.store.Read(ctx, s.layout.KeptKey(key))
-	return entry.Value, err
+// Kept gives what was kept under all keys that begin so.
+func (s *Service) Kept(ctx context.Context, prefix string) ([][]byte, error) {
+	listing, err := s.store.List(ctx, s.layout.KeptKey(prefix))
+	if err != nil {
+		return nil, err
+	}
+	values := make([][]byte, len(listing.Entries))
+	for i, e := range listing.Entries {
+		values[i] = e.Value
+	}
+	return values, nil
 }
 
 func (s *Service) register(ctx context.Context) bool {
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -92,7 +92,6 @@
 	held    map[string]*Grant
 	asked   map[string]string
 	listed  time.Time
-	ledger  ledger
 }
 
 // pending is an ask without an answer.
@@ -135,9 +134,6 @@
 		return err
 	}
 	e.ctx = ctx
-	if p := e.common.Settings.Platform; p != nil {
-		e.ledger.window = p.QuotaWindow.Std()
-	}
 	e.outbox = peer.Outbox{To: kernel.Owner, Service: peers, Address: e.members.Address, Failed: e.members.Avoid}
 	e.owners.local = e.take
 	peers.Handle(kernel.Dispatch, peer.Inbox(e.accept))
@@ -300,9 +296,6 @@
 			owner:    from.Name,
 		}}
 		e.held[m.ID] = result.grant
-		if !p.ask.Repeat {
-			e.ledger.note(time.Now(), p.service, p.ask.Customer, p.ask.QuotaTokens)
-		}
 	}
 	asked := p.owner
 	e.mu.Unlock()
@@ -355,7 +348,7 @@
 		case <-time.After(watchInterval):
 		}
 		for _, service := range e.movedServices() {
-			e.sendList(service, true)
+			e.sendList(service)
 		}
 		for _, p := range e.overdue() {
 			e.sendAsk(p, e.ownerOf(p.service))
@@ -417,18 +410,13 @@
 	}
 	e.mu.Unlock()
 	for service := range services {
-		e.sendList(service, false)
+		e.sendList(service)
 	}
 }
 
-// sendList tells the owner of a service what is held here; a new one also what
-// was granted here before.
-func (e *Entry) sendList(service string, moved bool) {
+// sendList tells the owner of a service what is held here.
+func (e *Entry) sendList(service string) {
 	e.mu.Lock()
-	var spent []permit.Spending
-	if moved {
-		spent = e.ledger.spent(time.Now(), service)
-	}
 	permits := []permit.Permit{}
 	for _, g := range e.held {
 		if g.service == service {
@@ -436,5 +424,5 @@
 		}
 	}
 	e.mu.Unlock()
-	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits, Spent: spent})
+	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits})
 }
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -13,16 +13,21 @@
 )
 
 const (
-	// keepInterval is how often an owner writes down what it granted to customers
-	// that have used more than keepShare of their quotas: only of those could a
-	// successor that knows nothing grant too much.
-	keepInterval = 500 * time.Millisecond
-	keepShare    = 0.75
+	// An owner writes down what it granted to customers that have used more than
+	// keepShare of their quotas: only of those could a successor that knows
+	// nothing grant too much. It does so every keepInterval, and as soon as
+	// untoldShare of a quota is not written, but not more often than keepPause.
+	keepShare    = 0.6
+	keepInterval = time.Second
+	keepPause    = 100 * time.Millisecond
+	untoldShare  = 0.03
 	// unwrittenShare is what a customer is taken to have used of whom nothing is
 	// written.
-	unwrittenShare = 0.6
+	unwrittenShare = 0.5
 	keptRing       = 16
 	keepTimeout    = 800 * time.Millisecond
+	// readTimeout bounds the wait for what an earlier owner wrote: asks wait too.
+	readTimeout = 300 * time.Millisecond
 	// clockError is how far the hosts' times of day may lie apart.
 	clockError = 500 * time.Millisecond
 	// shareInterval is how often the part of the fleet in touch is looked at,
@@ -34,17 +39,24 @@
 // keptStore keeps what must outlast the hosts.
 type keptStore interface {
 	Keep(ctx context.Context, key string, value []byte) error
-	Kept(ctx context.Context, key string) ([]byte, error)
+	// Kept gives what was kept under all keys that begin so.
+	Kept(ctx context.Context, prefix string) ([][]byte, error)
 }
 
-// keptPage is what an owner granted of one service in the window.
+// keptPage is what one owner granted of one service in the window.
 type keptPage struct {
 	Service string            `cbor:"1,keyasint"`
 	Spent   []permit.Spending `cbor:"2,keyasint"`
 	// Written is when, in Unix nanoseconds.
 	Written int64 `cbor:"3,keyasint"`
+	// Host and Incarnation are the life that granted it.
+	Host        string `cbor:"4,keyasint"`
+	Incarnation int64  `cbor:"5,keyasint"`
 }
 
+// grantsKey begins the keys of the pages of a service.
+func grantsKey(service string) string { return "granted/" + service + "/" }
+
 // keeper writes down what owners granted, for a time when no host remembers it.
 // The zero value keeps nothing.
 type keeper struct {
@@ -73,7 +85,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
-	if err := k.store.Keep(ctx, "granted/"+page.Service, data); err != nil {
+	if err := k.store.Keep(ctx, grantsKey(page.Service)+page.Host, data); err != nil {
 		k.owner.common.Count("owner.kept.failed")
 	}
 }
@@ -115,46 +127,70 @@
 	o.share = share
 }
 
-// before gives what is known of grants before a seat is opened. In a process
-// that has run for a while the hosts remember them.
+// before gives what is known of grants before a seat is opened.
 func (k *keeper) before(service string) permit.Before {
 	if k.store == nil {
 		return permit.Before{}
 	}
-	if time.Since(k.owner.started) > k.owner.common.Settings.Platform.QuotaWindow.Std() {
-		return permit.Before{}
-	}
-	if k.owner.common.Settings.Platform.FirstStart {
+	platform := k.owner.common.Settings.Platform
+	if platform.FirstStart && time.Since(k.owner.started) < platform.QuotaWindow.Std() {
 		return permit.Before{First: true}
 	}
-	ctx, cancel := context.WithTimeout(k.owner.ctx, keepTimeout)
+	ctx, cancel := context.WithTimeout(k.owner.ctx, readTimeout)
 	defer cancel()
-	page, err := k.read(ctx, service)
+	pages, err := k.read(ctx, service)
 	if err != nil {
 		k.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
 		return permit.Before{Assumed: 1}
 	}
-	age := max(0, time.Since(time.Unix(0, page.Written))-clockError)
-	for i := range page.Spent {
-		page.Spent[i].Age += age
+	found := permit.Before{Assumed: unwrittenShare}
+	for _, page := range pages {
+		found.Spent = append(found.Spent, page.inWindow(platform.QuotaWindow.Std())...)
 	}
-	k.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("lines", len(page.Spent)), zap.Duration("age", age))
-	return permit.Before{Assumed: unwrittenShare, Spent: page.Spent}
+	k.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Int("lines", len(found.Spent)))
+	return found
 }
 
-func (k *keeper) read(ctx context.Context, service string) (keptPage, error) {
-	var page keptPage
-	data, err := k.store.Kept(ctx, "granted/"+service)
-	if err != nil || data == nil {
-		return page, err
+// inWindow gives the grants of a page that still count.
+func (p keptPage) inWindow(window time.Duration) []permit.Spending {
+	age := max(0, time.Since(time.Unix(0, p.Written))-clockError)
+	var spent []permit.Spending
+	for _, s := range p.Spent {
+		if s.Age += age; s.Age < window {
+			spent = append(spent, s)
+		}
 	}
-	return page, errors.Wrap(cbor.Unmarshal(data, &page), "decode earlier grants")
+	return spent
+}
+
+// read gives the pages of a service that others wrote.
+func (k *keeper) read(ctx context.Context, service string) ([]keptPage, error) {
+	kept, err := k.store.Kept(ctx, grantsKey(service))
+	if err != nil {
+		return nil, err
+	}
+	var pages []keptPage
+	for _, data := range kept {
+		var page keptPage
+		if err := cbor.Unmarshal(data, &page); err != nil {
+			return nil, errors.Wrap(err, "decode earlier grants")
+		}
+		self := k.owner.common.Self
+		if page.Host != self.Name || page.Incarnation != self.Incarnation {
+			pages = append(pages, page)
+		}
+	}
+	return pages, nil
 }
 
 // keep hands what was granted to the keeper, when it is time.
 func (s *seat) keep() {
 	k := &s.owner.keeper
-	if k.store == nil || time.Since(s.kept) < keepInterval {
+	since := time.Since(s.kept)
+	if k.store == nil || since < keepPause {
+		return
+	}
+	if since < keepInterval && s.core.Untold(keepShare) < untoldShare {
 		return
 	}
 	s.kept = time.Now()
@@ -162,7 +198,9 @@
 	if len(spent) == 0 {
 		return
 	}
-	if !k.pages.Offer(keptPage{Service: s.service, Spent: spent, Written: time.Now().UnixNano()}) {
+	self := s.owner.common.Self
+	page := keptPage{Service: s.service, Spent: spent, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation}
+	if !k.pages.Offer(page) {
 		s.owner.common.Count("owner.kept.dropped")
 	}
 }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -34,6 +34,9 @@
 	// settleTime is how long a new owner leaves room for permits that entries
 	// have not told it of yet.
 	settleTime = time.Second
+	// awayTime is how long no ask may come to an owner before it must take others
+	// to have decided meanwhile.
+	awayTime = time.Second
 	// defaultQueueLimit bounds the queue of a service whose configuration does
 	// not.
 	defaultQueueLimit = 2000
@@ -44,9 +47,12 @@
 	// part beside, which the tolerance of quotas covers.
 	modelQuotaShare = 1.0
 	plainQuotaShare = 0.04
+	// partialShare is the part of its share that an owner grants that is not in
+	// touch with all hosts.
+	partialShare = 0.85
 	// toleranceShare is the part of what is tolerated beyond a quota that is used;
 	// the rest is for plain services and for changes of owners.
-	toleranceShare = 0.7
+	toleranceShare = 0.4
 )
 
 // Owner decides for the services that this host owns.
@@ -79,8 +85,10 @@
 	events  ring.Ring[permit.Event]
 	// before is what was found of grants before this seat was opened.
 	before permit.Before
-	// kept is when the grants were last written down.
-	kept time.Time
+	// kept is when the grants were last written down, asked when the last ask
+	// came.
+	kept  time.Time
+	asked time.Time
 }
 
 // NewOwner makes the service.
@@ -215,7 +223,7 @@
 	case stallKind:
 		return permit.Stalled{At: now, ID: m.ID}
 	case listKind:
-		return permit.Listed{At: now, Host: from, Permits: m.Permits, Spent: m.Spent}
+		return permit.Listed{At: now, Host: from, Permits: m.Permits}
 	default:
 		return nil
 	}
@@ -299,6 +307,10 @@
 		Window: p.RepeatWindow.Std(),
 	}
 	fleet := o.fleetShare()
+	if fleet < 1 {
+		// Others grant too until all have noticed.
+		fleet *= partialShare
+	}
 	share := plainQuotaShare
 	if service.Kind == configuration.Model {
 		share = modelQuotaShare
@@ -311,6 +323,7 @@
 		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * fleet, Tolerance: tolerance(limit, p, service, fleet)})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
+	event.Partial = fleet < 1
 }
 
 // tolerance gives the part of what the platform tolerates beyond a limit that an
@@ -350,6 +363,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-s.events.Slots():
+			s.regain(event)
 			s.step(event)
 		case <-ticker.C:
 			// Time changes nothing for a core that holds nothing.
@@ -361,6 +375,19 @@
 	}
 }
 
+// regain takes in what others granted while no ask came here for a while: they
+// may have gone to another owner.
+func (s *seat) regain(event permit.Event) {
+	if _, isAsk := event.(permit.Asked); !isAsk || s.owner.keeper.store == nil {
+		return
+	}
+	away := !s.asked.IsZero() && time.Since(s.asked) > awayTime
+	if away {
+		s.step(permit.Regained{At: instantNow(), Before: s.owner.keeper.before(s.service)})
+	}
+	s.asked = time.Now()
+}
+
 func (s *seat) step(event permit.Event) {
 	actions := s.core.Step(event)
 	s.number++
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -35,8 +35,6 @@
 	Patience time.Duration `cbor:"9,keyasint,omitempty"`
 	// Fault says how the endpoint failed.
 	Fault permit.Fault `cbor:"11,keyasint,omitempty"`
-	// Spent is what this host was granted by an earlier owner.
-	Spent []permit.Spending `cbor:"10,keyasint,omitempty"`
 }
 
 // ownerMessage goes from the owner of a service to an entry.
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -40,6 +40,9 @@
 	avoidInterval = 2 * time.Second
 	settleBound   = 8 * time.Second
 	settleBeats   = 4
+	// briefAbsence is how long a host may be missed without counting as having been
+	// on its own.
+	briefAbsence = time.Second
 	// newLife is how long a process is certainly the newest of its host.
 	newLife = time.Second
 	// shareMemory is how long a silent host may yet be serving by itself.
@@ -141,6 +144,13 @@
 	// since is when the row came to its state.
 	since   time.Time
 	avoided time.Time
+	// away is when the host was last missed, returned when the same life of it
+	// came back from an absence that was more than brief.
+	away     time.Time
+	returned time.Time
+	// unreached is since when this host itself has had no answer from it, though
+	// others may; zero while it answers.
+	unreached time.Time
 	// spread is how many more times the row is sent along.
 	spread int
 }
@@ -161,6 +171,7 @@
 	table  map[string]*entry
 	self   entry
 	order  []string
+	looked time.Time
 	listed []listedHost
 	lost   []func(host.Identity)
 	// differing counts probes in a row after which the tables differed.
@@ -284,9 +295,25 @@
 	defer s.mu.Unlock()
 	if e := s.table[name]; e != nil {
 		e.avoided = time.Now()
+		e.miss()
 	}
 }
 
+// miss notes that a call to the host got no answer.
+func (e *entry) miss() {
+	if e.unreached.IsZero() {
+		e.unreached = time.Now()
+	}
+}
+
+// meet notes that a call to the host was answered.
+func (e *entry) meet() {
+	if !e.unreached.IsZero() && time.Since(e.unreached) > briefAbsence {
+		e.returned = time.Now()
+	}
+	e.unreached = time.Time{}
+}
+
 // Address gives a host's address for calls.
 func (s *Service) Address(name string) (string, bool) {
 	s.mu.Lock()
@@ -361,6 +388,12 @@
 	}
 	for _, e := range s.table {
 		switch {
+		case e.row.State == Alive && !e.unreached.IsZero():
+			// Others may reach it, and follow it as their owner.
+			lost++
+		case e.row.State == Alive && time.Since(e.returned) < s.quotaWindow():
+			// What it granted while it was away still counts.
+			lost++
 		case e.row.State == Alive && e.row.Phase != Leaving:
 			alive++
 		case e.row.State != Alive && time.Since(e.since) < shareMemory && e.row.Phase != Leaving:
@@ -370,6 +403,14 @@
 	return float64(alive) / float64(alive+lost)
 }
 
+// quotaWindow is how long grants count.
+func (s *Service) quotaWindow() time.Duration {
+	if p := s.common.Settings.Platform; p != nil {
+		return p.QuotaWindow.Std()
+	}
+	return 0
+}
+
 // unmet counts the listed hosts that are not known yet; s.mu is held.
 func (s *Service) unmet() int {
 	count := 0
@@ -446,6 +487,16 @@
 	if e.row.State != r.State || e.row.Incarnation != r.Incarnation {
 		e.since = time.Now()
 	}
+	sameLife := e.row.Incarnation == r.Incarnation
+	switch {
+	case e.row.State == Alive && r.State != Alive:
+		e.away = time.Now()
+	case e.row.State != Alive && r.State == Alive && sameLife && time.Since(e.away) > briefAbsence:
+		e.returned = time.Now()
+	}
+	if !sameLife {
+		e.unreached, e.returned = time.Time{}, time.Time{}
+	}
 	e.row = r
 	e.spread = s.spreadCount()
 }
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -18,6 +18,10 @@
 	greetings = 2
 	// startBeats is how many probes fit in a heartbeat while the fleet is unknown.
 	startBeats = 5
+	// lookLimit bounds the hosts that are probed at once after one did not answer,
+	// lookPause how often that happens.
+	lookLimit = 12
+	lookPause = 300 * time.Millisecond
 	// relays is how many others probe a host that did not answer.
 	relays = 3
 	// newsLimit bounds the rows that travel with a probe.
@@ -151,7 +155,9 @@
 func (p *probe) run(ctx context.Context) {
 	s := p.service
 	reply, err := s.ask(ctx, p.target.Address, message{Kind: probeKind}, answerTimeout)
+	s.noteContact(p.target, err == nil)
 	if err != nil {
+		s.lookAround(ctx)
 		if !p.reachedByOthers(ctx) {
 			s.suspect(p.target.Name, p.target.Incarnation)
 		}
@@ -162,6 +168,44 @@
 	}
 }
 
+// noteContact notes whether a life of a host answered this one.
+func (s *Service) noteContact(target row, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.table[target.Name]
+	switch {
+	case e == nil || e.row.Incarnation != target.Incarnation:
+	case answered:
+		e.meet()
+	default:
+		e.miss()
+	}
+}
+
+// lookAround probes several more hosts at once after one did not answer: what cut
+// that one off may have cut off others, and owners must know soon.
+func (s *Service) lookAround(ctx context.Context) {
+	if s.common.Settings.Platform == nil {
+		return
+	}
+	s.mu.Lock()
+	var others []row
+	if time.Since(s.looked) > lookPause {
+		s.looked = time.Now()
+		for _, e := range s.table {
+			if e.row.State == Alive {
+				others = append(others, e.row)
+			}
+		}
+	}
+	s.mu.Unlock()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, r := range others[:min(lookLimit, len(others))] {
+		p := &probe{service: s, target: r}
+		go p.run(ctx)
+	}
+}
+
 // reachedByOthers has a few other hosts probe the target.
 func (p *probe) reachedByOthers(ctx context.Context) bool {
 	helpers := p.service.helpers(p.target.Name)
