Give a silent attempt up only for a place elsewhere

The rule has it that silence is no reason to end an answer sooner. An attempt is now kept until a permit at another endpoint is held.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -47,12 +47,18 @@
 	// that for each further part.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
-	// AliveTimeout is how much longer both are while the endpoint answers others.
-	AliveTimeout time.Duration
-	// Silent is called whenever the endpoint has been silent for another Notice;
-	// zero never calls it.
+	// Silent is called whenever the endpoint has been silent for another Notice,
+	// and tells whether to give the attempt up; nil never does.
 	Notice time.Duration
-	Silent func()
+	Silent func(Silence) bool
+}
+
+// Silence is how long nothing has come from an endpoint.
+type Silence struct {
+	// Lasted is how long nothing came of this attempt.
+	Lasted time.Duration
+	// Alive is set when the endpoint sent something on other connections since.
+	Alive bool
 }
 
 // NotSentError says that the endpoint did not run the request and will not: no
@@ -184,8 +190,8 @@
 }
 
 // wait makes the bound on one silence.
-func (x *passage) wait(bound time.Duration) silence {
-	return silence{bound: bound, alive: x.parcel.AliveTimeout, notice: x.parcel.Notice, tell: x.parcel.Silent}
+func (x *passage) wait(bound time.Duration) waiting {
+	return waiting{bound: bound, notice: x.parcel.Notice, tell: x.parcel.Silent}
 }
 
 // end gives the connection back when it is fit for another request, and closes
--- a/godwitmoord/pkg/attempt/link.go
+++ b/godwitmoord/pkg/attempt/link.go
@@ -261,38 +261,32 @@
 	s.heard[address] = time.Now()
 }
 
-// silentFor gives how long nothing has come from an endpoint on any connection,
-// at most as long as the wait that began at a time.
-func (s *Sender) silentFor(address string, began time.Time) time.Duration {
+// heardSince tells whether anything came from an endpoint, on any connection.
+func (s *Sender) heardSince(address string, began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(time.Since(began), time.Since(s.heard[address]))
+	return s.heard[address].After(began)
 }
 
-// silence bounds one wait for bytes of an endpoint.
-type silence struct {
-	bound time.Duration
-	// alive is how much longer the bound is while the endpoint sends something on
-	// other connections.
-	alive  time.Duration
+// waiting bounds one wait for bytes of an endpoint.
+type waiting struct {
+	// bound ends the wait; zero does not.
+	bound  time.Duration
 	notice time.Duration
-	tell   func()
+	tell   func(Silence) bool
 }
 
 // await waits until something came, and leaves bound for what follows it.
-func (l *link) await(s silence) error {
-	started := time.Now()
+func (l *link) await(w waiting) error {
+	began := time.Now()
 	for l.reader.Buffered() == 0 {
-		left := s.bound - l.sender.silentFor(l.address, started)
-		if whole := s.bound + s.alive - time.Since(started); whole < left || s.alive == 0 {
-			left = whole
-		}
-		if s.bound > 0 && left <= 0 {
+		left := w.bound - time.Since(began)
+		if w.bound > 0 && left <= 0 {
 			return errSilent
 		}
 		step := max(left, 0)
-		if s.notice > 0 && s.tell != nil && (step == 0 || s.notice < step) {
-			step = s.notice
+		if w.notice > 0 && w.tell != nil && (step == 0 || w.notice < step) {
+			step = w.notice
 		}
 		l.expectWithin(step)
 		_, err := l.reader.Peek(1)
@@ -301,17 +295,17 @@
 		case err == nil:
 		case !errors.As(err, &timeout) || !timeout.Timeout():
 			return err
-		case s.tell != nil && l.sender.silentFor(l.address, started) >= s.notice:
-			s.tell()
+		case w.tell != nil && w.tell(Silence{Lasted: time.Since(began), Alive: l.sender.heardSince(l.address, began)}):
+			return errSilent
 		}
 	}
 	l.sender.note(l.address)
-	l.expectWithin(s.bound)
+	l.expectWithin(w.bound)
 	return nil
 }
 
 // read gives the next final answer on the connection.
-func (l *link) read(method string, wait silence) (*http.Response, error) {
+func (l *link) read(method string, wait waiting) (*http.Response, error) {
 	for {
 		if err := l.await(wait); errors.Is(err, errSilent) {
 			l.sender.Forget(l.address)
--- a/godwitmoord/pkg/serving/direct.go
+++ b/godwitmoord/pkg/serving/direct.go
@@ -21,18 +21,13 @@
 	// keptFailureBytes bounds a failed answer that is kept while another endpoint
 	// is tried.
 	keptFailureBytes = 64 << 10
-	// firstSilence is how long an endpoint may be silent before a request that
-	// may run elsewhere moves on; beside it counts what the work should take.
-	firstSilence = 400 * time.Millisecond
-	// silenceNotice is the least silence after which the owner of an endpoint is
-	// told of it.
-	silenceNotice = 450 * time.Millisecond
 )
 
 // direct serves a request that needs no claim. What may run again is sent to
 // another endpoint when an attempt fails, and a stream goes on where it
 // stopped; what may not is sent once more only while it certainly did not run.
 func (j *journey) direct(ctx context.Context) Ending {
+	defer j.dropNext()
 	for sends := 1; ; sends++ {
 		grant, ending := j.acquire(ctx)
 		if ending != nil {
@@ -160,17 +155,19 @@
 	return Delivered{}
 }
 
-// keylessSilence bounds the silence of an endpoint. Where the request can't run
-// elsewhere, waiting on costs nothing but the place.
-func (j *journey) keylessSilence(estimate time.Duration) time.Duration {
-	left := time.Until(j.request.Deadline)
-	if !j.mayRepeatOnce() {
-		return left
+// mayRunBeside tells whether another run is allowed beside the present attempt.
+func (j *journey) mayRunBeside() bool {
+	runs := j.runs
+	if j.awaiting {
+		runs++
 	}
-	return min(left, max(firstSilence, j.request.Goal)+estimate)
+	return j.request.Idempotent && runs < j.maxRuns()
 }
 
-// mayRepeatOnce tells whether another run is allowed beside the one to come.
-func (j *journey) mayRepeatOnce() bool {
-	return j.request.Idempotent && j.runs+1 < j.maxRuns()
+// dropNext gives back a permit that was got and is not needed.
+func (j *journey) dropNext() {
+	if j.next != nil {
+		j.next.Unused()
+		j.next = nil
+	}
 }
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -116,6 +116,10 @@
 	claimTried bool
 	// suspensions counts the attempts that gave way to a higher tier.
 	suspensions int
+	// awaiting is set while an attempt has no answer yet.
+	awaiting bool
+	// next is a permit that was got before an attempt was given up for silence.
+	next *dispatch.Grant
 	// queued is the time spent waiting for permits.
 	queued time.Duration
 }
@@ -160,6 +164,11 @@
 	j.attempts = append(j.attempts, id)
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if next := j.next; next != nil {
+		j.next = nil
+		j.endpoint = next.Permit.Endpoint
+		return next, nil
+	}
 	asked := time.Now()
 	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), j.times(deadline))
 	j.queued += time.Since(asked)
@@ -217,10 +226,12 @@
 		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("it left the configuration")}
 	}
 	start, from := time.Now(), j.relay.events
-	parcel := j.parcel(grant)
+	parcel := j.parcel(ctx, grant)
 	j.relay.firstByte = time.Time{}
 	j.relay.onFirst = j.teacher(grant, start)
+	j.awaiting = true
 	answer, err := j.service.sender.Send(ctx, address, parcel)
+	j.awaiting = false
 	if err != nil {
 		if !errors.HasType(err, (*attempt.NotSentError)(nil)) {
 			j.sent = true
@@ -272,16 +283,16 @@
 }
 
 // parcel makes what goes to the granted endpoint.
-func (j *journey) parcel(grant *dispatch.Grant) attempt.Parcel {
+func (j *journey) parcel(ctx context.Context, grant *dispatch.Grant) attempt.Parcel {
 	parcel := j.request.parcel(grant.Permit.ID, grant.Permit.Endpoint)
 	parcel.Order.Offset = j.relay.events
 	parcel.Order.LastEvent = j.relay.lastEvent
 	parcel.FirstByteTimeout = j.silenceBound(parcel.FirstByteTimeout, grant.Estimate)
 	parcel.GapTimeout = j.silenceBound(parcel.GapTimeout, grant.Estimate)
 	if j.request.Keyless {
-		parcel.Notice = max(silenceNotice, grant.Estimate)
-		parcel.Silent = grant.Stalled
-		parcel.AliveTimeout = j.request.Patience / 2
+		w := &silenceWatch{journey: j, grant: grant, ctx: ctx}
+		parcel.Notice = silenceNotice
+		parcel.Silent = w.tell
 	}
 	return parcel
 }
@@ -319,7 +330,8 @@
 // its time still lets another endpoint finish it.
 func (j *journey) silenceBound(timeout, estimate time.Duration) time.Duration {
 	if j.request.Keyless {
-		return j.keylessSilence(estimate)
+		// The journey's own deadline bounds it; silenceWatch moves it before.
+		return 0
 	}
 	if !j.request.Idempotent {
 		return timeout
