Tests of what was built for the platform; three faults that they found

An answer without a body was waited for until its deadline: every 503 of a full endpoint and every failed lookup was held so. The id of a stream's last event was lost where an event's data held "id:". Each has its test. The stand-ins of the platform's store and workers are in platform/platformtest; the daemon runs against them in its own tests.

--- /dev/null
+++ b/coordination/pkg/permit/goals_test.go
@@ -0,0 +1,201 @@
+package permit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/permit"
+)
+
+// pool is an owner of model endpoints whose answers have goals.
+type pool struct {
+	is   *is.I
+	core permit.Core
+	now  permit.Instant
+	// places holds the endpoint of each permit in use.
+	places  map[string]string
+	refused map[string]permit.Refused
+	teach   map[string]bool
+}
+
+var weights = []float64{20, 5.5, 1}
+
+func openPool(t *testing.T, endpoints ...permit.EndpointRules) *pool {
+	p := &pool{is: is.New(t), now: permit.Instant(time.Hour), places: map[string]string{}, refused: map[string]permit.Refused{}, teach: map[string]bool{}}
+	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 1000, Weights: weights, Endpoints: endpoints})
+	return p
+}
+
+func engine(name string, limit int) permit.EndpointRules {
+	return permit.EndpointRules{Name: name, Limit: limit, PrefillSpeed: 100_000, DecodeSpeed: 50}
+}
+
+func (p *pool) step(e permit.Event) {
+	for _, action := range p.core.Step(e) {
+		switch a := action.(type) {
+		case permit.Granted:
+			p.places[a.ID] = a.Endpoint
+			p.teach[a.ID] = a.Teach
+		case permit.Refused:
+			p.refused[a.ID] = a
+		case permit.Suspended:
+			p.is.Fail() // engines here know no resuming
+		}
+	}
+}
+
+// want asks for an answer whose first part is wanted within goal.
+func (p *pool) want(id string, tier int, goal time.Duration) {
+	p.step(permit.Asked{At: p.now, Ask: permit.Ask{
+		ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: 20, GapGoal: 300 * time.Millisecond,
+		Deadline: p.now.After(12 * time.Second), Goal: p.now.After(goal), Patience: p.now.After(2400 * time.Millisecond),
+	}})
+}
+
+func (p *pool) pass(d time.Duration) {
+	for end := p.now.After(d); p.now < end; p.now = p.now.After(10 * time.Millisecond) {
+		p.step(permit.Ticked{At: p.now})
+	}
+}
+
+func (p *pool) finish(id string, first, total time.Duration) {
+	delete(p.places, id)
+	p.step(permit.Finished{At: p.now, ID: id, Usage: permit.Usage{PromptTokens: 1000, AnswerTokens: 20, FirstByte: first, Total: total}})
+}
+
+func TestWorkIsServedByItsWorthForTheTimeItTakes(t *testing.T) {
+	p := openPool(t, engine("i-1", 1))
+	// Of each tier one is run first: a plan takes 2 s, a question 1 s, a check 0.1 s.
+	for tier, took := range []time.Duration{2 * time.Second, time.Second, 100 * time.Millisecond} {
+		id := fmt.Sprint("known-", tier)
+		p.want(id, tier, 400*time.Millisecond)
+		p.finish(id, 50*time.Millisecond, took)
+	}
+	p.pass(3 * time.Second)
+	p.want("running", 1, 400*time.Millisecond)
+	patient := func(id string, tier int) {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: 20, Deadline: p.now.After(time.Minute), Goal: p.now.After(time.Second)}})
+	}
+	patient("question", 1)
+	patient("check", 2)
+	patient("plan", 0)
+	for _, next := range []string{"plan", "check", "question"} {
+		for id := range p.places {
+			p.finish(id, 50*time.Millisecond, 100*time.Millisecond)
+		}
+		p.is.Equal(p.places[next], "i-1")
+	}
+}
+
+func TestMissedGoalGoesBehindThoseThatCanStillBeMet(t *testing.T) {
+	p := openPool(t, engine("i-1", 1))
+	p.want("running", 1, 400*time.Millisecond)
+	p.want("late", 1, 100*time.Millisecond)
+	p.pass(300 * time.Millisecond)
+	p.want("fresh", 1, 400*time.Millisecond)
+	p.finish("running", 50*time.Millisecond, 100*time.Millisecond)
+	p.is.Equal(p.places["fresh"], "i-1")
+	p.finish("fresh", 50*time.Millisecond, 100*time.Millisecond)
+	p.is.Equal(p.places["late"], "i-1") // late is still worth something
+}
+
+func TestHopelessRequestHearsSoAtOnceAndWhenToComeBack(t *testing.T) {
+	p := openPool(t, engine("i-1", 1))
+	p.want("known", 1, 400*time.Millisecond)
+	p.finish("known", 50*time.Millisecond, time.Second)
+	for i := range 12 { // a place turns over once a second; callers wait 2.4 s
+		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+	}
+	p.is.True(len(p.refused) >= 7)
+	for id, refused := range p.refused {
+		p.is.Equal(refused.Reason, permit.Crowded)
+		p.is.Equal(refused.Waited, time.Duration(0)) // nothing was held in vain
+		p.is.True(refused.RetryAfter >= 250*time.Millisecond)
+		p.is.Equal(p.places[id], "")
+	}
+}
+
+func TestUnknownEndpointGetsTwoRequestsUntilItShows(t *testing.T) {
+	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
+	for i := range 5 {
+		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+	}
+	p.is.Equal(len(p.places), 2)
+	p.is.True(p.teach["ask-0"])
+	p.step(permit.Progressed{At: p.now, ID: "ask-0", Usage: permit.Usage{PromptTokens: 1000, FirstByte: 60 * time.Millisecond}})
+	p.is.Equal(len(p.places), 5)
+}
+
+func TestCostOfAPromptIsToldFromWhatAllRequestsTake(t *testing.T) {
+	p := openPool(t, permit.EndpointRules{Name: "slow", Limit: 1}, permit.EndpointRules{Name: "fast", Limit: 1})
+	// Both take 60 ms for each request; a token costs 24 µs on one, 5 µs on the other.
+	cost := map[string]float64{"slow": 24, "fast": 5}
+	for i := range 20 {
+		tokens := 500 + 700*(i%7)
+		ids := []string{fmt.Sprint("first-", i), fmt.Sprint("second-", i)} // one on each endpoint
+		for _, id := range ids {
+			p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, PromptTokens: tokens, Deadline: p.now.After(time.Minute), Goal: p.now.After(time.Second)}})
+		}
+		for _, id := range ids {
+			first := 60*time.Millisecond + time.Duration(cost[p.places[id]]*float64(tokens))*time.Microsecond
+			p.step(permit.Finished{At: p.now, ID: id, Usage: permit.Usage{PromptTokens: tokens, AnswerTokens: 1, FirstByte: first, Total: first + 10*time.Millisecond}})
+		}
+		p.pass(100 * time.Millisecond)
+	}
+	// A prompt of 30,000 tokens can meet its goal of 400 ms on the fast one alone.
+	p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: "long", PromptTokens: 30_000, AnswerTokens: 1, Deadline: p.now.After(time.Minute), Goal: p.now.After(400 * time.Millisecond)}})
+	p.is.Equal(p.places["long"], "fast")
+}
+
+func TestFullEndpointRestsForAMomentOnly(t *testing.T) {
+	p := openPool(t, engine("i-1", 5))
+	p.want("a", 1, 400*time.Millisecond)
+	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.TurnedDown})
+	p.want("b", 1, 400*time.Millisecond)
+	p.is.Equal(p.places["b"], "")
+	p.pass(200 * time.Millisecond)
+	p.is.Equal(p.places["b"], "i-1")
+}
+
+func TestOneLostAnswerDoesNotCloseAnEndpoint(t *testing.T) {
+	p := openPool(t, engine("i-1", 5))
+	p.want("a", 1, 400*time.Millisecond)
+	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.Lost})
+	p.want("b", 1, 400*time.Millisecond)
+	p.is.Equal(p.places["b"], "i-1")
+	for i := range 8 { // all answers are lost
+		id := fmt.Sprint("lost-", i)
+		p.want(id, 1, 400*time.Millisecond)
+		p.step(permit.Failed{At: p.now, ID: id, Fault: permit.Lost})
+	}
+	p.want("c", 1, 400*time.Millisecond)
+	p.is.Equal(p.places["c"], "")
+}
+
+func TestSilentRequestStallsItsEndpointOnlyWhereNoOtherIsAnswered(t *testing.T) {
+	p := openPool(t, engine("i-1", 5))
+	p.want("slow", 1, 400*time.Millisecond)
+	p.want("other", 1, 400*time.Millisecond)
+	p.pass(500 * time.Millisecond)
+	p.finish("other", 50*time.Millisecond, 500*time.Millisecond)
+	p.step(permit.Stalled{At: p.now, ID: "slow"})
+	p.want("next", 1, 400*time.Millisecond)
+	p.is.Equal(p.places["next"], "i-1") // the endpoint answers others
+	p.pass(500 * time.Millisecond)
+	p.step(permit.Stalled{At: p.now, ID: "next"})
+	p.want("later", 1, 400*time.Millisecond)
+	p.is.Equal(p.places["later"], "")
+}
+
+func TestLongPromptStaysOffEndpointsWhereItHoldsUpOthersUntilItMust(t *testing.T) {
+	slow := permit.EndpointRules{Name: "slow", Limit: 5, PrefillSpeed: 20_000, DecodeSpeed: 20}
+	p := openPool(t, slow)
+	p.want("stream", 1, 400*time.Millisecond)
+	long := permit.Ask{ID: "long", PromptTokens: 8000, AnswerTokens: 20, Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second), Patience: p.now.After(2400 * time.Millisecond)}
+	p.step(permit.Asked{At: p.now, Ask: long})
+	p.is.Equal(p.places["long"], "") // 400 ms of prompt would break the stream's pauses
+	p.pass(700 * time.Millisecond)
+	p.is.Equal(p.places["long"], "slow") // it can't wait any longer
+}
--- /dev/null
+++ b/coordination/pkg/permit/limits_test.go
@@ -0,0 +1,172 @@
+package permit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/permit"
+)
+
+// bounded is an owner of a service with room for everything but quotas.
+type bounded struct {
+	core permit.Core
+	now  permit.Instant
+	next int
+}
+
+const window = 8 * time.Second
+
+func (d *bounded) configure(e permit.Configured) {
+	e.At, e.Tiers, e.QueueLimit, e.QuotaWindow = d.now, 3, 100, window
+	if e.Endpoints == nil {
+		e.Endpoints = []permit.EndpointRules{{Name: "i-1", Limit: 10_000}}
+	}
+	d.core.Step(e)
+}
+
+// ask asks for a place and gives the decision.
+func (d *bounded) ask(a permit.Ask) permit.Action {
+	d.next++
+	a.ID, a.Deadline = fmt.Sprint("ask-", d.next), d.now.After(time.Minute)
+	actions := d.core.Step(permit.Asked{At: d.now, Ask: a})
+	if len(actions) == 0 {
+		return nil
+	}
+	return actions[0]
+}
+
+func (d *bounded) granted(customer string, tokens int) bool {
+	_, granted := d.ask(permit.Ask{Customer: customer, QuotaTokens: tokens}).(permit.Granted)
+	return granted
+}
+
+func (d *bounded) pass(t time.Duration) { d.now = d.now.After(t) }
+
+func openBounded() *bounded { return &bounded{now: permit.Instant(time.Hour)} }
+
+func quota(limit float64) []permit.Quota { return []permit.Quota{{Customer: "tower", Limit: limit}} }
+
+func TestQuotaHoldsInEveryWindowAndTellsWhenThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{First: true}})
+	for range 10 {
+		is.True(d.granted("tower", 100)) // all at once is within the window
+	}
+	refused, isRefusal := d.ask(permit.Ask{Customer: "tower", QuotaTokens: 100}).(permit.Refused)
+	is.True(isRefusal)
+	is.Equal(refused.Reason, permit.OverQuota)
+	is.True(d.granted("other", 100)) // nobody else is held back
+	d.pass(refused.RetryAfter)
+	is.True(d.granted("tower", 100))
+	is.True(refused.RetryAfter > window-time.Second && refused.RetryAfter <= window+time.Second)
+}
+
+func TestLowerQuotaTakesEffectAtOnceAndIsKeptOverVersions(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 600))
+	d.configure(permit.Configured{Quotas: quota(500)})
+	is.True(!d.granted("tower", 10))
+	d.configure(permit.Configured{}) // one version leaves the customer out
+	d.configure(permit.Configured{Quotas: quota(1000)})
+	is.True(!d.granted("tower", 600)) // what it used before still counts
+}
+
+func TestRefusedRequestIsNotCharged(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Endpoints: []permit.EndpointRules{{Name: "i-1", Limit: 1}}, Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 400))
+	is.Equal(d.ask(permit.Ask{Customer: "tower", QuotaTokens: 400}), nil) // waits
+	d.core.Step(permit.Withdrawn{At: d.now, ID: "ask-2"})
+	d.core.Step(permit.Withdrawn{At: d.now, ID: "ask-1"}) // its place is free again
+	is.True(d.granted("tower", 600))
+}
+
+func TestNewOwnerCountsWhatOthersGranted(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	spent := []permit.Spending{{Customer: "tower", Tokens: 900, Age: 2 * time.Second}}
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{Assumed: 0.5, Spent: spent}})
+	is.True(!d.granted("tower", 200))
+	is.True(d.granted("tower", 100))
+	d.pass(window - time.Second) // what the earlier owner granted is out of the window
+	is.True(d.granted("tower", 800))
+}
+
+func TestNewOwnerThatKnowsNothingTakesQuotasAsUsed(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{Assumed: 1}})
+	is.True(!d.granted("tower", 200))
+	d.pass(window / 2)
+	is.True(d.granted("tower", 400))
+	is.True(!d.granted("tower", 200))
+}
+
+func TestOwnerThatDecidesAgainTakesInWhatOthersGranted(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 300))
+	others := []permit.Spending{{Customer: "tower", Tokens: 500}}
+	d.core.Step(permit.Regained{At: d.now, Before: permit.Before{Spent: others}})
+	is.True(!d.granted("tower", 300))
+	is.True(d.granted("tower", 200))
+	// Where nothing could be read, what was known before stays.
+	d.core.Step(permit.Regained{At: d.now, Before: permit.Before{Assumed: 1}})
+	is.True(!d.granted("tower", 100))
+}
+
+func TestToleranceIsForAnOwnerThatKnowsTheWholeWindow(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	tolerant := []permit.Quota{{Customer: "tower", Limit: 1000, Tolerance: 200}}
+	d.configure(permit.Configured{Quotas: tolerant, Before: permit.Before{Assumed: 0.1}})
+	d.pass(window + time.Second)
+	is.True(d.granted("tower", 1000))
+	is.True(d.granted("tower", 200))
+	is.True(!d.granted("tower", 10))
+	d.pass(2 * window)
+	d.configure(permit.Configured{Quotas: tolerant, Partial: true}) // the fleet is split
+	is.True(d.granted("tower", 1000))
+	is.True(!d.granted("tower", 100))
+}
+
+func TestWhatWasGrantedCanBeWrittenDown(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: append(quota(1000), permit.Quota{Customer: "shop", Limit: 1000}), Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 700))
+	is.True(d.granted("shop", 100))
+	is.Equal(d.core.Untold(0.6), 0.7)
+	spent := d.core.Spent(0.6)
+	is.Equal(len(spent), 1) // the shop is far from its quota
+	is.Equal(spent[0].Customer, "tower")
+	is.Equal(spent[0].Tokens, 700.0)
+	is.Equal(d.core.Untold(0.6), 0.0)
+}
+
+func TestRepeatsAreBoundedByRequests(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Repeats: permit.RepeatBound{Ratio: 0.2, Slack: 2, Window: 10 * time.Second}})
+	for range 10 {
+		is.True(d.granted("tower", 0))
+	}
+	repeat := permit.Ask{Repeat: true}
+	for range 4 { // two for ten requests, and the slack
+		_, granted := d.ask(repeat).(permit.Granted)
+		is.True(granted)
+	}
+	refused, isRefusal := d.ask(repeat).(permit.Refused)
+	is.True(isRefusal)
+	is.Equal(refused.Reason, permit.NoRepeat)
+	d.pass(11 * time.Second)
+	_, granted := d.ask(repeat).(permit.Granted)
+	is.True(granted)
+}
--- /dev/null
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -0,0 +1,296 @@
+package app_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/godwitmoord/pkg/app"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+	"godwitmoor.example/platform/platformtest"
+)
+
+// site is a deployment on the platform: one daemon, the store's stand-in and
+// two workers of each service.
+type site struct {
+	t       *testing.T
+	is      *is.I
+	store   *platformtest.Store
+	workers map[string]*platformtest.Worker
+	entries map[string]string
+	front   string
+	ready   string
+	version int
+	keys    string
+}
+
+func openSite(t *testing.T) *site {
+	t.Helper()
+	s := newSite(t)
+	s.declare()
+	for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
+		s.register(name, "ready")
+	}
+	s.launch()
+	s.eventually("the host is ready", func() bool { return s.probe() == http.StatusOK })
+	return s
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{
+		t: t, is: is.New(t), store: platformtest.NewStore(),
+		workers: map[string]*platformtest.Worker{}, entries: map[string]string{}, keys: `"good-key"`,
+	}
+	for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
+		worker := &platformtest.Worker{ID: name}
+		if strings.HasPrefix(name, "pool") {
+			worker.Events = 6
+		}
+		server := httptest.NewServer(worker)
+		t.Cleanup(server.Close)
+		s.workers[name], s.entries[name] = worker, strings.TrimPrefix(server.URL, "http://")
+	}
+	return s
+}
+
+// declare writes the next version of the operators' configuration.
+func (s *site) declare() {
+	s.version++
+	route := `{"Name":"%s","Host":"shop.example","PathPrefix":"/%s/","RouteKind":"%s","TimeoutMs":%d,"GoalMs":150,"Priority":1,` +
+		`"Service":"%s","MaxAttempts":2,"Resumable":%t,"GapGoalMs":300}`
+	routes := []string{
+		fmt.Sprintf(route, "order", "order", "unsafe", 3000, "desk", false),
+		fmt.Sprintf(route, "lookup", "lookup", "safe", 3000, "desk", false),
+		fmt.Sprintf(route, "chat", "chat", "streaming", 9000, "pool", true),
+		fmt.Sprintf(route, "plan", "plan", "streaming", 9000, "pool", false),
+		fmt.Sprintf(route, "short", "short", "unsafe", 200, "desk", false),
+	}
+	s.store.Set("op/config", fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"pool","Engine":{"Stride":6}},{"Name":"desk"}],`+
+		`"Limits":{"MaxBodyBytes":1000},"Tenants":[{"Name":"tower","ApiKeys":[%s],"UncachedTokens":200,"RatePerS":100000,"Burst":100000}]}`,
+		s.version, strings.Join(routes, ","), s.keys))
+}
+
+func (s *site) register(name, state string) {
+	service, _, _ := strings.Cut(name, "-")
+	s.store.Set("servers/"+name, fmt.Sprintf(`{"Service":"%s","Address":"%s","Zone":"a","Slots":6,"State":"%s","Sequence":1}`, service, s.entries[name], state))
+}
+
+func (s *site) launch() {
+	standin := httptest.NewServer(s.store)
+	s.t.Cleanup(standin.Close)
+	s.front, s.ready = s.freeAddress(), s.freeAddress()
+	text := fmt.Sprintf(`{"name": "entry-1", "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
+		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": "10ms",
+		"platform": {"store": "%s", "readiness": "%s", "hosts": [], "key-revocation": "3s", "stop-grace": "5s",
+			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
+		s.front, s.freeAddress(), s.freeAddress(), strings.TrimPrefix(standin.URL, "http://"), s.ready)
+	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
+	s.is.NoErr(err)
+	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
+	daemon := app.New(parsed, zap.NewNop())
+	s.is.NoErr(daemon.Start(context.Background()))
+	s.t.Cleanup(func() { _ = daemon.Stop() })
+}
+
+func (s *site) freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s.is.NoErr(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (s *site) probe() int {
+	response, err := http.Get("http://" + s.ready + "/readyz")
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *site) eventually(what string, met func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if met() {
+			return
+		}
+	}
+	s.t.Fatalf("not in time: %s", what)
+}
+
+// result is what a caller of the site gets.
+type result struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (s *site) call(path, key string) result {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.front+path, bytes.NewReader([]byte("an order")))
+	s.is.NoErr(err)
+	request.Host = "shop.example"
+	request.Header.Set("Godwitmoor-Attempt-Id", uuid.NewString())
+	request.Header.Set("Godwitmoor-Deadline-Ms", "9000")
+	request.Header.Set("Godwitmoor-Tenant", "somebody-else")
+	request.Header.Set("X-Api-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, body: string(body), header: response.Header, err: err}
+}
+
+// runs gives how often the workers of a service ran a request.
+func (s *site) runs(service string) []platformtest.Run {
+	return append(s.workers[service+"-1"].Runs(), s.workers[service+"-2"].Runs()...)
+}
+
+// fail lets both workers of a service fail.
+func (s *site) fail(service string, f platformtest.WorkerFaults) {
+	s.workers[service+"-1"].Fail(f)
+	s.workers[service+"-2"].Fail(f)
+}
+
+func TestOrderRunsOnceForItsCustomer(t *testing.T) {
+	s := openSite(t)
+	r := s.call("/order/7%2f8?x=1&y=%20", "good-key")
+	s.is.NoErr(r.err)
+	s.is.Equal(r.status, http.StatusOK)
+	s.is.True(r.header.Get("Godwitmoor-Server-Stamp") != "")
+	runs := s.runs("desk")
+	s.is.Equal(len(runs), 1)
+	s.is.Equal(runs[0].Path, "/order/7%2f8?x=1&y=%20") // as the caller wrote it
+	s.is.Equal(runs[0].Customer, "tower")
+	s.is.Equal(runs[0].Key, "")
+	s.is.True(runs[0].Wait != "9000") // the route's timeout is shorter
+	s.is.Equal(s.call("/order/7", "bad-key").status, http.StatusUnauthorized)
+	s.is.Equal(s.call("/nothing/7", "good-key").status, http.StatusNotFound)
+	s.is.Equal(len(s.runs("desk")), 1)
+}
+
+func TestLostOrderIsToldAsUnknownAndNeverSentAgain(t *testing.T) {
+	s := openSite(t)
+	s.fail("desk", platformtest.WorkerFaults{Cut: true})
+	s.is.Equal(s.call("/order/7", "good-key").status, http.StatusBadGateway)
+	s.is.Equal(len(s.runs("desk")), 1)
+	s.fail("desk", platformtest.WorkerFaults{Misleading: true})
+	s.is.Equal(s.call("/order/8", "good-key").status, http.StatusBadGateway) // a 503 would say that it did not run
+	s.is.Equal(len(s.runs("desk")), 2)
+}
+
+func TestOrderTurnedDownByOneWorkerRunsAtAnother(t *testing.T) {
+	s := openSite(t)
+	s.workers["desk-1"].Fail(platformtest.WorkerFaults{Full: true})
+	for range 6 {
+		s.is.Equal(s.call("/order/7", "good-key").status, http.StatusOK)
+	}
+	s.fail("desk", platformtest.WorkerFaults{Full: true})
+	r := s.call("/order/8", "good-key")
+	s.is.Equal(r.status, http.StatusServiceUnavailable)
+	s.is.True(r.header.Get("Retry-After") != "")
+	s.is.Equal(len(s.runs("desk")), 6)
+}
+
+func TestFailedLookupIsRepeatedAndItsFailureToldOnlyWithoutABetterAnswer(t *testing.T) {
+	s := openSite(t)
+	s.workers["desk-1"].Fail(platformtest.WorkerFaults{Fail: true})
+	for range 4 {
+		s.is.Equal(s.call("/lookup/7", "good-key").status, http.StatusOK)
+	}
+	s.fail("desk", platformtest.WorkerFaults{Fail: true})
+	before := len(s.runs("desk"))
+	r := s.call("/lookup/7", "good-key")
+	s.is.Equal(r.status, http.StatusInternalServerError)
+	s.is.True(r.header.Get("Godwitmoor-Server-Stamp") != "")
+	s.is.Equal(len(s.runs("desk")), before+2) // no more than the route's attempts
+}
+
+func TestCutStreamGoesOnAtAnotherWorkerWithoutGapOrRepeat(t *testing.T) {
+	s := openSite(t)
+	whole := s.call("/chat/7", "good-key")
+	s.is.NoErr(whole.err)
+	s.workers["pool-1"].Fail(platformtest.WorkerFaults{CutAfter: 2})
+	for range 4 {
+		r := s.call("/chat/7", "good-key")
+		s.is.NoErr(r.err)
+		s.is.Equal(r.body, whole.body)
+	}
+	// One that may not go on ends in a way that no client takes for an end.
+	s.fail("pool", platformtest.WorkerFaults{CutAfter: 2})
+	before := len(s.runs("pool"))
+	s.is.True(s.call("/plan/7", "good-key").err != nil)
+	s.is.Equal(len(s.runs("pool")), before+1)
+}
+
+func TestAnswerComesAtTheRoutesTimeout(t *testing.T) {
+	s := openSite(t)
+	s.fail("desk", platformtest.WorkerFaults{Pause: time.Minute})
+	s.is.Equal(s.call("/short/7", "good-key").status, http.StatusGatewayTimeout)
+	s.is.Equal(len(s.runs("desk")), 1)
+	s.fail("desk", platformtest.WorkerFaults{})
+}
+
+func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
+	s := openSite(t)
+	s.register("desk-1", "draining")
+	s.store.Set("servers/desk-3", "written by somebody else")
+	s.eventually("only the other worker is used", func() bool {
+		before := len(s.workers["desk-1"].Runs())
+		for range 6 {
+			s.is.Equal(s.call("/lookup/7", "good-key").status, http.StatusOK)
+		}
+		return len(s.workers["desk-1"].Runs()) == before
+	})
+	s.register("desk-1", "ready")
+	s.store.Remove("servers/desk-2")
+	s.eventually("the one that came back is used", func() bool {
+		before := len(s.workers["desk-1"].Runs())
+		return s.call("/lookup/7", "good-key").status == http.StatusOK && len(s.workers["desk-1"].Runs()) > before
+	})
+}
+
+func TestKeyTakenAwayIsRefusedAlsoWhenTheStoreIsGone(t *testing.T) {
+	s := openSite(t)
+	s.keys = `"new-key"`
+	s.declare()
+	s.eventually("the old key is refused", func() bool { return s.call("/lookup/7", "good-key").status == http.StatusUnauthorized })
+	s.is.Equal(s.call("/lookup/7", "new-key").status, http.StatusOK)
+	s.store.Fail(platformtest.StoreFaults{Down: true})
+	s.eventually("keys are no longer trusted", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusServiceUnavailable })
+	s.is.Equal(s.probe(), http.StatusServiceUnavailable)
+	s.store.Fail(platformtest.StoreFaults{})
+	s.eventually("they are again", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusOK })
+}
+
+func TestHostListsAgainWhenTheStoreForgot(t *testing.T) {
+	s := openSite(t)
+	s.store.Fail(platformtest.StoreFaults{Down: true})
+	s.keys = `"new-key"`
+	s.declare()
+	s.store.Compact()
+	s.store.Fail(platformtest.StoreFaults{})
+	s.eventually("the new key counts", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusOK })
+}
+
+func TestHostWithoutAConfigurationPromisesNothingButATry(t *testing.T) {
+	s := newSite(t)
+	s.launch()
+	r := s.call("/order/7", "good-key")
+	s.is.Equal(r.status, http.StatusServiceUnavailable) // not 401 or 404
+	s.is.True(r.header.Get("Retry-After") != "")
+	s.is.Equal(s.probe(), http.StatusServiceUnavailable)
+}
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: told, Length: response.ContentLength}
-	body := &partReader{passage: x, body: response.Body, reusable: !response.Close, idle: told.IdleLimit}
+	body := &partReader{passage: x, body: response.Body, left: response.ContentLength, reusable: !response.Close, idle: told.IdleLimit}
 	answer.Body = body
 	answer.close = func() { x.end(body.whole) }
 	if told.NotRun {
@@ -189,6 +189,19 @@
 	return nil, exchange.Head{}, crossed
 }
 
+// await waits for the next part, if there is one. The regular end of a connection
+// is for the body to judge.
+func (r *partReader) await() error {
+	if r.left == 0 {
+		return nil
+	}
+	err := r.passage.link.await(r.passage.wait(r.passage.parcel.GapTimeout))
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // wait makes the bound on one silence.
 func (x *passage) wait(bound time.Duration) waiting {
 	return waiting{bound: bound, notice: x.parcel.Notice, tell: x.parcel.Silent}
@@ -226,18 +239,23 @@
 // partReader bounds the wait for each part of the body, and knows when the
 // whole of it was read.
 type partReader struct {
-	passage  *passage
-	body     io.Reader
+	passage *passage
+	body    io.Reader
+	// left is what is still to come; below zero if that is not known.
+	left     int64
 	reusable bool
 	idle     time.Duration
 	whole    bool
 }
 
 func (r *partReader) Read(into []byte) (int, error) {
-	if err := r.passage.link.await(r.passage.wait(r.passage.parcel.GapTimeout)); err != nil && !errors.Is(err, io.EOF) {
+	if err := r.await(); err != nil {
 		return 0, err
 	}
 	n, err := r.body.Read(into)
+	if r.left > 0 {
+		r.left -= int64(n)
+	}
 	if errors.Is(err, io.EOF) && r.reusable {
 		r.passage.link.keepFor(r.idle)
 		r.whole = true
--- /dev/null
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -0,0 +1,302 @@
+package attempt_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/exchange"
+	"godwitmoor.example/godwitmoord/pkg/attempt"
+)
+
+// script is an endpoint that answers each request with given bytes. An empty
+// text closes the connection.
+type script struct {
+	listener net.Listener
+	mu       sync.Mutex
+	answers  []string
+	got      []*http.Request
+	conns    int
+}
+
+func play(t *testing.T, answers ...string) *script {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: listener, answers: answers}
+	t.Cleanup(func() { listener.Close() })
+	go s.run()
+	return s
+}
+
+func (s *script) run() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		go s.serve(conn)
+	}
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		answer := s.next(request)
+		if answer == "" {
+			return
+		}
+		_, _ = conn.Write([]byte(answer))
+		if strings.Contains(answer, "Connection: close") {
+			return
+		}
+	}
+}
+
+func (s *script) next(request *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, request)
+	if len(s.answers) == 0 {
+		return ""
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer
+}
+
+func (s *script) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+func (s *script) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.got)
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func parcel(id string) attempt.Parcel {
+	return attempt.Parcel{
+		Method: http.MethodGet, Target: "/x", Shared: true, Echoes: true, Order: exchange.Order{Attempt: id},
+		FirstByteTimeout: time.Second, GapTimeout: time.Second,
+	}
+}
+
+func read(t *testing.T, sender *attempt.Sender, s *script, p attempt.Parcel) (string, error) {
+	t.Helper()
+	answer, err := sender.Send(context.Background(), s.listener.Addr().String(), p)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
+func TestAnswersComeOverOneConnection(t *testing.T) {
+	is := is.New(t)
+	s := play(t, ok("a", "one"), ok("b", "two"))
+	var sender attempt.Sender
+	got, err := read(t, &sender, s, parcel("a"))
+	is.NoErr(err)
+	is.Equal(got, "one")
+	got, err = read(t, &sender, s, parcel("b"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+	is.Equal(s.connections(), 1)
+}
+
+func TestLateAnswerToAnEarlierAttemptIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	s := play(t, ok("a", "one"), ok("a", "one again")+ok("b", "two"))
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	is.NoErr(err)
+	got, err := read(t, &sender, s, parcel("b"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+}
+
+func TestBytesAfterAnAnswerEndItsConnection(t *testing.T) {
+	is := is.New(t)
+	s := play(t, ok("a", "one")+ok("a", "doubled"), ok("b", "two"))
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	is.NoErr(err)
+	got, err := read(t, &sender, s, parcel("b"))
+	is.NoErr(err)
+	is.Equal(got, "two")
+	is.Equal(s.connections(), 2)
+}
+
+func TestOnlyAnAnswerOfAnotherIsCrossed(t *testing.T) {
+	is := is.New(t)
+	s := play(t, strings.Replace(ok("other", "x"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	var crossed *attempt.CrossedError
+	is.True(errors.As(err, &crossed))
+}
+
+func TestConnectionThatDiedWhileIdleIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	// The endpoint says nothing of closing, and does it after the first answer.
+	closing := strings.Replace(ok("a", "one"), "Attempt-Id", "Note: Connection: close\r\nAttempt-Id", 1)
+	s := play(t, closing, ok("b", "two"))
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	is.NoErr(err)
+	for s.connections() == 1 { // until the close has come, the kept connection looks sound
+		got, err := read(t, &sender, s, parcel("b"))
+		if err == nil {
+			is.Equal(got, "two")
+			break
+		}
+	}
+	is.Equal(s.connections(), 2)
+	is.Equal(s.requests(), 2) // nothing went out on the dead one that could have run
+}
+
+func TestCutAfterTheRequestIsUnknownAndNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	s := play(t, ok("a", "one"), "")
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	is.NoErr(err)
+	_, err = read(t, &sender, s, parcel("b"))
+	var lost *attempt.LostError
+	is.True(errors.As(err, &lost))
+	is.Equal(s.requests(), 2) // Go's own client would have sent a GET a third time
+}
+
+func TestRefusalWithoutRunningIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := play(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\nContent-Length: 2\r\n\r\nno", ok("b", "two"))
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	var notSent *attempt.NotSentError
+	is.True(errors.As(err, &notSent))
+	is.True(notSent.Refused)
+	_, err = read(t, &sender, s, parcel("b"))
+	is.NoErr(err)
+	is.Equal(s.connections(), 1) // the connection is as good as before
+}
+
+func TestAnswerWithoutABodyEndsAtItsHead(t *testing.T) {
+	is := is.New(t)
+	s := play(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: b\r\nContent-Length: 0\r\n\r\n")
+	var sender attempt.Sender
+	p := parcel("a")
+	p.GapTimeout = 0 // nothing would end a wait for more
+	_, err := read(t, &sender, s, p)
+	var notSent *attempt.NotSentError
+	is.True(errors.As(err, &notSent))
+	p.Order.Attempt = "b"
+	body, err := read(t, &sender, s, p)
+	is.NoErr(err)
+	is.Equal(body, "")
+}
+
+func TestNobodyListeningIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := play(t)
+	s.listener.Close()
+	var sender attempt.Sender
+	_, err := read(t, &sender, s, parcel("a"))
+	var notSent *attempt.NotSentError
+	is.True(errors.As(err, &notSent))
+	is.True(!notSent.Refused)
+}
+
+func TestShortAnswerIsAnError(t *testing.T) {
+	is := is.New(t)
+	for name, answer := range map[string]string{
+		"short of its length": "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConnection: close\r\nContent-Length: 9\r\n\r\none",
+		"without last chunk":  "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n",
+		"no HTTP at all":      "Connection: close nonsense\r\n\r\n",
+	} {
+		var sender attempt.Sender
+		_, err := read(t, &sender, play(t, answer), parcel("a"))
+		if err == nil {
+			t.Errorf("%s: taken for whole", name)
+		}
+	}
+	var sender attempt.Sender
+	got, err := read(t, &sender, play(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConnection: close\r\n\r\nall of it"), parcel("a"))
+	is.NoErr(err) // without a length, the regular end of the connection ends the answer
+	is.Equal(got, "all of it")
+}
+
+func TestSilenceIsToldAndEndsTheAttemptOnlyOnDemand(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close() // accepts by its backlog and never answers
+	var sender attempt.Sender
+	looks := 0
+	p := parcel("a")
+	p.FirstByteTimeout = 0
+	p.Notice = 5 * time.Millisecond
+	p.Silent = func(s attempt.Silence) bool {
+		looks++
+		is.True(!s.Alive)
+		return looks == 3
+	}
+	_, err = sender.Send(context.Background(), listener.Addr().String(), p)
+	var lost *attempt.LostError
+	is.True(errors.As(err, &lost))
+	is.Equal(looks, 3)
+}
+
+func TestCallerThatLeavesClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	closed := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			closed <- err
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			cancel()
+			_, err = conn.Read(make([]byte, 1))
+		}
+		closed <- err
+	}()
+	var sender attempt.Sender
+	_, err = sender.Send(ctx, listener.Addr().String(), parcel("a"))
+	is.True(err != nil)
+	is.Equal(<-closed, io.EOF)
+}
--- /dev/null
+++ b/godwitmoord/pkg/discovery/table_test.go
@@ -0,0 +1,44 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/configuration"
+)
+
+func TestEndpointIsUsedForAMomentAfterItsEntryLapsed(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(1000, 0)
+	is.True(table.Put("desk", configuration.Endpoint{Name: "i-1"}, 5))
+	is.True(table.Remove("i-1", 6, now.Add(time.Second)))
+	is.True(!table.Expire(now))
+	is.Equal(len(table.ByService()["desk"]), 1)
+	is.True(table.Put("desk", configuration.Endpoint{Name: "i-1"}, 7)) // it came back
+	is.True(!table.Expire(now.Add(time.Minute)))
+	is.Equal(len(table.ByService()["desk"]), 1)
+	is.True(table.Remove("i-1", 8, now.Add(time.Second)))
+	is.True(table.Expire(now.Add(2 * time.Second)))
+	is.Equal(len(table.ByService()["desk"]), 0)
+}
+
+func TestLeavingEndpointWhoseEntryGoesIsGoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(1000, 0)
+	table.Put("desk", configuration.Endpoint{Name: "i-1", Leaving: true}, 5)
+	is.True(table.Remove("i-1", 6, now.Add(time.Second)))
+	is.True(table.Expire(now))
+}
+
+func TestOlderEntryChangesNothing(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	table.Put("desk", configuration.Endpoint{Name: "i-1", Leaving: true}, 9)
+	is.True(!table.Put("desk", configuration.Endpoint{Name: "i-1"}, 8))
+	is.True(!table.Remove("i-1", 7, time.Time{}))
+	is.True(table.ByService()["desk"][0].Leaving)
+	is.True(!table.Put("desk", configuration.Endpoint{Name: "i-1", Leaving: true}, 10)) // nothing that matters
+}
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -83,8 +83,6 @@
 	number  int64
 	core    permit.Core
 	events  ring.Ring[permit.Event]
-	// before is what was found of grants before this seat was opened.
-	before permit.Before
 	// kept is when the grants were last written down, asked when the last ask
 	// came.
 	kept  time.Time
@@ -287,7 +285,6 @@
 		GoodputWeight: current.Configuration.GoodputWeight,
 		Endpoints:     rulesOf(service),
 		Settle:        settleTime,
-		Before:        s.before,
 	}
 	s.owner.bound(&event, service, &current.Configuration)
 	return event, true
@@ -352,8 +349,9 @@
 // run decides, one event at a time. The rules come first, and before them what
 // is known of grants by earlier owners.
 func (s *seat) run(ctx context.Context) {
-	s.before = s.owner.keeper.before(s.service)
+	before := s.owner.keeper.before(s.service)
 	if event, known := s.rules(); known {
+		event.Before = before
 		s.step(event)
 	}
 	ticker := time.NewTicker(tickInterval)
--- a/godwitmoord/pkg/membership/membership_test.go
+++ b/godwitmoord/pkg/membership/membership_test.go
@@ -23,11 +23,15 @@
 // wire joins hosts in memory. A call takes a millisecond each way; one over a
 // cut link or to a paused host ends with its deadline.
 type wire struct {
-	mu     sync.Mutex
-	hosts  map[string]*Service
-	cut    map[[2]string]bool
-	paused map[string]bool
-	bytes  int
+	// platform is what the hosts are told of the platform; nil is none.
+	platform *settings.Platform
+	// starting leaves the hosts in their first phase.
+	starting bool
+	mu       sync.Mutex
+	hosts    map[string]*Service
+	cut      map[[2]string]bool
+	paused   map[string]bool
+	bytes    int
 }
 
 // port is one host's end of the wire.
@@ -63,6 +67,7 @@
 		Settings: settings.Settings{
 			PeerListen: name, DataCentre: "lorient",
 			Heartbeat: document.Duration(500 * time.Millisecond), DeadAfter: document.Duration(4 * time.Second),
+			Platform: w.platform,
 		},
 	}
 	s := New(c)
@@ -74,7 +79,9 @@
 	}
 	w.hosts[name] = s
 	w.mu.Unlock()
-	s.SetPhase(Ready)
+	if !w.starting {
+		s.SetPhase(Ready)
+	}
 	go s.run(ctx)
 	return s
 }
--- /dev/null
+++ b/godwitmoord/pkg/release/install_test.go
@@ -0,0 +1,80 @@
+package release
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+)
+
+// onPlatform gives a service whose configurations are installed, and its clock.
+func onPlatform(t *testing.T) (*Service, *time.Duration) {
+	t.Helper()
+	c := &common.Common{
+		Log:      zap.NewNop(),
+		Metrics:  metrics.NewRegistry(),
+		Kernel:   kernel.New(zap.NewNop()),
+		Self:     host.Identity{Name: "entry-1", Incarnation: 1},
+		Settings: settings.Settings{Platform: &settings.Platform{KeyRevocation: document.Duration(5 * time.Second)}},
+	}
+	s := New(c, nil)
+	s.members = membership.New(c)
+	now := time.Hour
+	s.now = func() time.Duration { return now }
+	return s, &now
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	s, _ := onPlatform(t)
+	is.True(s.Current() == nil)
+	s.Install(5, configuration.Configuration{Routes: []configuration.Route{{Name: "five", Host: "a", Prefix: "/"}}})
+	s.Install(3, configuration.Configuration{})
+	is.Equal(s.Current().Version, int64(5))
+	route, found := s.Current().Index.Route("a", "/x")
+	is.True(found)
+	is.Equal(route.Name, "five")
+	s.Install(9, configuration.Configuration{})
+	_, found = s.Current().Index.Route("a", "/x")
+	is.True(!found)
+}
+
+func TestEndpointsFoundStayOverVersions(t *testing.T) {
+	is := is.New(t)
+	s, _ := onPlatform(t)
+	s.Found(map[string][]configuration.Endpoint{"desk": {{Name: "i-1"}}})
+	s.Install(1, configuration.Configuration{Services: []configuration.Service{{Name: "desk"}}})
+	is.Equal(len(s.Current().Configuration.Services[0].Endpoints), 1)
+	s.Install(2, configuration.Configuration{Services: []configuration.Service{{Name: "desk"}}})
+	is.Equal(len(s.Current().Configuration.Services[0].Endpoints), 1)
+}
+
+func TestKeysAreTrustedOnlyWhileTheConfigurationIsProvenNew(t *testing.T) {
+	is := is.New(t)
+	s, now := onPlatform(t)
+	s.Install(1, configuration.Configuration{})
+	is.True(!s.AcceptsKeys()) // nothing was proven yet
+	s.Confirm(*now)
+	is.True(s.AcceptsKeys())
+	is.True(s.Ready())
+	*now += 4 * time.Second // or the host stood still for so long
+	is.True(s.AcceptsKeys())
+	is.True(!s.Ready()) // the balancer is told before
+	*now += time.Second
+	is.True(!s.AcceptsKeys())
+	s.Confirm(*now - 10*time.Second) // an older proof changes nothing
+	is.True(!s.AcceptsKeys())
+	s.Confirm(*now - time.Second)
+	is.True(s.AcceptsKeys())
+	_ = s.Stop(context.Background())
+}
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -21,8 +21,8 @@
 	eventStream = "text/event-stream"
 )
 
-// idField begins the line of an event that holds its id.
-var idField = []byte("id:")
+// idLine begins the line of an event that holds its id, behind another line.
+var idLine = []byte("\nid:")
 
 // errCallerGone ends a relay whose caller takes no more.
 var errCallerGone = errors.New("the caller is gone")
@@ -155,11 +155,16 @@
 
 // noteLast remembers the id of the last event that has one.
 func (l *relay) noteLast(events []byte) {
-	at := bytes.LastIndex(events, idField)
-	if at < 0 || (at > 0 && events[at-1] != '\n') {
+	at := bytes.LastIndex(events, idLine)
+	switch {
+	case at >= 0:
+		events = events[at+len(idLine):]
+	case bytes.HasPrefix(events, idLine[1:]):
+		events = events[len(idLine)-1:]
+	default:
 		return
 	}
-	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
+	line, _, _ := bytes.Cut(events, []byte("\n"))
 	l.lastEvent = string(bytes.TrimSpace(line))
 }
 
