--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make try   runs a small deployment on loopback and judges it
 # make test  runs every check: format, lint, tests with the race detector
-MODULES  := coordination examples godwitmoor godwitmoord replay standin
+MODULES  := coordination examples godwitmoor godwitmoord platform replay standin
 PROGRAMS := godwitmoor godwitmoord replay standin
 LINTER   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN      := $(CURDIR)/bin
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -198,6 +198,7 @@
 func (d *Daemon) onPlatform(p *settings.Platform) {
 	d.common.Dialect = platform.Dialect{}
 	d.release = release.New(d.common, nil)
+	d.members.ShareProof(d.release)
 	d.kernel.Register(kernel.Release, d.release)
 	d.kernel.Register(kernel.Discovery, discovery.New(d.common, platform.NewStore(p.Store), platform.Layout{}))
 }
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -174,6 +174,7 @@
 	looked time.Time
 	listed []listedHost
 	lost   []func(host.Identity)
+	proof  Proof
 	// differing counts probes in a row after which the tables differed.
 	differing int
 }
@@ -215,6 +216,19 @@
 // Stop has nothing to end beyond the context.
 func (s *Service) Stop(context.Context) error { return nil }
 
+// Proof is what hosts tell each other of their configuration being the newest.
+type Proof interface {
+	// Age gives how long ago the version was proven; zero if it never was, or is
+	// not the one in force.
+	Age(version int64) time.Duration
+	// Learn takes in that another host knew the version to be the newest at a
+	// boot time of this host.
+	Learn(version int64, at time.Duration)
+}
+
+// ShareProof has proofs told with the probes. Call it before Start.
+func (s *Service) ShareProof(p Proof) { s.proof = p }
+
 // OnLost registers a hearer of lives that ended. Register before Start.
 func (s *Service) OnLost(hear func(host.Identity)) { s.lost = append(s.lost, hear) }
 
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/boottime"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/peer"
 )
@@ -57,6 +58,9 @@
 	Version int64       `cbor:"5,keyasint,omitempty"`
 	// Reached answers a relay.
 	Reached bool `cbor:"6,keyasint,omitempty"`
+	// ProofAge is how long ago the version was proven to be the newest; zero if it
+	// never was.
+	ProofAge time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // run probes one host after the other.
@@ -283,6 +287,7 @@
 func (s *Service) ask(ctx context.Context, address string, m message, timeout time.Duration) (message, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	asked := boottime.Now()
 	body, err := cbor.Marshal(s.signed(m))
 	if err != nil {
 		return message{}, err
@@ -291,7 +296,12 @@
 	if err != nil {
 		return message{}, err
 	}
-	return s.take(data)
+	reply, err := s.take(data)
+	if err == nil && s.proof != nil && reply.ProofAge > 0 {
+		// The age was told after the question was asked.
+		s.proof.Learn(reply.Version, asked-reply.ProofAge)
+	}
+	return reply, err
 }
 
 // signed completes a message with news, the digest and the version in force.
@@ -303,6 +313,9 @@
 	}
 	m.Digest = s.digest()
 	m.Version = s.self.row.Version
+	if s.proof != nil {
+		m.ProofAge = s.proof.Age(m.Version)
+	}
 	return m
 }
 
--- a/godwitmoord/pkg/release/install.go
+++ b/godwitmoord/pkg/release/install.go
@@ -57,8 +57,28 @@
 // Confirm notes that the version in force was the newest at a moment, as
 // boottime.Now gave it before the platform was asked.
 func (s *Service) Confirm(at time.Duration) {
-	if int64(at) > s.confirmed.Load() {
-		s.confirmed.Store(int64(at))
+	for known := s.confirmed.Load(); int64(at) > known; known = s.confirmed.Load() {
+		if s.confirmed.CompareAndSwap(known, int64(at)) {
+			return
+		}
+	}
+}
+
+// Age gives how long ago a version was proven to be the newest; zero if it never
+// was, or is not the one in force.
+func (s *Service) Age(version int64) time.Duration {
+	confirmed := time.Duration(s.confirmed.Load())
+	if confirmed == 0 || version != s.version() {
+		return 0
+	}
+	return max(s.now()-confirmed, 1)
+}
+
+// Learn takes in that another host knew a version to be the newest: so a host
+// that the store turns away goes on serving while others reach it.
+func (s *Service) Learn(version int64, at time.Duration) {
+	if version > 0 && version == s.version() {
+		s.Confirm(at)
 	}
 }
 
--- a/godwitmoord/pkg/release/install_test.go
+++ b/godwitmoord/pkg/release/install_test.go
@@ -78,3 +78,21 @@
 	is.True(s.AcceptsKeys())
 	_ = s.Stop(context.Background())
 }
+
+func TestAnotherHostsProofCountsForTheSameVersionOnly(t *testing.T) {
+	is := is.New(t)
+	near, now := onPlatform(t)
+	far, _ := onPlatform(t)
+	near.Install(7, configuration.Configuration{})
+	far.Install(7, configuration.Configuration{})
+	is.Equal(near.Age(7), time.Duration(0)) // never proven
+	near.Confirm(*now - time.Second)
+	is.Equal(near.Age(7), time.Second)
+	is.Equal(near.Age(6), time.Duration(0))
+	far.Learn(7, *now-near.Age(7))
+	is.True(far.AcceptsKeys())
+	late, _ := onPlatform(t)
+	late.Install(6, configuration.Configuration{})
+	late.Learn(7, *now) // it lacks what the newer version may take away
+	is.True(!late.AcceptsKeys())
+}
