--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -28,8 +28,8 @@
 	return p
 }
 
-func engine(name string, limit int) permit.EndpointRules {
-	return permit.EndpointRules{Name: name, Limit: limit, PrefillSpeed: 100_000, DecodeSpeed: 50}
+func engine(limit int) permit.EndpointRules {
+	return permit.EndpointRules{Name: "i-1", Limit: limit, PrefillSpeed: 100_000, DecodeSpeed: 50}
 }
 
 func (p *pool) step(e permit.Event) {
@@ -60,18 +60,18 @@
 	}
 }
 
-func (p *pool) finish(id string, first, total time.Duration) {
+func (p *pool) finish(id string, total time.Duration) {
 	delete(p.places, id)
-	p.step(permit.Finished{At: p.now, ID: id, Usage: permit.Usage{PromptTokens: 1000, AnswerTokens: 20, FirstByte: first, Total: total}})
+	p.step(permit.Finished{At: p.now, ID: id, Usage: permit.Usage{PromptTokens: 1000, AnswerTokens: 20, FirstByte: 50 * time.Millisecond, Total: total}})
 }
 
 func TestWorkIsServedByItsWorthForTheTimeItTakes(t *testing.T) {
-	p := openPool(t, engine("i-1", 1))
+	p := openPool(t, engine(1))
 	// Of each tier one is run first: a plan takes 2 s, a question 1 s, a check 0.1 s.
 	for tier, took := range []time.Duration{2 * time.Second, time.Second, 100 * time.Millisecond} {
 		id := fmt.Sprint("known-", tier)
 		p.want(id, tier, 400*time.Millisecond)
-		p.finish(id, 50*time.Millisecond, took)
+		p.finish(id, took)
 	}
 	p.pass(3 * time.Second)
 	p.want("running", 1, 400*time.Millisecond)
@@ -83,28 +83,28 @@
 	patient("plan", 0)
 	for _, next := range []string{"plan", "check", "question"} {
 		for id := range p.places {
-			p.finish(id, 50*time.Millisecond, 100*time.Millisecond)
+			p.finish(id, 100*time.Millisecond)
 		}
 		p.is.Equal(p.places[next], "i-1")
 	}
 }
 
 func TestMissedGoalGoesBehindThoseThatCanStillBeMet(t *testing.T) {
-	p := openPool(t, engine("i-1", 1))
+	p := openPool(t, engine(1))
 	p.want("running", 1, 400*time.Millisecond)
 	p.want("late", 1, 100*time.Millisecond)
 	p.pass(300 * time.Millisecond)
 	p.want("fresh", 1, 400*time.Millisecond)
-	p.finish("running", 50*time.Millisecond, 100*time.Millisecond)
+	p.finish("running", 100*time.Millisecond)
 	p.is.Equal(p.places["fresh"], "i-1")
-	p.finish("fresh", 50*time.Millisecond, 100*time.Millisecond)
+	p.finish("fresh", 100*time.Millisecond)
 	p.is.Equal(p.places["late"], "i-1") // late is still worth something
 }
 
 func TestHopelessRequestHearsSoAtOnceAndWhenToComeBack(t *testing.T) {
-	p := openPool(t, engine("i-1", 1))
+	p := openPool(t, engine(1))
 	p.want("known", 1, 400*time.Millisecond)
-	p.finish("known", 50*time.Millisecond, time.Second)
+	p.finish("known", time.Second)
 	for i := range 12 { // a place turns over once a second; callers wait 2.4 s
 		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
 	}
@@ -150,7 +150,7 @@
 }
 
 func TestFullEndpointRestsForAMomentOnly(t *testing.T) {
-	p := openPool(t, engine("i-1", 5))
+	p := openPool(t, engine(5))
 	p.want("a", 1, 400*time.Millisecond)
 	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.TurnedDown})
 	p.want("b", 1, 400*time.Millisecond)
@@ -160,7 +160,7 @@
 }
 
 func TestOneLostAnswerDoesNotCloseAnEndpoint(t *testing.T) {
-	p := openPool(t, engine("i-1", 5))
+	p := openPool(t, engine(5))
 	p.want("a", 1, 400*time.Millisecond)
 	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.Lost})
 	p.want("b", 1, 400*time.Millisecond)
@@ -175,11 +175,11 @@
 }
 
 func TestSilentRequestStallsItsEndpointOnlyWhereNoOtherIsAnswered(t *testing.T) {
-	p := openPool(t, engine("i-1", 5))
+	p := openPool(t, engine(5))
 	p.want("slow", 1, 400*time.Millisecond)
 	p.want("other", 1, 400*time.Millisecond)
 	p.pass(500 * time.Millisecond)
-	p.finish("other", 50*time.Millisecond, 500*time.Millisecond)
+	p.finish("other", 500*time.Millisecond)
 	p.step(permit.Stalled{At: p.now, ID: "slow"})
 	p.want("next", 1, 400*time.Millisecond)
 	p.is.Equal(p.places["next"], "i-1") // the endpoint answers others
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -137,9 +137,9 @@
 // shedQueue refuses the hopeless of one queue, and gives the work, in seconds
 // of a place, up to the end of it.
 func (c *Core) shedQueue(q *queue, ahead float64, places float64) float64 {
-	kept := append(c.scratch[:0], *q...)
+	c.scratch = append(c.scratch[:0], *q...)
 	// The heap's order is near that of urgency, which is enough for a mean.
-	for _, w := range kept {
+	for _, w := range c.scratch {
 		wait := time.Duration(ahead / places * float64(time.Second))
 		slack := w.latestStart.Since(c.now)
 		if w.ask.Goal > 0 && !w.late {
@@ -154,7 +154,6 @@
 		}
 		ahead += c.workOf(w)
 	}
-	c.scratch = kept[:0]
 	return ahead
 }
 
--- a/godwitmoor/pkg/commands/explain.go
+++ b/godwitmoor/pkg/commands/explain.go
@@ -56,13 +56,19 @@
 func explain(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell the story of a request from the records of all named hosts",
-		ArgsUsage: "REQUEST-ID or KEY",
-		Flags:     []cli.Flag{hostFlag()},
+		Usage:     "tell the story of a request from the records or the logs of hosts",
+		ArgsUsage: "REQUEST-ID, CALLER-ID or KEY",
+		Flags: []cli.Flag{
+			hostFlag(),
+			&cli.StringSliceFlag{Name: "log", Usage: "`FILE` of a host's log, in place of its status port; can be repeated"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
 				return &UsageError{Message: "name one request id or key"}
 			}
+			if files := c.StringSlice("log"); len(files) > 0 {
+				return tellLogs(out, files, c.Args().First())
+			}
 			s := story{id: c.Args().First()}
 			for _, host := range c.StringSlice("host") {
 				s.read(ctx, host)
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -135,7 +135,6 @@
 	link    *link
 	parcel  Parcel
 	release func() bool
-	written chan error
 	ended   bool
 }
 
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -41,6 +41,9 @@
 	told bool
 }
 
+// Owner gives the host that granted the permit.
+func (g *Grant) Owner() string { return g.owner }
+
 // OnSuspended sets what stops the attempt when a higher tier needs its place.
 func (g *Grant) OnSuspended(stop func()) {
 	g.entry.mu.Lock()
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -141,7 +141,8 @@
 	if wrong != nil {
 		s.common.Count("front.faults." + string(wrong.reason))
 		s.common.Log.Info("request refused", zap.String("caller-id", request.CallerID), zap.String("reason", string(wrong.reason)),
-			zap.Int("status", wrong.status), zap.Int64("version", current.Version))
+			zap.String("request", request.ID), zap.String("route", request.Route), zap.Int("status", wrong.status),
+			zap.Int64("version", current.Version), zap.Duration("version-proven-ago", s.release.Age(current.Version)))
 		s.refuse(w, request.ID, wrong.status, serving.Refused{Outcome: text.NotRun, Reason: wrong.reason, RetryAfter: wrong.retryAfter})
 		return
 	}
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -27,7 +27,7 @@
 
 // readRouted makes a request by the routes of the configuration.
 func (s *Service) readRouted(w http.ResponseWriter, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *fault) {
-	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Keyless: true}
+	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Keyless: true, Version: current.Version}
 	call, err := s.common.Dialect.ReadCall(r.Header)
 	request.CallerID = call.ID
 	if err != nil {
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -26,9 +26,11 @@
 	Service  configuration.Service
 	Claims   configuration.Claims
 	Route    string
-	Tier     string
-	Rank     int
-	Method   string
+	// Version is the version of the configuration that it came in under.
+	Version int64
+	Tier    string
+	Rank    int
+	Method  string
 	// Path is the path and query that the endpoint sees.
 	Path string
 	// HostName is the Host header that the endpoint sees; empty means its own
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -122,6 +122,9 @@
 	next *dispatch.Grant
 	// queued is the time spent waiting for permits.
 	queued time.Duration
+	// owner granted the last permit, and estimate is what it expected.
+	owner    string
+	estimate time.Duration
 }
 
 // ask makes the wish for one more permit, for what is left of the answer.
@@ -174,6 +177,7 @@
 	j.queued += time.Since(asked)
 	if err == nil {
 		j.endpoint = grant.Permit.Endpoint
+		j.owner, j.estimate = grant.Owner(), grant.Estimate
 		return grant, nil
 	}
 	if j.relay.begun {
@@ -382,11 +386,7 @@
 		line.Outcome, line.Reason = string(text.BrokenOff), string(e.Reason)
 	}
 	s.record.Add(record.Line{Request: &line})
-	s.common.Log.Info("request finished", zap.String("request", r.ID), zap.String("caller-id", r.CallerID),
-		zap.String("route", r.Route), zap.String("customer", r.Customer), zap.String("tier", r.Tier),
-		zap.Strings("attempts", j.attempts), zap.String("endpoint", j.endpoint), zap.Int("runs", j.runs),
-		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason), zap.Float64("queued-ms", milliseconds(j.queued)),
-		zap.Float64("first-part-ms", j.firstPart()), zap.Float64("took-ms", line.Took))
+	s.common.Log.Info("request finished", j.fields(line, ending)...)
 	payload, err := json.Marshal(line)
 	if err != nil {
 		s.common.Log.Error("finished request cannot be encoded", zap.Error(err))
@@ -395,6 +395,23 @@
 	s.common.Kernel.Announce(kernel.RequestFinished, payload)
 }
 
+// fields gives what the log says of a request: what decided it, and the outcome.
+func (j *journey) fields(line record.Request, ending Ending) []zap.Field {
+	r := j.request
+	fields := []zap.Field{
+		zap.String("request", r.ID), zap.String("caller-id", r.CallerID), zap.Int64("version", r.Version),
+		zap.String("route", r.Route), zap.String("service", r.Service.Name), zap.String("customer", r.Customer), zap.String("tier", r.Tier),
+		zap.Strings("attempts", j.attempts), zap.String("owner", j.owner), zap.String("endpoint", j.endpoint), zap.Int("runs", j.runs),
+		zap.Float64("estimate-ms", milliseconds(j.estimate)), zap.Float64("queued-ms", milliseconds(j.queued)),
+		zap.Float64("first-part-ms", j.firstPart()), zap.Float64("took-ms", line.Took), zap.Float64("deadline-ms", line.Deadline),
+		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason),
+	}
+	if refused, isRefusal := ending.(Refused); isRefusal {
+		fields = append(fields, zap.Float64("retry-after-ms", milliseconds(refused.RetryAfter)))
+	}
+	return fields
+}
+
 // firstPart gives when the first part of the answer came, in milliseconds from
 // the request's arrival; zero if none did.
 func (j *journey) firstPart() float64 {
--- a/replay/pkg/reference/reference.go
+++ b/replay/pkg/reference/reference.go
@@ -30,7 +30,11 @@
 		Title: "The configuration of a deployment", File: "coordination/pkg/configuration/configuration.go",
 		Structs: []string{"Configuration", "Tier", "Customer", "Service", "Endpoint", "Rule", "Claims"},
 	},
-	{Title: "The settings of a host", File: "godwitmoord/pkg/settings/settings.go", Structs: []string{"Settings"}},
+	{
+		Title: "The routes of a deployment", File: "coordination/pkg/configuration/routes.go",
+		Structs: []string{"Route", "Target", "Quota"},
+	},
+	{Title: "The settings of a host", File: "godwitmoord/pkg/settings/settings.go", Structs: []string{"Settings", "Platform"}},
 	{Title: "A trace", File: "replay/pkg/trace/trace.go", Structs: []string{"Trace", "Stream", "Fault", "Expect", "TierShare"}},
 }
 
