An owner of a first start has the whole quota; no refusals before endpoints are known

Cause: the first owner opens eight seconds after its start and took half of each quota as used by owners before it. Owners now write a page when they begin, so that a first start without pages has none before it. While half of the open endpoints are unknown, nothing is refused as hopeless. Idle connections to endpoints are swept, which nothing did.

--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -112,9 +112,10 @@
 	if len(c.weights) == 0 || len(c.waiting) == 0 {
 		return
 	}
-	places := c.openPlaces()
-	if places == 0 {
-		// Endpoints may be back at any moment; the latest start bounds the wait.
+	places, known := c.openPlaces()
+	if places == 0 || !known {
+		// Endpoints may be back, or show what they can do, at any moment; the
+		// latest start bounds the wait.
 		return
 	}
 	c.rank()
@@ -173,13 +174,19 @@
 	return unknownWork
 }
 
-// openPlaces gives the number of places of endpoints that take work.
-func (c *Core) openPlaces() float64 {
-	places := 0.0
+// openPlaces gives the number of places of endpoints that take work, and whether
+// it is known what half of these endpoints can do.
+func (c *Core) openPlaces() (places float64, known bool) {
+	open, unknown := 0, 0
 	for _, e := range c.order {
-		if e.open() && c.now >= e.restUntil {
-			places += float64(e.rules.Limit)
+		if !e.open() || c.now < e.restUntil {
+			continue
+		}
+		places += float64(e.rules.Limit)
+		open++
+		if !e.known() {
+			unknown++
 		}
 	}
-	return places
+	return places, 2*unknown <= open
 }
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -133,9 +133,6 @@
 		return permit.Before{}
 	}
 	platform := k.owner.common.Settings.Platform
-	if platform.FirstStart && time.Since(k.owner.started) < platform.QuotaWindow.Std() {
-		return permit.Before{First: true}
-	}
 	ctx, cancel := context.WithTimeout(k.owner.ctx, readTimeout)
 	defer cancel()
 	pages, err := k.read(ctx, service)
@@ -143,6 +140,10 @@
 		k.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
 		return permit.Before{Assumed: 1}
 	}
+	if platform.FirstStart && len(pages) == 0 {
+		// Every owner writes a page when it begins: there was none before.
+		return permit.Before{First: true}
+	}
 	found := permit.Before{Assumed: unwrittenShare}
 	for _, page := range pages {
 		found.Spent = append(found.Spent, page.inWindow(platform.QuotaWindow.Std())...)
@@ -194,8 +195,15 @@
 		return
 	}
 	s.kept = time.Now()
-	spent := s.core.Spent(keepShare)
-	if len(spent) == 0 {
+	if spent := s.core.Spent(keepShare); len(spent) > 0 {
+		s.write(spent)
+	}
+}
+
+// write hands a page to the keeper.
+func (s *seat) write(spent []permit.Spending) {
+	k := &s.owner.keeper
+	if k.store == nil {
 		return
 	}
 	self := s.owner.common.Self
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -52,7 +52,7 @@
 	partialShare = 0.85
 	// toleranceShare is the part of what is tolerated beyond a quota that is used;
 	// the rest is for plain services and for changes of owners.
-	toleranceShare = 0.4
+	toleranceShare = 0.55
 )
 
 // Owner decides for the services that this host owns.
@@ -63,10 +63,9 @@
 	record  *record.Service
 	outbox  peer.Outbox
 	// local takes the decisions for requests that wait on this host itself.
-	local   func(from host.Identity, m ownerMessage)
-	ctx     context.Context
-	started time.Time
-	keeper  keeper
+	local  func(from host.Identity, m ownerMessage)
+	ctx    context.Context
+	keeper keeper
 
 	mu    sync.Mutex
 	seats map[string]*seat
@@ -117,7 +116,6 @@
 	o.ctx = ctx
 	o.outbox = peer.Outbox{To: kernel.Dispatch, Service: peers, Address: o.members.Address, Failed: o.members.Avoid}
 	peers.Handle(kernel.Owner, peer.Inbox(o.accept))
-	o.started = time.Now()
 	if o.common.Settings.Platform != nil {
 		if o.keeper.store, err = kernel.Lookup[keptStore](o.common.Kernel, kernel.Discovery); err != nil {
 			return err
@@ -354,6 +352,7 @@
 		event.Before = before
 		s.step(event)
 	}
+	s.write(nil)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -25,6 +25,8 @@
 const (
 	// maxAttempts bounds the endpoints that one request is sent to.
 	maxAttempts = 4
+	// sweepInterval is how often idle connections are looked through.
+	sweepInterval = 2 * time.Second
 	// leastSilence is how long every endpoint may be silent.
 	leastSilence = 500 * time.Millisecond
 )
@@ -48,7 +50,8 @@
 }
 
 // Start finds the services that a request needs.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(ctx context.Context) error {
+	go s.run(ctx)
 	var err error
 	if s.release, err = kernel.Lookup[*release.Service](s.common.Kernel, kernel.Release); err != nil {
 		return err
@@ -70,6 +73,18 @@
 	return err
 }
 
+// run closes connections to endpoints that were idle for too long.
+func (s *Service) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sweepInterval):
+			s.sender.Sweep()
+		}
+	}
+}
+
 // Stop has nothing to end: requests end with the front.
 func (s *Service) Stop(context.Context) error { return nil }
 
