Split grown files by duty; list connection headers and compute estimates once

The headers of one connection stood in three places (front twice, relay), now in exchange.EndToEnd. A grant's estimate was computed again when it was held.

--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -13,6 +13,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -92,3 +93,21 @@
 	// ReadHead gives what the head of an endpoint's answer says.
 	ReadHead(status int, header http.Header) Head
 }
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection"}
+
+// EndToEnd gives a copy of the headers that are for the other end: all but those
+// of one connection, and those that the sender names as such.
+func EndToEnd(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, names := range header["Connection"] {
+		for name := range strings.SplitSeq(names, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		passed.Del(name)
+	}
+	return passed
+}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -379,7 +379,8 @@
 		if w := c.waiting[p.ID]; w != nil {
 			c.dequeue(w)
 		}
-		c.hold(Ask{ID: p.ID, Host: e.Host, Tier: p.Tier}, known, 0)
+		listed := Ask{ID: p.ID, Host: e.Host, Tier: p.Tier}
+		c.hold(listed, known, known.estimate(listed, c.now))
 	}
 	for id, h := range c.held {
 		overdue := c.now.Since(h.granted) > grantGrace
@@ -436,7 +437,7 @@
 func (c *Core) hold(a Ask, e *endpoint, estimate time.Duration) {
 	h := &holding{ask: a, endpoint: e, granted: c.now, estimate: estimate}
 	h.expected = e.expected(a) + max(0, e.prefillUntil.Since(c.now))
-	h.finish = c.now.After(e.estimate(a, c.now))
+	h.finish = c.now.After(estimate)
 	e.take(h, c.now)
 	c.held[a.ID] = h
 }
--- /dev/null
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+)
+
+const (
+	// defaultQueueLimit bounds the queue of a service whose configuration does
+	// not.
+	defaultQueueLimit = 2000
+	// repeatShare is how much of the bound on repeats is used; the rest is for
+	// those that a change of owners doubles.
+	repeatShare = 0.7
+	// Nearly all of a customer's tokens go to models. Plain services grant a small
+	// part beside, which the tolerance of quotas covers.
+	modelQuotaShare = 1.0
+	plainQuotaShare = 0.04
+	// partialShare is the part of its share that an owner grants that is not in
+	// touch with all hosts.
+	partialShare = 0.85
+	// toleranceShare is the part of what is tolerated beyond a quota that is used;
+	// the rest is for plain services and for changes of owners.
+	toleranceShare = 0.55
+)
+
+// bound adds what the platform bounds over all hosts together.
+func (o *Owner) bound(event *permit.Configured, service *configuration.Service, c *configuration.Configuration) {
+	p := o.common.Settings.Platform
+	if p == nil {
+		return
+	}
+	event.QueueLimit = defaultQueueLimit
+	event.Weights = p.RankWeights
+	event.Repeats = permit.RepeatBound{
+		Ratio:  p.RepeatRatio * repeatShare,
+		Slack:  p.RepeatSlack * repeatShare,
+		Window: p.RepeatWindow.Std(),
+	}
+	fleet := o.fleetShare()
+	if fleet < 1 {
+		// Others grant too until all have noticed.
+		fleet *= partialShare
+	}
+	share := plainQuotaShare
+	if service.Kind == configuration.Model {
+		share = modelQuotaShare
+	}
+	for _, customer := range c.Customers {
+		if customer.Quota == nil || !customer.Quota.Bounded() {
+			continue
+		}
+		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
+		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * fleet, Tolerance: tolerance(limit, p, service, fleet)})
+	}
+	event.QuotaWindow = p.QuotaWindow.Std()
+	event.Partial = fleet < 1
+}
+
+// tolerance gives the part of what the platform tolerates beyond a limit that an
+// owner may use that is in touch with the whole fleet.
+func tolerance(limit float64, p *settings.Platform, service *configuration.Service, fleet float64) float64 {
+	if fleet < 1 || service.Kind != configuration.Model {
+		return 0
+	}
+	return toleranceShare * (p.QuotaOvershoot*limit + p.QuotaSlack)
+}
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"go.uber.org/zap"
-	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/common"
@@ -25,7 +23,6 @@
 	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/release"
 	"godwitmoor.example/godwitmoord/pkg/ring"
-	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
 const (
@@ -37,22 +34,6 @@
 	// awayTime is how long no ask may come to an owner before it must take others
 	// to have decided meanwhile.
 	awayTime = time.Second
-	// defaultQueueLimit bounds the queue of a service whose configuration does
-	// not.
-	defaultQueueLimit = 2000
-	// repeatShare is how much of the bound on repeats is used; the rest is for
-	// those that a change of owners doubles.
-	repeatShare = 0.7
-	// Nearly all of a customer's tokens go to models. Plain services grant a small
-	// part beside, which the tolerance of quotas covers.
-	modelQuotaShare = 1.0
-	plainQuotaShare = 0.04
-	// partialShare is the part of its share that an owner grants that is not in
-	// touch with all hosts.
-	partialShare = 0.85
-	// toleranceShare is the part of what is tolerated beyond a quota that is used;
-	// the rest is for plain services and for changes of owners.
-	toleranceShare = 0.55
 )
 
 // Owner decides for the services that this host owns.
@@ -74,20 +55,6 @@
 	share   float64
 }
 
-// seat is this host's ownership of one service.
-type seat struct {
-	owner   *Owner
-	service string
-	epoch   int64
-	number  int64
-	core    permit.Core
-	events  ring.Ring[permit.Event]
-	// kept is when the grants were last written down, asked when the last ask
-	// came.
-	kept  time.Time
-	asked time.Time
-}
-
 // NewOwner makes the service.
 func NewOwner(c *common.Common) *Owner {
 	return &Owner{common: c, seats: map[string]*seat{}}
@@ -258,167 +225,3 @@
 	go s.run(o.ctx)
 	return s
 }
-
-// configure queues the rules in force.
-func (s *seat) configure() {
-	event, known := s.rules()
-	if known && !s.events.Offer(event) {
-		s.owner.common.Count("owner.events.dropped")
-	}
-}
-
-// rules gives the rules in force. A service that was removed keeps its last ones
-// until its requests end.
-func (s *seat) rules() (event permit.Configured, known bool) {
-	current := s.owner.release.Current()
-	service, known := current.Configuration.Service(s.service)
-	if !known {
-		return event, false
-	}
-	event = permit.Configured{
-		At:            instantNow(),
-		Version:       current.Version,
-		Tiers:         current.Configuration.TierCount(),
-		QueueLimit:    service.QueueLimit,
-		GoodputWeight: current.Configuration.GoodputWeight,
-		Endpoints:     rulesOf(service),
-		Settle:        settleTime,
-	}
-	s.owner.bound(&event, service, &current.Configuration)
-	return event, true
-}
-
-// bound adds what the platform bounds over all hosts together.
-func (o *Owner) bound(event *permit.Configured, service *configuration.Service, c *configuration.Configuration) {
-	p := o.common.Settings.Platform
-	if p == nil {
-		return
-	}
-	event.QueueLimit = defaultQueueLimit
-	event.Weights = p.RankWeights
-	event.Repeats = permit.RepeatBound{
-		Ratio:  p.RepeatRatio * repeatShare,
-		Slack:  p.RepeatSlack * repeatShare,
-		Window: p.RepeatWindow.Std(),
-	}
-	fleet := o.fleetShare()
-	if fleet < 1 {
-		// Others grant too until all have noticed.
-		fleet *= partialShare
-	}
-	share := plainQuotaShare
-	if service.Kind == configuration.Model {
-		share = modelQuotaShare
-	}
-	for _, customer := range c.Customers {
-		if customer.Quota == nil || !customer.Quota.Bounded() {
-			continue
-		}
-		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
-		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * fleet, Tolerance: tolerance(limit, p, service, fleet)})
-	}
-	event.QuotaWindow = p.QuotaWindow.Std()
-	event.Partial = fleet < 1
-}
-
-// tolerance gives the part of what the platform tolerates beyond a limit that an
-// owner may use that is in touch with the whole fleet.
-func tolerance(limit float64, p *settings.Platform, service *configuration.Service, fleet float64) float64 {
-	if fleet < 1 || service.Kind != configuration.Model {
-		return 0
-	}
-	return toleranceShare * (p.QuotaOvershoot*limit + p.QuotaSlack)
-}
-
-func rulesOf(service *configuration.Service) []permit.EndpointRules {
-	rules := make([]permit.EndpointRules, len(service.Endpoints))
-	for i, e := range service.Endpoints {
-		rules[i] = permit.EndpointRules{
-			Name:         e.Name,
-			Limit:        e.InFlightLimit,
-			PrefillSpeed: e.PrefillSpeed,
-			DecodeSpeed:  e.DecodeSpeed,
-			Leaving:      e.Leaving,
-		}
-	}
-	return rules
-}
-
-// run decides, one event at a time. The rules come first, and before them what
-// is known of grants by earlier owners.
-func (s *seat) run(ctx context.Context) {
-	before := s.owner.keeper.before(s.service)
-	if event, known := s.rules(); known {
-		event.Before = before
-		s.step(event)
-	}
-	s.write(nil)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-s.events.Slots():
-			s.regain(event)
-			s.step(event)
-		case <-ticker.C:
-			// Time changes nothing for a core that holds nothing.
-			if waiting, held := s.core.Load(); waiting+held > 0 {
-				s.step(permit.Ticked{At: instantNow()})
-			}
-			s.keep()
-		}
-	}
-}
-
-// regain takes in what others granted while no ask came here for a while: they
-// may have gone to another owner.
-func (s *seat) regain(event permit.Event) {
-	if _, isAsk := event.(permit.Asked); !isAsk || s.owner.keeper.store == nil {
-		return
-	}
-	away := !s.asked.IsZero() && time.Since(s.asked) > awayTime
-	if away {
-		s.step(permit.Regained{At: instantNow(), Before: s.owner.keeper.before(s.service)})
-	}
-	s.asked = time.Now()
-}
-
-func (s *seat) step(event permit.Event) {
-	actions := s.core.Step(event)
-	s.number++
-	line := permit.Line{Service: s.service, Owner: s.owner.common.Self.Name, Epoch: s.epoch, Number: s.number}
-	line, err := line.WithDecision(event, actions)
-	if err != nil {
-		s.owner.common.Log.Error("decision cannot be recorded", zap.Error(err))
-	} else {
-		s.owner.record.Add(record.Line{Decision: &line})
-	}
-	for _, action := range actions {
-		s.announce(action)
-	}
-}
-
-// announce tells the entry what was decided.
-func (s *seat) announce(action permit.Action) {
-	switch a := action.(type) {
-	case permit.Granted:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate, Teach: a.Teach})
-	case permit.Suspended:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Suspend: true})
-	case permit.Refused:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter})
-	}
-}
-
-func (s *seat) tell(name string, m ownerMessage) {
-	o := s.owner
-	if name != o.common.Self.Name {
-		if !o.outbox.Send(o.ctx, name, m) {
-			o.common.Count("owner.messages.dropped")
-		}
-		return
-	}
-	o.local(o.common.Self, m)
-}
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -302,16 +302,15 @@
 	return nil
 }
 
-// dropped are headers that concern the caller's own connection, or that only
-// this system may set towards an endpoint.
+// dropped are headers that only this system may set towards an endpoint, and
+// those of callers that are not for endpoints.
 var dropped = []string{
-	"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
-	"Authorization", "Expect", keyHeader, "X-Idempotency-Key", tierHeader, timeoutHeader,
+	"Authorization", expectHeader, keyHeader, "X-Idempotency-Key", tierHeader, timeoutHeader,
 	exchange.RequestHeader, exchange.AttemptHeader, exchange.KeyHeader, exchange.OffsetHeader,
 }
 
 func headerOf(r *http.Request) http.Header {
-	header := r.Header.Clone()
+	header := exchange.EndToEnd(r.Header)
 	for _, name := range dropped {
 		header.Del(name)
 	}
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	leastPatience   = 2 * time.Second
 	goalsOfPatience = 4
 	gapsOfPatience  = 8
+	// expectHeader asks for a word before the body, which this host has given.
+	expectHeader = "Expect"
 )
 
 // readRouted makes a request by the routes of the configuration.
@@ -54,7 +57,8 @@
 	}
 	request.Path = target
 	request.HostName = r.Host
-	request.Header = endToEnd(r.Header)
+	request.Header = exchange.EndToEnd(r.Header)
+	request.Header.Del(expectHeader)
 	return request, nil
 }
 
@@ -99,7 +103,7 @@
 // setRoute takes over what the route says of its requests.
 func setRoute(request *serving.Request, route *configuration.Route, call exchange.Call) {
 	request.Rank = route.Rank
-	request.Tier = "rank-" + string(rune('0'+min(route.Rank, 9)))
+	request.Tier = "rank-" + strconv.Itoa(route.Rank)
 	request.Idempotent = route.Repeat != configuration.Never
 	request.Resumable = route.Repeat == configuration.Resumed
 	request.Streams = route.Streams
@@ -121,22 +125,3 @@
 		request.Patience = max(leastPatience, goalsOfPatience*request.Goal, gapsOfPatience*request.GapGoal)
 	}
 }
-
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection"}
-
-// endToEnd gives the headers that go on to an endpoint: all but those of one
-// connection, and those that the caller names as such.
-func endToEnd(header http.Header) http.Header {
-	passed := header.Clone()
-	for _, names := range header["Connection"] {
-		for name := range strings.SplitSeq(names, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		passed.Del(name)
-	}
-	passed.Del("Expect")
-	return passed
-}
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 )
@@ -59,9 +58,6 @@
 	gone     bool
 }
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Proxy-Connection"}
-
 // pass hands one answer on, to its end. An error other than errCallerGone means
 // that the answer stopped short.
 func (l *relay) pass(a *attempt.Answer) error {
@@ -79,13 +75,7 @@
 		return
 	}
 	a := l.answer
-	header := http.Header{}
-	for name, values := range a.Header {
-		header[name] = values
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+	header := exchange.EndToEnd(a.Header)
 	l.status, l.contentType = a.Status, a.Header.Get("Content-Type")
 	l.caller.Begin(a.Status, header)
 	l.begun = true
@@ -209,7 +199,7 @@
 		return permit.Usage{}
 	}
 	u := permit.Usage{FirstByte: l.firstByte.Sub(start), Total: time.Since(start)}
-	if r.Service.Kind == configuration.Model {
+	if r.Streams {
 		u.PromptTokens = r.PromptTokens
 		u.AnswerTokens = max(l.events-from-l.unitEvents(), 0)
 	}
