A host beside the owner grants little of a quota; gather changes of the store

An entry that missed an owner for one call took the next host for two seconds, while the others stayed: two owners each granted what fell out of the window. A host that is not the owner by its own view grants a fifth of a quota, and reads the pages of the others when it becomes the owner.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -27,6 +27,10 @@
 	// declaredWait is how long a watch of the configuration lasts without changes.
 	// A third of the bound for keys taken away leaves room for one that fails.
 	declaredWait = 1500 * time.Millisecond
+	// declaredGather and endpointsGather are the pauses after changes. A version
+	// must be in force and a leaving endpoint left alone within two seconds.
+	declaredGather  = 100 * time.Millisecond
+	endpointsGather = 250 * time.Millisecond
 	// declaredPause bounds the pause between failed reads of the configuration:
 	// callers with keys wait for the first that succeeds.
 	declaredPause = 300 * time.Millisecond
@@ -92,8 +96,8 @@
 		return err
 	}
 	s.tellHosts()
-	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: declaredWait, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
-	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: endpointsWait, longest: longPause, take: s.takeEndpoints, done: s.expire}
+	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: declaredWait, gather: declaredGather, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
+	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: endpointsWait, gather: endpointsGather, longest: longPause, take: s.takeEndpoints, done: s.expire}
 	go declared.run(ctx)
 	go s.endpoints.run(ctx)
 	go s.run(ctx)
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -34,6 +34,9 @@
 	service *Service
 	prefix  string
 	wait    time.Duration
+	// gather is the pause after changes, in which further ones come together: each
+	// return of a watch is a call.
+	gather time.Duration
 	// longest bounds the pause between failed calls.
 	longest time.Duration
 	take    func(news)
@@ -67,6 +70,9 @@
 			f.revision, f.known = n.revision, true
 			f.succeed()
 			f.done(upTo)
+			if !n.whole && len(n.changes) > 0 {
+				f.rest(ctx, f.gather)
+			}
 		}
 	}
 }
@@ -102,9 +108,13 @@
 	f.service.common.Count("store.failed")
 	f.done(0)
 	f.pause = min(max(2*f.pause, firstPause), f.longest)
+	f.rest(ctx, f.pause)
+}
+
+func (f *follower) rest(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause):
+	case <-time.After(d):
 	}
 }
 
--- /dev/null
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -0,0 +1,106 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/godwitmoord/pkg/common"
+)
+
+// played is a store whose answers are given one by one.
+type played struct {
+	lists   int
+	watches int
+	// watch answers each watch; nil waits for its whole time.
+	watch func(number int) (keyvalue.Changes, error)
+}
+
+func (p *played) List(context.Context, string) (keyvalue.Listing, error) {
+	p.lists++
+	return keyvalue.Listing{Revision: 10}, nil
+}
+
+func (p *played) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (keyvalue.Changes, error) {
+	p.watches++
+	if p.watch != nil {
+		if changes, err := p.watch(p.watches); err != nil || len(changes.Changes) > 0 {
+			return changes, err
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return keyvalue.Changes{Revision: after}, ctx.Err()
+}
+
+func (p *played) Put(context.Context, string, []byte, int64) (keyvalue.Outcome, error) {
+	return keyvalue.Outcome{Applied: true}, nil
+}
+
+// follow runs a follower for a time on a paused clock.
+func follow(t *testing.T, store *played, span time.Duration) (taken []news, regained time.Time) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+		f := &follower{
+			service: New(c, store, nil), wait: time.Second, gather: 250 * time.Millisecond, longest: time.Second,
+			take: func(n news) { taken = append(taken, n) }, done: func(time.Duration) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		f.run(ctx)
+		regained = f.regained
+	})
+	return taken, regained
+}
+
+func TestChangesThatComeTogetherCostOneCall(t *testing.T) {
+	is := is.New(t)
+	store := &played{watch: func(int) (keyvalue.Changes, error) {
+		return keyvalue.Changes{Changes: []keyvalue.Change{{}}, Revision: 11}, nil
+	}}
+	follow(t, store, 2*time.Second)
+	is.True(store.watches <= 1+int(2*time.Second/(250*time.Millisecond))) // not one for each change
+	is.Equal(store.lists, 1)
+}
+
+func TestDroppedChangesAreListedAgain(t *testing.T) {
+	is := is.New(t)
+	store := &played{watch: func(number int) (keyvalue.Changes, error) {
+		if number == 2 {
+			return keyvalue.Changes{}, &keyvalue.CompactedError{After: 10}
+		}
+		return keyvalue.Changes{}, nil
+	}}
+	taken, _ := follow(t, store, 4*time.Second)
+	is.Equal(store.lists, 2)
+	whole := 0
+	for _, n := range taken {
+		if n.whole {
+			whole++
+		}
+	}
+	is.Equal(whole, 2) // what is missing the second time is gone
+}
+
+func TestStoreThatFailsIsAskedLessOften(t *testing.T) {
+	is := is.New(t)
+	down := errors.New("turned away")
+	store := &played{watch: func(number int) (keyvalue.Changes, error) {
+		if number < 6 {
+			return keyvalue.Changes{}, down
+		}
+		return keyvalue.Changes{}, nil
+	}}
+	_, regained := follow(t, store, 10*time.Second)
+	is.True(!regained.IsZero())
+	is.Equal(store.lists, 1)     // nothing was dropped
+	is.True(store.watches <= 15) // five that failed, and one a second
+}
--- a/godwitmoord/pkg/dispatch/bounds.go
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -20,13 +20,17 @@
 	// partialShare is the part of its share that an owner grants that is not in
 	// touch with all hosts.
 	partialShare = 0.85
+	// besideShare is the part of a quota that a host grants that is taken for the
+	// owner by some, while by its own view another is.
+	besideShare = 0.2
 	// toleranceShare is the part of what is tolerated beyond a quota that is used;
 	// the rest is for plain services and for changes of owners.
 	toleranceShare = 0.55
 )
 
-// bound adds what the platform bounds over all hosts together.
-func (o *Owner) bound(event *permit.Configured, service *configuration.Service, c *configuration.Configuration) {
+// bound adds what the platform bounds over all hosts together. The part of each
+// quota given is this owner's to grant.
+func (o *Owner) bound(event *permit.Configured, service *configuration.Service, c *configuration.Configuration, fleet float64) {
 	p := o.common.Settings.Platform
 	if p == nil {
 		return
@@ -38,11 +42,6 @@
 		Slack:  p.RepeatSlack * repeatShare,
 		Window: p.RepeatWindow.Std(),
 	}
-	fleet := o.fleetShare()
-	if fleet < 1 {
-		// Others grant too until all have noticed.
-		fleet *= partialShare
-	}
 	share := plainQuotaShare
 	if service.Kind == configuration.Model {
 		share = modelQuotaShare
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -90,27 +90,36 @@
 	}
 }
 
-// loop follows the part of the fleet that this host is in touch with.
+// loop follows the part of the fleet that this host is in touch with, and the
+// services that are its to decide.
 func (k *keeper) loop(ctx context.Context) {
-	o := k.owner
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(shareInterval):
 		}
-		share := o.members.Share()
-		if math.Abs(share-o.fleetShare()) < shareStep {
-			continue
-		}
-		o.setShare(share)
-		o.common.Log.Info("share of the fleet in touch", zap.Float64("share", share))
-		for _, s := range o.openSeats() {
-			s.configure()
+		shared := k.follow()
+		for _, s := range k.owner.openSeats() {
+			if s.choose() || shared {
+				s.configure()
+			}
 		}
 	}
 }
 
+// follow takes over the share of the fleet in touch, and tells whether it changed.
+func (k *keeper) follow() bool {
+	o := k.owner
+	share := o.members.Share()
+	if math.Abs(share-o.fleetShare()) < shareStep {
+		return false
+	}
+	o.setShare(share)
+	o.common.Log.Info("share of the fleet in touch", zap.Float64("share", share))
+	return true
+}
+
 // fleetShare gives the part of each quota that is this host's to grant.
 func (o *Owner) fleetShare() float64 {
 	o.shareMu.Lock()
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,11 @@
 	// came.
 	kept  time.Time
 	asked time.Time
+	// chosen is set while this host is the owner by its own view. Others may take
+	// it for one when they can't reach the owner.
+	chosen atomic.Bool
+	// outdated is set when another owner may have granted since the last look.
+	outdated atomic.Bool
 }
 
 // configure queues the rules in force.
@@ -50,7 +56,7 @@
 		Endpoints:     rulesOf(service),
 		Settle:        settleTime,
 	}
-	s.owner.bound(&event, service, &current.Configuration)
+	s.owner.bound(&event, service, &current.Configuration, s.quotaShare())
 	return event, true
 }
 
@@ -71,6 +77,8 @@
 // run decides, one event at a time. The rules come first, and before them what
 // is known of grants by earlier owners.
 func (s *seat) run(ctx context.Context) {
+	s.choose()
+	s.outdated.Store(false)
 	before := s.owner.keeper.before(s.service)
 	if event, known := s.rules(); known {
 		event.Before = before
@@ -96,6 +104,31 @@
 	}
 }
 
+// quotaShare gives the part of each quota that this seat may grant. Beside the
+// owner that most hosts follow, it may grant a little, until it is the owner by
+// its own view too.
+func (s *seat) quotaShare() float64 {
+	share := s.owner.fleetShare()
+	if !s.chosen.Load() {
+		return min(share, besideShare)
+	}
+	if share < 1 {
+		// Others grant too until all have noticed.
+		share *= partialShare
+	}
+	return share
+}
+
+// choose looks whether this host is the owner, and tells whether that changed.
+func (s *seat) choose() bool {
+	chosen := ownerOf(s.owner.members.ReadyNames(), s.service) == s.owner.common.Self.Name
+	if s.chosen.Swap(chosen) == chosen {
+		return false
+	}
+	s.outdated.Store(chosen)
+	return true
+}
+
 // regain takes in what others granted while no ask came here for a while: they
 // may have gone to another owner.
 func (s *seat) regain(event permit.Event) {
@@ -103,7 +136,7 @@
 		return
 	}
 	away := !s.asked.IsZero() && time.Since(s.asked) > awayTime
-	if away {
+	if s.outdated.Swap(false) || away {
 		s.step(permit.Regained{At: instantNow(), Before: s.owner.keeper.before(s.service)})
 	}
 	s.asked = time.Now()
