--- /dev/null
+++ b/godwitmoord/pkg/dispatch/bounds_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+)
+
+func ownerOnPlatform() *Owner {
+	c := &common.Common{
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Self: host.Identity{Name: "entry-1", Incarnation: 1},
+		Settings: settings.Settings{Platform: &settings.Platform{
+			QuotaWindow: document.Duration(8 * time.Second), QuotaOvershoot: 0.1, QuotaSlack: 1000,
+		}},
+	}
+	o := NewOwner(c)
+	o.members = membership.New(c)
+	return o
+}
+
+// quotaOf gives what an owner of a service may grant a customer with 100 tokens/s
+// and a burst of 200.
+func quotaOf(o *Owner, kind configuration.Kind, fleet float64) permit.Quota {
+	var event permit.Configured
+	c := configuration.Configuration{Customers: []configuration.Customer{
+		{Name: "tower", Quota: &configuration.Quota{PerSecond: 100, Burst: 200}},
+		{Name: "unbounded", Quota: &configuration.Quota{}},
+	}}
+	o.bound(&event, &configuration.Service{Kind: kind}, &c, fleet)
+	return event.Quotas[0]
+}
+
+func TestQuotaOfAWindowIsSharedByTheFleetInTouch(t *testing.T) {
+	is := is.New(t)
+	o := ownerOnPlatform()
+	whole := quotaOf(o, configuration.Model, 1)
+	is.Equal(whole.Limit, 1000.0) // eight seconds of the rate, and the burst
+	is.True(whole.Tolerance > 0 && whole.Tolerance < 0.1*1000+1000)
+	half := quotaOf(o, configuration.Model, 0.5)
+	is.Equal(half.Limit, 500.0)
+	is.Equal(half.Tolerance, 0.0) // others may be granting of the same
+	plain := quotaOf(o, configuration.Application, 1)
+	is.True(plain.Limit+whole.Limit+whole.Tolerance <= 1.1*1000+1000) // both services within the rule
+}
+
+func TestHostBesideTheOwnerGrantsLittle(t *testing.T) {
+	is := is.New(t)
+	s := &seat{owner: ownerOnPlatform(), service: "pool"}
+	is.Equal(s.quotaShare(), besideShare) // some take it for the owner, it does not
+	is.True(s.choose())                   // it knows no other host, so the service is its own
+	is.True(s.outdated.Load())            // and must look at what others granted
+	is.Equal(s.quotaShare(), 1.0)
+	is.True(!s.choose())
+	s.owner.setShare(0.5)
+	is.True(s.quotaShare() < 0.5) // until all have noticed that they are apart
+}
+
+func TestPageCountsOnlyWhatIsStillInTheWindow(t *testing.T) {
+	is := is.New(t)
+	page := keptPage{
+		Written: time.Now().Add(-3 * time.Second).UnixNano(),
+		Spent:   []permit.Spending{{Customer: "tower", Tokens: 1, Age: time.Second}, {Customer: "tower", Tokens: 2, Age: 7 * time.Second}},
+	}
+	spent := page.inWindow(8 * time.Second)
+	is.Equal(len(spent), 1)
+	is.Equal(spent[0].Tokens, 1.0)
+	is.True(spent[0].Age >= 3*time.Second)
+}
