--- a/godwitmoord/pkg/front/reply.go
+++ b/godwitmoord/pkg/front/reply.go
@@ -68,16 +68,18 @@
 		return http.StatusBadRequest
 	case text.StillRunning:
 		return http.StatusConflict
-	case text.OverQuota:
-		return http.StatusTooManyRequests
 	}
-	if refused.Outcome == text.NotRun {
+	// Statuses that promise that nothing ran are for such requests alone.
+	switch {
+	case refused.Outcome == text.NotRun && refused.Reason == text.OverQuota:
+		return http.StatusTooManyRequests
+	case refused.Outcome == text.NotRun:
 		return http.StatusServiceUnavailable
-	}
-	if refused.Reason == text.Deadline {
+	case refused.Reason == text.Deadline:
 		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
 	}
-	return http.StatusBadGateway
 }
 
 // caller is the answer's way back.
--- a/godwitmoord/pkg/serving/journey.go
+++ b/godwitmoord/pkg/serving/journey.go
@@ -72,8 +72,13 @@
 	return text.NotRun
 }
 
-// acquire waits for a permit for one more attempt.
+// acquire waits for a permit for one more attempt, if none is held already.
 func (j *journey) acquire(ctx context.Context) (*dispatch.Grant, Ending) {
+	if next := j.next; next != nil {
+		j.next = nil
+		j.hold(next)
+		return next, nil
+	}
 	deadline := j.request.Deadline
 	if j.relay.begun || j.suspensions > 0 {
 		// The caller reads already, or gave way to others: an answer that comes
@@ -84,17 +89,11 @@
 	j.attempts = append(j.attempts, id)
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if next := j.next; next != nil {
-		j.next = nil
-		j.endpoint = next.Permit.Endpoint
-		return next, nil
-	}
 	asked := time.Now()
 	grant, err := j.service.entry.Acquire(waiting, j.request.Service.Name, j.ask(id), j.times(deadline))
 	j.queued += time.Since(asked)
 	if err == nil {
-		j.endpoint = grant.Permit.Endpoint
-		j.owner, j.estimate = grant.Owner(), grant.Estimate
+		j.hold(grant)
 		return grant, nil
 	}
 	if j.relay.begun {
@@ -109,6 +108,12 @@
 	return nil, refused
 }
 
+// hold notes the permit of the attempt to come.
+func (j *journey) hold(grant *dispatch.Grant) {
+	j.endpoint = grant.Permit.Endpoint
+	j.owner, j.estimate = grant.Owner(), grant.Estimate
+}
+
 // times gives what the owner must know of the time left.
 func (j *journey) times(deadline time.Time) dispatch.Times {
 	t := dispatch.Times{Deadline: deadline}
