--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -1,10 +1,8 @@
 package app_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -28,11 +26,13 @@
 	is      *is.I
 	store   *platformtest.Store
 	workers map[string]*platformtest.Worker
-	entries map[string]string
-	front   string
-	ready   string
-	version int
-	keys    string
+	// addresses are those of the workers.
+	addresses map[string]string
+	front     string
+	ready     string
+	version   int
+	// key is the one that the customer holds.
+	key string
 }
 
 func openSite(t *testing.T) *site {
@@ -40,7 +40,7 @@
 	s := newSite(t)
 	s.declare()
 	for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
-		s.register(name, "ready")
+		s.register(name, false)
 	}
 	s.launch()
 	s.eventually("the host is ready", func() bool { return s.probe() == http.StatusOK })
@@ -50,7 +50,7 @@
 func newSite(t *testing.T) *site {
 	s := &site{
 		t: t, is: is.New(t), store: platformtest.NewStore(),
-		workers: map[string]*platformtest.Worker{}, entries: map[string]string{}, keys: `"good-key"`,
+		workers: map[string]*platformtest.Worker{}, addresses: map[string]string{}, key: "good-key",
 	}
 	for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
 		worker := &platformtest.Worker{ID: name}
@@ -59,7 +59,7 @@
 		}
 		server := httptest.NewServer(worker)
 		t.Cleanup(server.Close)
-		s.workers[name], s.entries[name] = worker, strings.TrimPrefix(server.URL, "http://")
+		s.workers[name], s.addresses[name] = worker, strings.TrimPrefix(server.URL, "http://")
 	}
 	return s
 }
@@ -67,23 +67,21 @@
 // declare writes the next version of the operators' configuration.
 func (s *site) declare() {
 	s.version++
-	route := `{"Name":"%s","Host":"shop.example","PathPrefix":"/%s/","RouteKind":"%s","TimeoutMs":%d,"GoalMs":150,"Priority":1,` +
-		`"Service":"%s","MaxAttempts":2,"Resumable":%t,"GapGoalMs":300}`
-	routes := []string{
-		fmt.Sprintf(route, "order", "order", "unsafe", 3000, "desk", false),
-		fmt.Sprintf(route, "lookup", "lookup", "safe", 3000, "desk", false),
-		fmt.Sprintf(route, "chat", "chat", "streaming", 9000, "pool", true),
-		fmt.Sprintf(route, "plan", "plan", "streaming", 9000, "pool", false),
-		fmt.Sprintf(route, "short", "short", "unsafe", 200, "desk", false),
-	}
-	s.store.Set("op/config", fmt.Sprintf(`{"Version":%d,"Routes":[%s],"Services":[{"Name":"pool","Engine":{"Stride":6}},{"Name":"desk"}],`+
-		`"Limits":{"MaxBodyBytes":1000},"Tenants":[{"Name":"tower","ApiKeys":[%s],"UncachedTokens":200,"RatePerS":100000,"Burst":100000}]}`,
-		s.version, strings.Join(routes, ","), s.keys))
+	s.store.Declare(platformtest.Declared{
+		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.key},
+		Routes: []platformtest.Route{
+			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
+			{Name: "lookup", Kind: "safe", Service: "desk", Timeout: 3 * time.Second},
+			{Name: "chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true},
+			{Name: "plan", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second},
+			{Name: "short", Kind: "unsafe", Service: "desk", Timeout: 200 * time.Millisecond},
+		},
+	})
 }
 
-func (s *site) register(name, state string) {
+func (s *site) register(name string, leaving bool) {
 	service, _, _ := strings.Cut(name, "-")
-	s.store.Set("servers/"+name, fmt.Sprintf(`{"Service":"%s","Address":"%s","Zone":"a","Slots":6,"State":"%s","Sequence":1}`, service, s.entries[name], state))
+	s.store.Announce(name, service, s.addresses[name], leaving)
 }
 
 func (s *site) launch() {
@@ -129,29 +127,8 @@
 	s.t.Fatalf("not in time: %s", what)
 }
 
-// result is what a caller of the site gets.
-type result struct {
-	status int
-	body   string
-	header http.Header
-	err    error
-}
-
-func (s *site) call(path, key string) result {
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.front+path, bytes.NewReader([]byte("an order")))
-	s.is.NoErr(err)
-	request.Host = "shop.example"
-	request.Header.Set("Godwitmoor-Attempt-Id", uuid.NewString())
-	request.Header.Set("Godwitmoor-Deadline-Ms", "9000")
-	request.Header.Set("Godwitmoor-Tenant", "somebody-else")
-	request.Header.Set("X-Api-Key", key)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return result{err: err}
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return result{status: response.StatusCode, body: string(body), header: response.Header, err: err}
+func (s *site) call(path, key string) platformtest.Answer {
+	return platformtest.Call(s.front, "shop.example", path, key, uuid.NewString())
 }
 
 // runs gives how often the workers of a service ran a request.
@@ -168,27 +145,27 @@
 func TestOrderRunsOnceForItsCustomer(t *testing.T) {
 	s := openSite(t)
 	r := s.call("/order/7%2f8?x=1&y=%20", "good-key")
-	s.is.NoErr(r.err)
-	s.is.Equal(r.status, http.StatusOK)
-	s.is.True(r.header.Get("Godwitmoor-Server-Stamp") != "")
+	s.is.NoErr(r.Err)
+	s.is.Equal(r.Status, http.StatusOK)
+	s.is.True(r.Stamp != "")
 	runs := s.runs("desk")
 	s.is.Equal(len(runs), 1)
 	s.is.Equal(runs[0].Path, "/order/7%2f8?x=1&y=%20") // as the caller wrote it
 	s.is.Equal(runs[0].Customer, "tower")
 	s.is.Equal(runs[0].Key, "")
 	s.is.True(runs[0].Wait != "9000") // the route's timeout is shorter
-	s.is.Equal(s.call("/order/7", "bad-key").status, http.StatusUnauthorized)
-	s.is.Equal(s.call("/nothing/7", "good-key").status, http.StatusNotFound)
+	s.is.Equal(s.call("/order/7", "bad-key").Status, http.StatusUnauthorized)
+	s.is.Equal(s.call("/nothing/7", "good-key").Status, http.StatusNotFound)
 	s.is.Equal(len(s.runs("desk")), 1)
 }
 
 func TestLostOrderIsToldAsUnknownAndNeverSentAgain(t *testing.T) {
 	s := openSite(t)
 	s.fail("desk", platformtest.WorkerFaults{Cut: true})
-	s.is.Equal(s.call("/order/7", "good-key").status, http.StatusBadGateway)
+	s.is.Equal(s.call("/order/7", "good-key").Status, http.StatusBadGateway)
 	s.is.Equal(len(s.runs("desk")), 1)
 	s.fail("desk", platformtest.WorkerFaults{Misleading: true})
-	s.is.Equal(s.call("/order/8", "good-key").status, http.StatusBadGateway) // a 503 would say that it did not run
+	s.is.Equal(s.call("/order/8", "good-key").Status, http.StatusBadGateway) // a 503 would say that it did not run
 	s.is.Equal(len(s.runs("desk")), 2)
 }
 
@@ -196,12 +173,12 @@
 	s := openSite(t)
 	s.workers["desk-1"].Fail(platformtest.WorkerFaults{Full: true})
 	for range 6 {
-		s.is.Equal(s.call("/order/7", "good-key").status, http.StatusOK)
+		s.is.Equal(s.call("/order/7", "good-key").Status, http.StatusOK)
 	}
 	s.fail("desk", platformtest.WorkerFaults{Full: true})
 	r := s.call("/order/8", "good-key")
-	s.is.Equal(r.status, http.StatusServiceUnavailable)
-	s.is.True(r.header.Get("Retry-After") != "")
+	s.is.Equal(r.Status, http.StatusServiceUnavailable)
+	s.is.True(r.RetryAfter != "")
 	s.is.Equal(len(s.runs("desk")), 6)
 }
 
@@ -209,88 +186,88 @@
 	s := openSite(t)
 	s.workers["desk-1"].Fail(platformtest.WorkerFaults{Fail: true})
 	for range 4 {
-		s.is.Equal(s.call("/lookup/7", "good-key").status, http.StatusOK)
+		s.is.Equal(s.call("/lookup/7", "good-key").Status, http.StatusOK)
 	}
 	s.fail("desk", platformtest.WorkerFaults{Fail: true})
 	before := len(s.runs("desk"))
 	r := s.call("/lookup/7", "good-key")
-	s.is.Equal(r.status, http.StatusInternalServerError)
-	s.is.True(r.header.Get("Godwitmoor-Server-Stamp") != "")
+	s.is.Equal(r.Status, http.StatusInternalServerError)
+	s.is.True(r.Stamp != "")
 	s.is.Equal(len(s.runs("desk")), before+2) // no more than the route's attempts
 }
 
 func TestCutStreamGoesOnAtAnotherWorkerWithoutGapOrRepeat(t *testing.T) {
 	s := openSite(t)
 	whole := s.call("/chat/7", "good-key")
-	s.is.NoErr(whole.err)
+	s.is.NoErr(whole.Err)
 	s.workers["pool-1"].Fail(platformtest.WorkerFaults{CutAfter: 2})
 	for range 4 {
 		r := s.call("/chat/7", "good-key")
-		s.is.NoErr(r.err)
-		s.is.Equal(r.body, whole.body)
+		s.is.NoErr(r.Err)
+		s.is.Equal(r.Body, whole.Body)
 	}
 	// One that may not go on ends in a way that no client takes for an end.
 	s.fail("pool", platformtest.WorkerFaults{CutAfter: 2})
 	before := len(s.runs("pool"))
-	s.is.True(s.call("/plan/7", "good-key").err != nil)
+	s.is.True(s.call("/plan/7", "good-key").Err != nil)
 	s.is.Equal(len(s.runs("pool")), before+1)
 }
 
 func TestAnswerComesAtTheRoutesTimeout(t *testing.T) {
 	s := openSite(t)
 	s.fail("desk", platformtest.WorkerFaults{Pause: time.Minute})
-	s.is.Equal(s.call("/short/7", "good-key").status, http.StatusGatewayTimeout)
+	s.is.Equal(s.call("/short/7", "good-key").Status, http.StatusGatewayTimeout)
 	s.is.Equal(len(s.runs("desk")), 1)
 	s.fail("desk", platformtest.WorkerFaults{})
 }
 
 func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
 	s := openSite(t)
-	s.register("desk-1", "draining")
-	s.store.Set("servers/desk-3", "written by somebody else")
+	s.register("desk-1", true)
+	s.store.Garble("desk-3")
 	s.eventually("only the other worker is used", func() bool {
 		before := len(s.workers["desk-1"].Runs())
 		for range 6 {
-			s.is.Equal(s.call("/lookup/7", "good-key").status, http.StatusOK)
+			s.is.Equal(s.call("/lookup/7", "good-key").Status, http.StatusOK)
 		}
 		return len(s.workers["desk-1"].Runs()) == before
 	})
-	s.register("desk-1", "ready")
-	s.store.Remove("servers/desk-2")
+	s.register("desk-1", false)
+	s.store.Forget("desk-2")
 	s.eventually("the one that came back is used", func() bool {
 		before := len(s.workers["desk-1"].Runs())
-		return s.call("/lookup/7", "good-key").status == http.StatusOK && len(s.workers["desk-1"].Runs()) > before
+		return s.call("/lookup/7", "good-key").Status == http.StatusOK && len(s.workers["desk-1"].Runs()) > before
 	})
 }
 
 func TestKeyTakenAwayIsRefusedAlsoWhenTheStoreIsGone(t *testing.T) {
 	s := openSite(t)
-	s.keys = `"new-key"`
+	s.key = "new-key"
 	s.declare()
-	s.eventually("the old key is refused", func() bool { return s.call("/lookup/7", "good-key").status == http.StatusUnauthorized })
-	s.is.Equal(s.call("/lookup/7", "new-key").status, http.StatusOK)
+	s.eventually("the old key is refused", func() bool { return s.call("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+	s.is.Equal(s.call("/lookup/7", "new-key").Status, http.StatusOK)
 	s.store.Fail(platformtest.StoreFaults{Down: true})
-	s.eventually("keys are no longer trusted", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusServiceUnavailable })
+	s.eventually("keys are no longer trusted", func() bool { return s.call("/lookup/7", "new-key").Status == http.StatusServiceUnavailable })
 	s.is.Equal(s.probe(), http.StatusServiceUnavailable)
 	s.store.Fail(platformtest.StoreFaults{})
-	s.eventually("they are again", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusOK })
+	s.eventually("they are again", func() bool { return s.call("/lookup/7", "new-key").Status == http.StatusOK })
 }
 
 func TestHostListsAgainWhenTheStoreForgot(t *testing.T) {
 	s := openSite(t)
 	s.store.Fail(platformtest.StoreFaults{Down: true})
-	s.keys = `"new-key"`
+	s.key = "new-key"
 	s.declare()
 	s.store.Compact()
 	s.store.Fail(platformtest.StoreFaults{})
-	s.eventually("the new key counts", func() bool { return s.call("/lookup/7", "new-key").status == http.StatusOK })
+	s.eventually("the new key counts", func() bool { return s.call("/lookup/7", "new-key").Status == http.StatusOK })
 }
 
 func TestHostWithoutAConfigurationPromisesNothingButATry(t *testing.T) {
 	s := newSite(t)
 	s.launch()
 	r := s.call("/order/7", "good-key")
-	s.is.Equal(r.status, http.StatusServiceUnavailable) // not 401 or 404
-	s.is.True(r.header.Get("Retry-After") != "")
+	s.is.Equal(r.Status, http.StatusServiceUnavailable) // not 401 or 404
+	s.is.True(r.RetryAfter != "")
 	s.is.Equal(s.probe(), http.StatusServiceUnavailable)
 }
