--- a/godwitmoord/pkg/dispatch/bounds.go
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -19,7 +19,7 @@
 	plainQuotaShare = 0.04
 	// partialShare is the part of its share that an owner grants that is not in
 	// touch with all hosts.
-	partialShare = 0.85
+	partialShare = 0.75
 	// besideShare is the part of a quota that a host grants that is taken for the
 	// owner by some, while by its own view another is.
 	besideShare = 0.2
--- a/godwitmoord/pkg/dispatch/bounds_test.go
+++ b/godwitmoord/pkg/dispatch/bounds_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/ring"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
@@ -76,3 +78,23 @@
 	is.Equal(spent[0].Tokens, 1.0)
 	is.True(spent[0].Age >= 3*time.Second)
 }
+
+func TestPageOfANewLifeKeepsWhatTheEarlierOneGranted(t *testing.T) {
+	is := is.New(t)
+	s := &seat{owner: ownerOnPlatform(), service: "pool"}
+	s.owner.keeper.owner = s.owner
+	s.owner.keeper.store = &emptyStore{}
+	s.owner.keeper.pages = ring.New[keptPage](1)
+	s.inherit([]permit.Spending{{Customer: "tower", Tokens: 5, Age: 2 * time.Second}, {Customer: "tower", Tokens: 7, Age: 9 * time.Second}})
+	s.write([]permit.Spending{{Customer: "shop", Tokens: 1}})
+	page := <-s.owner.keeper.pages.Slots()
+	is.Equal(len(page.Spent), 2)
+	is.Equal(page.Spent[0].Tokens, 5.0) // what is out of the window is gone
+	is.Equal(page.Spent[1].Customer, "shop")
+}
+
+// emptyStore keeps nothing.
+type emptyStore struct{}
+
+func (*emptyStore) Keep(context.Context, string, []byte) error     { return nil }
+func (*emptyStore) Kept(context.Context, string) ([][]byte, error) { return nil, nil }
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -136,10 +137,11 @@
 	o.share = share
 }
 
-// before gives what is known of grants before a seat is opened.
-func (k *keeper) before(service string) permit.Before {
+// before gives what is known of grants before a seat is opened, and which of
+// them an earlier life of this host wrote: its page is about to be overwritten.
+func (k *keeper) before(service string) (found permit.Before, earlier []permit.Spending) {
 	if k.store == nil {
-		return permit.Before{}
+		return permit.Before{}, nil
 	}
 	platform := k.owner.common.Settings.Platform
 	ctx, cancel := context.WithTimeout(k.owner.ctx, readTimeout)
@@ -147,18 +149,22 @@
 	pages, err := k.read(ctx, service)
 	if err != nil {
 		k.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
-		return permit.Before{Assumed: 1}
+		return permit.Before{Assumed: 1}, nil
 	}
 	if platform.FirstStart && len(pages) == 0 {
 		// Every owner writes a page when it begins: there was none before.
-		return permit.Before{First: true}
+		return permit.Before{First: true}, nil
 	}
-	found := permit.Before{Assumed: unwrittenShare}
+	found.Assumed = unwrittenShare
 	for _, page := range pages {
-		found.Spent = append(found.Spent, page.inWindow(platform.QuotaWindow.Std())...)
+		spent := page.inWindow(platform.QuotaWindow.Std())
+		found.Spent = append(found.Spent, spent...)
+		if page.Host == k.owner.common.Self.Name {
+			earlier = append(earlier, spent...)
+		}
 	}
 	k.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Int("lines", len(found.Spent)))
-	return found
+	return found, earlier
 }
 
 // inWindow gives the grants of a page that still count.
@@ -209,6 +215,20 @@
 	}
 }
 
+// inherit takes over what an earlier life of this host granted, so that it stays
+// on the page while it counts.
+func (s *seat) inherit(earlier []permit.Spending) {
+	if len(earlier) > 0 {
+		s.inherited, s.inheritedAt = earlier, time.Now()
+	}
+}
+
+// stillInherited gives what was taken over, as old as it is by now.
+func (s *seat) stillInherited() []permit.Spending {
+	page := keptPage{Spent: slices.Clone(s.inherited), Written: s.inheritedAt.Add(clockError).UnixNano()}
+	return page.inWindow(s.owner.common.Settings.Platform.QuotaWindow.Std())
+}
+
 // write hands a page to the keeper.
 func (s *seat) write(spent []permit.Spending) {
 	k := &s.owner.keeper
@@ -216,6 +236,7 @@
 		return
 	}
 	self := s.owner.common.Self
+	spent = append(s.stillInherited(), spent...)
 	page := keptPage{Service: s.service, Spent: spent, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation}
 	if !k.pages.Offer(page) {
 		s.owner.common.Count("owner.kept.dropped")
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -24,6 +24,10 @@
 	// came.
 	kept  time.Time
 	asked time.Time
+	// inherited is what an earlier life of this host granted, as old as it was at
+	// inheritedAt.
+	inherited   []permit.Spending
+	inheritedAt time.Time
 	// chosen is set while this host is the owner by its own view. Others may take
 	// it for one when they can't reach the owner.
 	chosen atomic.Bool
@@ -79,7 +83,8 @@
 func (s *seat) run(ctx context.Context) {
 	s.choose()
 	s.outdated.Store(false)
-	before := s.owner.keeper.before(s.service)
+	before, earlier := s.owner.keeper.before(s.service)
+	s.inherit(earlier)
 	if event, known := s.rules(); known {
 		event.Before = before
 		s.step(event)
@@ -137,7 +142,8 @@
 	}
 	away := !s.asked.IsZero() && time.Since(s.asked) > awayTime
 	if s.outdated.Swap(false) || away {
-		s.step(permit.Regained{At: instantNow(), Before: s.owner.keeper.before(s.service)})
+		before, _ := s.owner.keeper.before(s.service)
+		s.step(permit.Regained{At: instantNow(), Before: before})
 	}
 	s.asked = time.Now()
 }
