Let only hosts on the platform outrank a life with a later number

The rule is for clocks that jump, as the platform says they do; elsewhere a later number ends a life at once, as before.

--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -456,7 +456,8 @@
 
 // refute contradicts what others say of this life of this host; s.mu is held.
 func (s *Service) refute(r row) {
-	if r.Incarnation > s.self.row.Incarnation && time.Since(s.started) < newLife {
+	fresh := s.common.Settings.Platform != nil && time.Since(s.started) < newLife
+	if r.Incarnation > s.self.row.Incarnation && fresh {
 		// An earlier life started by a clock that ran ahead of the present one. A
 		// host that has lived for longer is itself the earlier one.
 		s.self.row.Incarnation = r.Incarnation + 1
