--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -102,9 +102,6 @@
 	// EventTokens is the number of tokens that one event of a stream holds; zero
 	// is one.
 	EventTokens int `json:"event-tokens,omitempty"`
-	// ConnectionLimit bounds the connections to one endpoint from all hosts
-	// together; zero does not bound them.
-	ConnectionLimit int `json:"connection-limit,omitempty"`
 }
 
 // Endpoint is one worker of a service.
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -232,7 +232,7 @@
 		return
 	}
 	c.offered[a.Tier].advance(c.now)
-	c.offered[a.Tier].add(c.now, c.workOf(w))
+	c.offered[a.Tier].add(c.now, c.workOf(a.Tier))
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
 		c.refuse(w, QueueFull)
 		return
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -295,5 +295,5 @@
 		*value = sample
 		return
 	}
-	*value += learningRate * (sample - *value)
+	blend01(value, sample)
 }
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -46,17 +46,13 @@
 func (c *Core) worth(index int) float64 {
 	tier := index / queuesPerTier
 	weight := c.weights[min(tier, len(c.weights)-1)]
-	work := c.worked[tier]
-	if work <= 0 {
-		work = unknownWork
-	}
 	switch index % queuesPerTier {
 	case begunQueue:
 		weight *= begunShare
 	case lateQueue:
 		weight *= lateShare
 	}
-	return weight / work
+	return weight / c.workOf(tier)
 }
 
 // place gives free places to waiting requests, the first queue first.
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -100,10 +100,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Head is what the headers say, in the deployment's dialect.
-	Head exchange.Head
-	// Length is the length of the body, in bytes; -1 if it was not told.
-	Length int64
 	Body   io.Reader
 	close  func()
 }
@@ -151,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Head: told, Length: response.ContentLength}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header}
 	body := &partReader{passage: x, body: response.Body, left: response.ContentLength, reusable: !response.Close, idle: told.IdleLimit}
 	answer.Body = body
 	answer.close = func() { x.end(body.whole) }
--- a/godwitmoord/pkg/attempt/link.go
+++ b/godwitmoord/pkg/attempt/link.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,8 +53,6 @@
 	idle map[string][]*link
 	// heard is when something last came from each address.
 	heard map[string]time.Time
-	// Dials counts new connections.
-	Dials atomic.Int64
 }
 
 func (s *Sender) dialect() exchange.Dialect {
@@ -78,7 +75,6 @@
 		}
 		l.abort()
 	}
-	s.Dials.Add(1)
 	dialer := net.Dialer{Timeout: dialTimeout, Control: limitUnacknowledged}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/godwitmoord/pkg/serving/direct.go
+++ b/godwitmoord/pkg/serving/direct.go
@@ -148,7 +148,7 @@
 		return ending
 	}
 	f := j.failure
-	answer := &attempt.Answer{Status: f.status, Header: f.header, Length: int64(len(f.body)), Body: bytes.NewReader(f.body)}
+	answer := &attempt.Answer{Status: f.status, Header: f.header, Body: bytes.NewReader(f.body)}
 	if err := j.relay.pass(answer); err != nil {
 		return Broken{Reason: text.AnswerLost}
 	}
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -36,7 +36,7 @@
 }
 
 func streamOf(body io.Reader) *attempt.Answer {
-	return &attempt.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: -1, Body: body}
+	return &attempt.Answer{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: body}
 }
 
 func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
