Owners that do not know the whole window write all grants down; a second look

The owner of before also granted on for half a second after the successor had read its page.

Ruled out: dropped messages (none counted), pages lost in the store, clocks. The log now tells a request's quota-tokens.

--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -92,6 +92,8 @@
 type Before struct {
 	// First says that there was no owner before.
 	First bool `json:"first,omitempty"`
+	// Unread says that what was written of them could not be read.
+	Unread bool `json:"unread,omitempty"`
 	// Assumed is the share of its quota that a customer is taken to have used of
 	// whom nothing was found.
 	Assumed float64 `json:"assumed,omitempty"`
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -183,11 +183,11 @@
 	for customer, k := range c.accounts {
 		k.advance(c.now)
 		k.others = tally{width: k.others.width, slot: k.others.slot}
-		if found[customer] || b.Assumed == 0 {
+		if found[customer] || b.assumed() == 0 {
 			continue
 		}
 		for i := range windowSlots {
-			k.others.add(c.now.After(-time.Duration(int64(i)*k.others.width)), b.Assumed*k.limit/windowSlots)
+			k.others.add(c.now.After(-time.Duration(int64(i)*k.others.width)), b.assumed()*k.limit/windowSlots)
 		}
 	}
 	for _, s := range b.Spent {
@@ -200,17 +200,37 @@
 // regain takes in what others granted while this owner did not decide.
 func (c *Core) regain(b Before) {
 	c.complete = c.now.After(c.window)
-	if b.Assumed == 1 {
-		// Nothing could be read: what was known before is better than nothing.
+	if b.Unread {
+		// What was known before is better than nothing.
 		return
 	}
-	b.Assumed = 0
 	c.recall(b)
 }
 
+// assumed gives the share of its quota that a customer is taken to have used of
+// whom nothing was found.
+func (b Before) assumed() float64 {
+	if b.Unread {
+		return 1
+	}
+	return b.Assumed
+}
+
+// toldShare gives the share of a quota from which grants are told. While an owner
+// does not know the whole window, others decided in it, and all are told: its
+// successor could not tell a customer that used little from one that used
+// nothing.
+func (c *Core) toldShare(share float64) float64 {
+	if c.now < c.complete {
+		return 0
+	}
+	return share
+}
+
 // Untold gives the largest share of a quota that was granted since Spent was
-// last asked for, of customers that have used more than a share of theirs.
+// last asked for, of the customers that Spent would tell of.
 func (c *Core) Untold(share float64) float64 {
+	share = c.toldShare(share)
 	largest := 0.0
 	for _, k := range c.accounts {
 		if k.limit > 0 && k.untold > 0 && k.sum() > share*k.limit {
@@ -221,8 +241,10 @@
 }
 
 // Spent gives what this owner granted in the window to the customers that have
-// used more than a share of their quotas, by age.
+// used more than a share of their quotas, by age. One that does not know the
+// whole window tells of all.
 func (c *Core) Spent(share float64) []Spending {
+	share = c.toldShare(share)
 	var spent []Spending
 	for _, customer := range slices.Sorted(maps.Keys(c.accounts)) {
 		k := c.accounts[customer]
--- a/coordination/pkg/permit/limits_test.go
+++ b/coordination/pkg/permit/limits_test.go
@@ -101,7 +101,7 @@
 func TestNewOwnerThatKnowsNothingTakesQuotasAsUsed(t *testing.T) {
 	is := is.New(t)
 	d := openBounded()
-	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{Assumed: 1}})
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{Unread: true}})
 	is.True(!d.granted("tower", 200))
 	d.pass(window / 2)
 	is.True(d.granted("tower", 400))
@@ -118,10 +118,19 @@
 	is.True(!d.granted("tower", 300))
 	is.True(d.granted("tower", 200))
 	// Where nothing could be read, what was known before stays.
-	d.core.Step(permit.Regained{At: d.now, Before: permit.Before{Assumed: 1}})
+	d.core.Step(permit.Regained{At: d.now, Before: permit.Before{Unread: true}})
 	is.True(!d.granted("tower", 100))
 }
 
+func TestOwnerThatDecidesAgainTakesAPartAsUsedWhereNothingIsWritten(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{First: true}})
+	d.core.Step(permit.Regained{At: d.now, Before: permit.Before{Assumed: 0.25}})
+	is.True(!d.granted("tower", 800))
+	is.True(d.granted("tower", 700))
+}
+
 func TestToleranceIsForAnOwnerThatKnowsTheWholeWindow(t *testing.T) {
 	is := is.New(t)
 	d := openBounded()
@@ -151,6 +160,20 @@
 	is.Equal(d.core.Untold(0.6), 0.0)
 }
 
+func TestOwnerThatDoesNotKnowTheWholeWindowWritesAllDown(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: quota(1000), Before: permit.Before{Assumed: 0.5}})
+	is.True(d.granted("tower", 100))
+	is.Equal(d.core.Untold(0.6), 0.1)
+	spent := d.core.Spent(0.6) // its successor could not tell it from an earlier owner's
+	is.Equal(len(spent), 1)
+	is.Equal(spent[0].Tokens, 100.0)
+	d.pass(2 * window)
+	is.True(d.granted("tower", 100))
+	is.Equal(len(d.core.Spent(0.6)), 0)
+}
+
 func TestRepeatsAreBoundedByRequests(t *testing.T) {
 	is := is.New(t)
 	d := openBounded()
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// An owner writes down what it granted to customers that have used more than
-	// keepShare of their quotas: only of those could a successor that knows
-	// nothing grant too much. It does so every keepInterval, and as soon as
+	// An owner that knows all grants of the window writes down those to customers
+	// that have used more than keepShare of their quotas: only of those could a
+	// successor that knows nothing grant too much. Others write down all of theirs.
+	// They do so every keepInterval, and as soon as
 	// untoldShare of a quota is not written, but not more often than keepPause.
 	keepShare    = 0.6
 	keepInterval = time.Second
@@ -149,7 +150,7 @@
 	pages, err := k.read(ctx, service)
 	if err != nil {
 		k.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
-		return permit.Before{Assumed: 1}, nil
+		return permit.Before{Unread: true}, nil
 	}
 	if platform.FirstStart && len(pages) == 0 {
 		// Every owner writes a page when it begins: there was none before.
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -34,6 +34,9 @@
 	// awayTime is how long no ask may come to an owner before it must take others
 	// to have decided meanwhile.
 	awayTime = time.Second
+	// noticeTime is how long after a change of owners the former one may still be
+	// asked.
+	noticeTime = 1200 * time.Millisecond
 )
 
 // Owner decides for the services that this host owns.
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -33,6 +33,11 @@
 	chosen atomic.Bool
 	// outdated is set when another owner may have granted since the last look.
 	outdated atomic.Bool
+	// lookAgain is when to look once more at what others granted, zero if it is not
+	// needed; assumed is the share of a quota taken as used of which they wrote
+	// nothing.
+	lookAgain time.Time
+	assumed   float64
 }
 
 // configure queues the rules in force.
@@ -85,6 +90,9 @@
 	s.outdated.Store(false)
 	before, earlier := s.owner.keeper.before(s.service)
 	s.inherit(earlier)
+	if !before.First {
+		s.assumed, s.lookAgain = unwrittenShare, time.Now().Add(noticeTime)
+	}
 	if event, known := s.rules(); known {
 		event.Before = before
 		s.step(event)
@@ -135,19 +143,38 @@
 }
 
 // regain takes in what others granted while no ask came here for a while: they
-// may have gone to another owner.
+// may have gone to another owner. It looks once more when all have noticed the
+// change, as the other owner may have granted until then.
 func (s *seat) regain(event permit.Event) {
 	if _, isAsk := event.(permit.Asked); !isAsk || s.owner.keeper.store == nil {
 		return
 	}
-	away := !s.asked.IsZero() && time.Since(s.asked) > awayTime
-	if s.outdated.Swap(false) || away {
-		before, _ := s.owner.keeper.before(s.service)
-		s.step(permit.Regained{At: instantNow(), Before: before})
+	away := time.Since(s.asked)
+	switch {
+	case s.outdated.Swap(false) || (!s.asked.IsZero() && away > awayTime):
+		s.assumed = unwrittenShare * s.windowShare(away)
+		s.lookAgain = time.Now().Add(noticeTime)
+		s.look()
+	case !s.lookAgain.IsZero() && time.Now().After(s.lookAgain):
+		s.lookAgain = time.Time{}
+		s.look()
 	}
 	s.asked = time.Now()
 }
 
+// windowShare gives how much of a window a time fills, at most all of it.
+func (s *seat) windowShare(d time.Duration) float64 {
+	window := s.owner.common.Settings.Platform.QuotaWindow.Std()
+	return min(1, d.Seconds()/max(window.Seconds(), 1))
+}
+
+// look reads what other owners granted.
+func (s *seat) look() {
+	before, _ := s.owner.keeper.before(s.service)
+	before.Assumed = min(before.Assumed, s.assumed)
+	s.step(permit.Regained{At: instantNow(), Before: before})
+}
+
 func (s *seat) step(event permit.Event) {
 	actions := s.core.Step(event)
 	s.number++
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -50,7 +50,7 @@
 	r := j.request
 	fields := []zap.Field{
 		zap.String("request", r.ID), zap.String("caller-id", r.CallerID), zap.Int64("version", r.Version),
-		zap.String("route", r.Route), zap.String("service", r.Service.Name), zap.String("customer", r.Customer), zap.String("tier", r.Tier),
+		zap.String("route", r.Route), zap.String("service", r.Service.Name), zap.String("customer", r.Customer), zap.Int("quota-tokens", r.QuotaTokens), zap.String("tier", r.Tier),
 		zap.Strings("attempts", j.attempts), zap.String("owner", j.owner), zap.String("endpoint", j.endpoint), zap.Int("runs", j.runs),
 		zap.Float64("estimate-ms", milliseconds(j.estimate)), zap.Float64("queued-ms", milliseconds(j.queued)),
 		zap.Float64("first-part-ms", j.firstPart()), zap.Float64("took-ms", line.Took), zap.Float64("deadline-ms", line.Deadline),
