Tell the work of a request from the endpoints' speeds

The work of a tier was the mean time of those of it that were served. Now each request is weighed by its own size and the speeds that all requests teach, and by what its prompt holds up for others.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -61,9 +61,8 @@
 	queues  []queue
 	ranking []int
 	weights []float64
-	// worked is the mean time that a request of each tier holds a place, in
-	// seconds.
-	worked []float64
+	// typical is the mean work of the requests of each tier, in seconds of a place.
+	typical []float64
 	// offered is the work that was asked for lately, by tier, in seconds.
 	offered   []tally
 	waiting   map[string]*waiter
@@ -203,11 +202,11 @@
 			heap.Push(c.queueOf(w), w)
 		}
 	}
-	for len(c.worked) < tiers {
-		c.worked = append(c.worked, 0)
+	for len(c.typical) < tiers {
+		c.typical = append(c.typical, 0)
 		c.offered = append(c.offered, tally{width: int64(offeredWindow) / windowSlots})
 	}
-	c.worked, c.offered = c.worked[:tiers], c.offered[:tiers]
+	c.typical, c.offered = c.typical[:tiers], c.offered[:tiers]
 }
 
 // queueOf gives the queue a request waits in.
@@ -231,8 +230,9 @@
 	if !c.admit(w) {
 		return
 	}
+	c.weigh(w)
 	c.offered[a.Tier].advance(c.now)
-	c.offered[a.Tier].add(c.now, c.workOf(a.Tier))
+	c.offered[a.Tier].add(c.now, w.work)
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
 		c.refuse(w, QueueFull)
 		return
@@ -329,7 +329,6 @@
 	}
 	if usage.Total > 0 {
 		h.endpoint.succeed(c.now)
-		blend(&c.worked[min(h.ask.Tier, c.lowestTier())], usage.Total.Seconds())
 	}
 	h.endpoint.learn(h, usage)
 	c.release(id, h)
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -67,17 +67,13 @@
 
 func TestWorkIsServedByItsWorthForTheTimeItTakes(t *testing.T) {
 	p := openPool(t, engine(1))
-	// Of each tier one is run first: a plan takes 2 s, a question 1 s, a check 0.1 s.
-	for tier, took := range []time.Duration{2 * time.Second, time.Second, 100 * time.Millisecond} {
-		id := fmt.Sprint("known-", tier)
-		p.want(id, tier, 400*time.Millisecond)
-		p.finish(id, took)
-	}
-	p.pass(3 * time.Second)
-	p.want("running", 1, 400*time.Millisecond)
+	// The engine makes 50 parts a second: a plan takes 2 s, a question 1 s, a check
+	// 0.1 s.
+	parts := []int{100, 50, 5}
 	patient := func(id string, tier int) {
-		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: 20, Deadline: p.now.After(time.Minute), Goal: p.now.After(time.Second)}})
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: parts[tier], Deadline: p.now.After(time.Minute), Goal: p.now.After(time.Second)}})
 	}
+	patient("running", 1)
 	patient("question", 1)
 	patient("check", 2)
 	patient("plan", 0)
@@ -89,6 +85,35 @@
 	}
 }
 
+func TestTierServedByASlowEndpointIsNotTakenForLongWork(t *testing.T) {
+	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 1}, permit.EndpointRules{Name: "i-2", Limit: 1})
+	ask := func(id string, tier, parts int) {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: parts, Deadline: p.now.After(time.Minute), Goal: p.now.After(30 * time.Second)}})
+	}
+	answer := func(id string, parts int, part time.Duration) {
+		delete(p.places, id)
+		total := 50*time.Millisecond + time.Duration(parts)*part
+		p.step(permit.Finished{At: p.now, ID: id, Usage: permit.Usage{PromptTokens: 1000, AnswerTokens: parts, FirstByte: 50 * time.Millisecond, Total: total}})
+	}
+	const fast, slow = 10 * time.Millisecond, 100 * time.Millisecond
+	ask("first", 1, 40)
+	ask("check", 2, 4) // the only check so far meets the slow endpoint
+	slowOne := p.places["check"]
+	answer("check", 4, slow)
+	answer("first", 40, fast)
+	ask("again", 1, 40)
+	ask("beside", 1, 40)
+	p.is.Equal(len(p.places), 2)
+	ask("question", 1, 40) // worth 5.5 for six times the work
+	ask("another", 2, 3)
+	done := "again"
+	if p.places[done] == slowOne {
+		done = "beside"
+	}
+	answer(done, 40, fast)
+	p.is.True(p.places["another"] != "")
+}
+
 func TestMissedGoalGoesBehindThoseThatCanStillBeMet(t *testing.T) {
 	p := openPool(t, engine(1))
 	p.want("running", 1, 400*time.Millisecond)
@@ -103,8 +128,11 @@
 
 func TestHopelessRequestHearsSoAtOnceAndWhenToComeBack(t *testing.T) {
 	p := openPool(t, engine(1))
-	p.want("known", 1, 400*time.Millisecond)
-	p.finish("known", time.Second)
+	for i := range 20 {
+		id := fmt.Sprint("known-", i)
+		p.want(id, 1, 400*time.Millisecond)
+		p.finish(id, time.Second)
+	}
 	for i := range 12 { // a place turns over once a second; callers wait 2.4 s
 		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
 	}
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -22,9 +22,6 @@
 	// pressLead is how long before its latest start a request goes where it holds
 	// up others.
 	pressLead = 100 * time.Millisecond
-	// unknownWork is the time, in seconds, that a request is taken to hold a
-	// place before any was measured.
-	unknownWork = 0.5
 )
 
 // rank orders the queues. Without weights the higher tier goes first, and in a
@@ -52,7 +49,7 @@
 	case lateQueue:
 		weight *= lateShare
 	}
-	return weight / c.workOf(tier)
+	return weight / c.typicalOf(tier)
 }
 
 // place gives free places to waiting requests, the first queue first.
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -6,8 +6,10 @@
 	since Instant
 	// latestStart is when the fastest endpoint would have to start it.
 	latestStart Instant
-	sequence    uint64
-	position    int
+	// work is the time, in seconds of a place, that it should take.
+	work     float64
+	sequence uint64
+	position int
 	// late is set once the first part can't come by its goal any more.
 	late bool
 }
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -153,7 +153,7 @@
 			c.refuseFor(w, Crowded, min(max(wait, shortRetry), longRetry))
 			continue
 		}
-		ahead += c.workOf(w.ask.Tier)
+		ahead += w.work
 	}
 	return ahead
 }
@@ -166,14 +166,6 @@
 	return w.ask.Patience.After(-c.soonestFirstPart(w.ask)).Since(c.now)
 }
 
-// workOf gives the time, in seconds, that a request of a tier should hold a place.
-func (c *Core) workOf(tier int) float64 {
-	if work := c.worked[tier]; work > 0 {
-		return work
-	}
-	return unknownWork
-}
-
 // openPlaces gives the number of places of endpoints that take work, and whether
 // it is known what half of these endpoints can do.
 func (c *Core) openPlaces() (places float64, known bool) {
