--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -61,6 +61,12 @@
 	queues  []queue
 	ranking []int
 	weights []float64
+	// worstWeight is that of Configured. worst is the tier that is served worst,
+	// and worstFactor how much more its requests count for that.
+	worstWeight float64
+	worst       int
+	worstFactor float64
+	services    []service
 	// typical is the mean work of the requests of each tier, in seconds of a place.
 	typical []float64
 	// offered is the work that was asked for lately, by tier, in seconds.
@@ -154,7 +160,7 @@
 		c.settled = c.now.After(e.Settle)
 	}
 	c.queueLimit = e.QueueLimit
-	c.weights = e.Weights
+	c.weights, c.worstWeight = e.Weights, e.WorstWeight
 	c.goodputWeight = e.GoodputWeight
 	c.resizeQueues(e.Tiers)
 	c.setQuotas(e.Quotas, e.QuotaWindow)
@@ -204,9 +210,10 @@
 	}
 	for len(c.typical) < tiers {
 		c.typical = append(c.typical, 0)
+		c.services = append(c.services, service{})
 		c.offered = append(c.offered, tally{width: int64(offeredWindow) / windowSlots})
 	}
-	c.typical, c.offered = c.typical[:tiers], c.offered[:tiers]
+	c.typical, c.offered, c.services = c.typical[:tiers], c.offered[:tiers], c.services[:tiers]
 }
 
 // queueOf gives the queue a request waits in.
@@ -231,6 +238,7 @@
 		return
 	}
 	c.weigh(w)
+	c.noteAsked(w)
 	c.offered[a.Tier].advance(c.now)
 	c.offered[a.Tier].add(c.now, w.work)
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -116,6 +116,9 @@
 		// Weights are what answers of each tier are worth beside each other, the
 		// highest tier first; none means that a higher tier always goes first.
 		Weights []float64 `json:"weights,omitempty"`
+		// WorstWeight is how much the share that is served of the worst-served
+		// tier counts beside the worth of all that is served; zero is not at all.
+		WorstWeight float64 `json:"worst-weight,omitempty"`
 		// GoodputWeight is from 0 to 1. A waiting request may interrupt running
 		// work of a lower tier when half this share of the time that it could
 		// wait is left: at 1, when half of it has passed; at 0, at the last moment.
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -35,6 +35,7 @@
 	if len(c.weights) == 0 {
 		return
 	}
+	c.findWorst()
 	slices.SortStableFunc(c.ranking, func(a, b int) int { return cmp.Compare(c.worth(b), c.worth(a)) })
 }
 
@@ -42,7 +43,10 @@
 // it holds a place.
 func (c *Core) worth(index int) float64 {
 	tier := index / queuesPerTier
-	weight := c.weights[min(tier, len(c.weights)-1)]
+	weight := c.weightOf(tier)
+	if tier == c.worst {
+		weight *= c.worstFactor
+	}
 	switch index % queuesPerTier {
 	case begunQueue:
 		weight *= begunShare
@@ -186,6 +190,7 @@
 
 func (c *Core) grant(w *waiter, e *endpoint) {
 	estimate := e.estimate(w.ask, c.now)
+	c.noteServed(w)
 	c.hold(w.ask, e, estimate)
 	c.actions = append(c.actions, Granted{
 		ID:       w.ask.ID,
--- a/godwitmoord/pkg/dispatch/bounds.go
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -36,7 +36,7 @@
 		return
 	}
 	event.QueueLimit = defaultQueueLimit
-	event.Weights = p.RankWeights
+	event.Weights, event.WorstWeight = p.RankWeights, p.WorstRankWeight
 	event.Repeats = permit.RepeatBound{
 		Ratio:  p.RepeatRatio * repeatShare,
 		Slack:  p.RepeatSlack * repeatShare,
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -75,6 +75,10 @@
 	// highest rank first; ranks beyond count as the last. None means that a
 	// higher rank always goes first.
 	RankWeights []float64 `json:"rank-weights,omitempty"`
+	// WorstRankWeight is how much the share that is served of the worst-served
+	// rank counts beside the worth of all that is served. Zero, and without
+	// rank-weights, not at all.
+	WorstRankWeight float64 `json:"worst-rank-weight,omitempty"`
 	// FirstStart says that the whole deployment starts for the first time, so that
 	// nothing can have been granted before.
 	FirstStart bool `json:"first-start,omitempty"`
