--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -81,6 +81,7 @@
 	complete Instant
 	window   time.Duration
 	repeats  repeats
+	refused  refusals
 	free     []*endpoint
 	aside    []*waiter
 	scratch  []*waiter
@@ -231,6 +232,7 @@
 		return
 	}
 	a.Tier = min(max(a.Tier, 0), c.lowestTier())
+	a.Goal = c.refused.firstGoal(a, c.now)
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
 	c.judge(w)
@@ -297,6 +299,7 @@
 }
 
 func (c *Core) refuseFor(w *waiter, reason Reason, retryAfter time.Duration) {
+	c.refused.note(w.ask, c.now)
 	c.actions = append(c.actions, Refused{
 		ID:         w.ask.ID,
 		Host:       w.ask.Host,
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -22,6 +22,9 @@
 	ID string `json:"id"`
 	// Request is the request's own id, the same over all its askings.
 	Request string `json:"request"`
+	// Subject is the same when a caller asks for the same again after a refusal;
+	// empty is not told.
+	Subject string `json:"subject,omitempty"`
 	// Host is the entry host that holds the request.
 	Host string `json:"host"`
 	// Tier is the rank of the request's tier; 0 is the highest.
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -126,6 +126,40 @@
 	p.is.Equal(p.places["late"], "i-1") // late is still worth something
 }
 
+func TestCallerThatComesBackIsAsLateAsItIs(t *testing.T) {
+	p := openPool(t, engine(1))
+	ask := func(id, subject string) {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{
+			ID: id, Subject: subject, Tier: 1, PromptTokens: 1000, AnswerTokens: 20, GapGoal: 300 * time.Millisecond,
+			Deadline: p.now.After(12 * time.Second), Goal: p.now.After(400 * time.Millisecond), Patience: p.now.After(2400 * time.Millisecond),
+		}})
+	}
+	for i := range 20 {
+		ask(fmt.Sprint("first-", i), fmt.Sprint("subject-", i))
+	}
+	again := ""
+	for i := range 20 {
+		if _, refused := p.refused[fmt.Sprint("first-", i)]; refused {
+			again = fmt.Sprint("subject-", i)
+		}
+	}
+	p.is.True(again != "")
+	p.pass(3 * time.Second) // all but the running one are given up
+	ask("back", again)
+	ask("fresh", "another")
+	p.finish("first-0", 400*time.Millisecond)
+	p.is.Equal(p.places["fresh"], "i-1") // its goal can still be met
+	p.finish("fresh", 400*time.Millisecond)
+	p.is.Equal(p.places["back"], "i-1")
+	p.finish("back", 400*time.Millisecond)
+	p.pass(6 * time.Second)
+	ask("next", "other")
+	ask("long-after", again) // by now it is a new request
+	ask("fresh-too", "yet-another")
+	p.finish("next", 400*time.Millisecond)
+	p.is.Equal(p.places["long-after"], "i-1")
+}
+
 func TestHopelessRequestHearsSoAtOnceAndWhenToComeBack(t *testing.T) {
 	p := openPool(t, engine(1))
 	for i := range 20 {
--- /dev/null
+++ b/coordination/pkg/permit/returns.go
@@ -0,0 +1,59 @@
+package permit
+
+import "time"
+
+const (
+	// returnMemory is how long after its refusal a request is known again: callers
+	// come back within a few seconds or not at all.
+	returnMemory = 5 * time.Second
+	// mostRefused bounds the refused requests that are remembered.
+	mostRefused = 8192
+)
+
+// refusals remembers the goals of refused requests, oldest first, for when they
+// come back as new asks. The zero value remembers none.
+type refusals struct {
+	goals map[string]Instant
+	order []refusal
+}
+
+type refusal struct {
+	subject string
+	at      Instant
+}
+
+// note remembers a refused request.
+func (r *refusals) note(a Ask, now Instant) {
+	if a.Subject == "" || a.Goal == 0 {
+		return
+	}
+	if r.goals == nil {
+		r.goals = map[string]Instant{}
+	}
+	r.forget(now)
+	r.goals[a.Subject] = a.Goal
+	r.order = append(r.order, refusal{subject: a.Subject, at: now})
+}
+
+// forget drops what is over, and the oldest beyond the bound. A subject that was
+// refused again is forgotten with its first refusal.
+func (r *refusals) forget(now Instant) {
+	gone := 0
+	for gone < len(r.order) && (now.Since(r.order[gone].at) > returnMemory || len(r.order)-gone >= mostRefused) {
+		delete(r.goals, r.order[gone].subject)
+		gone++
+	}
+	r.order = r.order[gone:]
+}
+
+// firstGoal gives the goal that a request had when it was asked for first. One
+// that comes back after a refusal is as late for its caller as it would be
+// without.
+func (r *refusals) firstGoal(a Ask, now Instant) Instant {
+	r.forget(now)
+	goal, returned := r.goals[a.Subject]
+	if !returned || a.Goal == 0 {
+		return a.Goal
+	}
+	return min(goal, a.Goal)
+}
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -110,6 +110,7 @@
 	request.MaxAttempts = route.MaxAttempts
 	request.Goal, request.GapGoal = route.Goal.Std(), route.GapGoal.Std()
 	request.LastEvent = call.LastEvent
+	request.Subject = subjectOf(call)
 	request.PromptTokens = call.PromptTokens
 	allowed := route.Timeout.Std()
 	if call.Wait > 0 && call.Wait < allowed {
@@ -125,3 +126,12 @@
 		request.Patience = max(leastPatience, goalsOfPatience*request.Goal, gapsOfPatience*request.GapGoal)
 	}
 }
+
+// subjectOf names what a call asks for: the part of the prompt that is its own,
+// and the length of the whole.
+func subjectOf(call exchange.Call) string {
+	if len(call.Parts) == 0 {
+		return ""
+	}
+	return call.Parts[len(call.Parts)-1].ID + "/" + strconv.Itoa(call.PromptTokens)
+}
--- a/godwitmoord/pkg/serving/journey.go
+++ b/godwitmoord/pkg/serving/journey.go
@@ -50,6 +50,7 @@
 	return permit.Ask{
 		ID:           id,
 		Request:      r.ID,
+		Subject:      r.Subject,
 		Tier:         r.Rank,
 		PromptTokens: r.PromptTokens,
 		AnswerTokens: max(r.AnswerTokens-j.relay.events, 0),
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -22,6 +22,9 @@
 	// CallerID is the caller's own id of this try, which the endpoint echoes;
 	// empty where the system names its attempts itself.
 	CallerID string
+	// Subject names what is asked for over several tries of the caller; empty
+	// where the caller does not tell.
+	Subject  string
 	Customer string
 	Service  configuration.Service
 	Claims   configuration.Claims
