--- a/godwitmoord/pkg/dispatch/bounds_test.go
+++ b/godwitmoord/pkg/dispatch/bounds_test.go
@@ -14,6 +14,7 @@
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/ring"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
@@ -93,6 +94,25 @@
 	is.Equal(page.Spent[1].Customer, "shop")
 }
 
+func TestLookAtOthersKeepsWhatAnEarlierLifeGranted(t *testing.T) {
+	is := is.New(t)
+	s := &seat{owner: ownerOnPlatform(), service: "pool"}
+	s.owner.ctx = t.Context()
+	s.owner.record = record.New(s.owner.common)
+	s.owner.keeper.owner = s.owner
+	s.owner.keeper.store = &emptyStore{}
+	s.inherit([]permit.Spending{{Customer: "tower", Tokens: 900, Age: 2 * time.Second}})
+	s.core.Step(permit.Configured{
+		At: instantNow(), Tiers: 1, QueueLimit: 1, QuotaWindow: 8 * time.Second, Quotas: []permit.Quota{{Customer: "tower", Limit: 1000}},
+		Before: permit.Before{Spent: s.stillInherited()}, Endpoints: []permit.EndpointRules{{Name: "i-1", Limit: 1}},
+	})
+	s.look()
+	actions := s.core.Step(permit.Asked{At: instantNow(), Ask: permit.Ask{ID: "ask", Customer: "tower", QuotaTokens: 200, Deadline: instantNow().After(time.Minute)}})
+	is.Equal(len(actions), 1)
+	refused, isRefusal := actions[0].(permit.Refused)
+	is.True(isRefusal && refused.Reason == permit.OverQuota)
+}
+
 // emptyStore keeps nothing.
 type emptyStore struct{}
 
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -172,6 +172,8 @@
 func (s *seat) look() {
 	before, _ := s.owner.keeper.before(s.service)
 	before.Assumed = min(before.Assumed, s.assumed)
+	// The page of an earlier life of this host is overwritten by now.
+	before.Spent = append(before.Spent, s.stillInherited()...)
 	s.step(permit.Regained{At: instantNow(), Before: before})
 }
 
