Revert "Short answers first in a rank, one request in four spared"

The largest tenth of a kind counts as a kind of its own, and long answers are a part of their size: with short ones first it was served worst. By urgency stays.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -69,8 +69,6 @@
 	services    []service
 	// typical is the mean work of the requests of each tier, in seconds of a place.
 	typical []float64
-	// answers is the mean length of the answers asked for of each tier, in parts.
-	answers []float64
 	// offered is the work that was asked for lately, by tier, in seconds.
 	offered   []tally
 	waiting   map[string]*waiter
@@ -213,12 +211,10 @@
 	}
 	for len(c.typical) < tiers {
 		c.typical = append(c.typical, 0)
-		c.answers = append(c.answers, 0)
 		c.services = append(c.services, service{})
 		c.offered = append(c.offered, tally{width: int64(offeredWindow) / windowSlots})
 	}
-	c.typical, c.answers = c.typical[:tiers], c.answers[:tiers]
-	c.offered, c.services = c.offered[:tiers], c.services[:tiers]
+	c.typical, c.offered, c.services = c.typical[:tiers], c.offered[:tiers], c.services[:tiers]
 }
 
 // queueOf gives the queue a request waits in.
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -126,32 +126,6 @@
 	p.is.Equal(p.places["late"], "i-1") // late is still worth something
 }
 
-func TestShortAnswersGoFirstAndLongOnesAreServedToo(t *testing.T) {
-	p := openPool(t, engine(1))
-	p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: "running", Tier: 1, PromptTokens: 10, AnswerTokens: 20, Deadline: p.now.After(time.Minute), Goal: p.now.After(time.Second)}})
-	long := map[string]bool{}
-	for i := range 80 {
-		id, parts := fmt.Sprint("ask-", i), 2
-		if i%2 == 0 {
-			parts, long[id] = 40, true
-		}
-		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, Request: id, Tier: 1, PromptTokens: 10, AnswerTokens: parts, Deadline: p.now.After(time.Hour), Goal: p.now.After(30 * time.Minute)}})
-	}
-	p.is.Equal(len(p.refused), 0)
-	served, longServed := 0, 0
-	next := "running"
-	for ; served < 40; served++ {
-		p.finish(next, 100*time.Millisecond)
-		for id := range p.places {
-			next = id
-		}
-		if long[next] {
-			longServed++
-		}
-	}
-	p.is.True(longServed >= 4 && longServed <= 16) // about one in four of the 40
-}
-
 func TestCallerThatComesBackIsAsLateAsItIs(t *testing.T) {
 	p := openPool(t, engine(1))
 	ask := func(id, subject string) {
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -7,10 +7,7 @@
 	// latestStart is when the fastest endpoint would have to start it.
 	latestStart Instant
 	// work is the time, in seconds of a place, that it should take.
-	work float64
-	// length orders the requests of a queue that is served by length, the shorter
-	// first; it is zero where urgency alone counts.
-	length   float64
+	work     float64
 	sequence uint64
 	position int
 	// late is set once the first part can't come by its goal any more.
@@ -39,16 +36,13 @@
 	}
 }
 
-// queue is a heap of the waiting requests of one tier. First is the one that can
-// wait the least, or where answers are served by length, the shortest.
+// queue is a heap of the waiting requests of one tier; first is the one that
+// can wait the least.
 type queue []*waiter
 
 func (q queue) Len() int { return len(q) }
 
 func (q queue) Less(i, j int) bool {
-	if q[i].length != q[j].length {
-		return q[i].length < q[j].length
-	}
 	if q[i].latestStart != q[j].latestStart {
 		return q[i].latestStart < q[j].latestStart
 	}
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -50,14 +50,9 @@
 	return max(best, 0)
 }
 
-// expire refuses the requests of a queue that are too late. Speeds change while
-// requests wait, so they are judged, and ordered, anew. Where the queue is in
-// order of urgency that ends with the first that is not too late.
+// expire refuses the requests at the head of a queue that are too late. Speeds
+// change while requests wait, so the head is judged, and ordered, anew.
 func (c *Core) expire(q *queue) {
-	if len(c.weights) > 0 {
-		c.expireAll(q)
-		return
-	}
 	for q.Len() > 0 {
 		w := (*q)[0]
 		if c.moveLate(w) {
@@ -75,21 +70,6 @@
 	}
 }
 
-// expireAll goes through a queue that is in order of length.
-func (c *Core) expireAll(q *queue) {
-	c.scratch = append(c.scratch[:0], *q...)
-	for _, w := range c.scratch {
-		switch {
-		case c.moveLate(w):
-		case c.isTooLate(w):
-			c.dequeue(w)
-			c.refuse(w, TooLate)
-		default:
-			heap.Fix(q, w.position)
-		}
-	}
-}
-
 // moveLate puts a request whose goal is lost among the late ones of its tier.
 func (c *Core) moveLate(w *waiter) bool {
 	if w.late || w.ask.Goal == 0 || w.ask.Begun || c.now <= w.ask.Goal.After(-c.soonestFirstPart(w.ask)) {
--- a/coordination/pkg/permit/work.go
+++ b/coordination/pkg/permit/work.go
@@ -1,25 +1,13 @@
 package permit
 
-import "github.com/cespare/xxhash/v2"
-
-const (
-	// unknownWork is the time, in seconds, that a request is taken to hold a place
-	// before any endpoint was measured.
-	unknownWork = 0.5
-	// Answers shorter than shortLength of the mean of their tier count as short
-	// alike, those longer than longLength of it as long alike.
-	shortLength = 0.5
-	longLength  = 3.0
-	// One request in spared goes first whatever its length, so that no length is
-	// never served.
-	spared = 4
-)
+// unknownWork is the time, in seconds, that a request is taken to hold a place
+// before any endpoint was measured.
+const unknownWork = 0.5
 
 // weigh finds the work of a new request. It comes from the speeds of the
 // endpoints, which all requests teach: the times of its own tier would not tell
 // where few of the tier were served lately, or only by slow endpoints.
 func (c *Core) weigh(w *waiter) {
-	w.length = c.lengthOf(w.ask)
 	work, known := c.workOf(w.ask)
 	if !known {
 		w.work = unknownWork
@@ -60,19 +48,3 @@
 	}
 	return unknownWork
 }
-
-// lengthOf gives the order of a request among those of its tier: callers get
-// most answers when the short ones go first. The length of the prompt does not
-// count, as it is told in advance and never guessed.
-func (c *Core) lengthOf(a Ask) float64 {
-	if len(c.weights) == 0 || a.AnswerTokens == 0 || a.Begun {
-		return 0
-	}
-	parts := float64(a.AnswerTokens)
-	mean := &c.answers[a.Tier]
-	blend(mean, parts)
-	if xxhash.Sum64String(a.Request)%spared == 0 {
-		return 0
-	}
-	return min(max(parts / *mean, shortLength), longLength)
-}
