A lower quota binds the windows that begin after it

The rule counts whole windows after the change: the higher limit now holds for windows that began before, the lower for what came since. Only for an owner of the whole quota; lowered again meanwhile, it counts from the first time.

--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -9,6 +9,9 @@
 const (
 	// windowSlots divides each window over which something is counted.
 	windowSlots = 64
+	// wholeShare is the share of a quota from which an owner is taken to grant all
+	// of it.
+	wholeShare = 0.99
 )
 
 // Quota bounds the tokens of one customer that one owner grants in any window.
@@ -17,6 +20,9 @@
 	Customer string `json:"customer"`
 	// Limit is in tokens a window.
 	Limit float64 `json:"limit"`
+	// Whole is what the customer may send in all, of which Limit is a share; zero
+	// if it is not told. A lower one binds windows that begin after it came.
+	Whole float64 `json:"whole,omitempty"`
 	// Tolerance is what may be granted beyond the limit by an owner that knows
 	// all grants of the window.
 	Tolerance float64 `json:"tolerance,omitempty"`
@@ -81,6 +87,19 @@
 	return sum
 }
 
+// dropBefore forgets what was counted before an instant.
+func (t *tally) dropBefore(at Instant) {
+	if t.width <= 0 {
+		return
+	}
+	first := int64(at) / t.width
+	for slot := t.slot - int64(len(t.amounts)) + 1; slot < min(first, t.slot+1); slot++ {
+		if slot >= 0 {
+			t.amounts[t.index(slot)] = 0
+		}
+	}
+}
+
 // fallsTo gives how long until the sum is no more than limit, if nothing comes.
 func (t *tally) fallsTo(limit float64, now Instant) time.Duration {
 	sum := t.sum()
@@ -101,6 +120,11 @@
 type account struct {
 	limit     float64
 	tolerance float64
+	whole     float64
+	// former is the higher limit before the present one, which still holds for
+	// windows that began before lowered; zero if there is none.
+	former  float64
+	lowered Instant
 	// own is what this owner granted, others what others are known to have.
 	own, others tally
 	// untold is what was granted since Spent was last asked for.
@@ -135,7 +159,8 @@
 			c.accounts[q.Customer] = &account{}
 		}
 		k := c.accounts[q.Customer]
-		k.limit, k.tolerance = q.Limit, q.Tolerance
+		k.follow(q, c.now, window)
+		k.limit, k.tolerance, k.whole = q.Limit, q.Tolerance, q.Whole
 		k.own.width = int64(window) / windowSlots
 		k.others.width = k.own.width
 	}
@@ -161,17 +186,54 @@
 		limit += k.tolerance
 	}
 	k.advance(c.now)
+	k.endLowering(c.now, c.window)
 	tokens := float64(a.QuotaTokens)
-	room := limit - min(tokens, limit)
-	if k.sum() > room {
-		both := k.both()
-		return both.fallsTo(room, c.now), false
+	if wait, room := k.roomFor(tokens, limit, c.now); !room {
+		return wait, false
 	}
 	k.own.add(c.now, tokens)
 	k.untold += tokens
 	return 0, true
 }
 
+// roomFor tells whether tokens fit a limit, or how long until they do. While a
+// limit is newly lowered, the former one holds for the whole window, and the
+// lower one for what came since.
+func (k *account) roomFor(tokens, limit float64, now Instant) (wait time.Duration, fits bool) {
+	counted := k.both()
+	if k.former > 0 {
+		if room := k.former - min(tokens, k.former); counted.sum() > room {
+			return counted.fallsTo(room, now), false
+		}
+		counted.dropBefore(k.lowered)
+	}
+	room := limit - min(tokens, limit)
+	if counted.sum() > room {
+		return counted.fallsTo(room, now), false
+	}
+	return 0, true
+}
+
+// follow notes that the operators lowered a quota. A share of it that falls is no
+// such change: others grant the rest.
+func (k *account) follow(q Quota, now Instant, window time.Duration) {
+	k.endLowering(now, window)
+	switch {
+	case q.Whole >= k.whole || q.Limit < q.Whole*wholeShare:
+		k.former = 0
+	case k.former == 0 && k.limit >= k.whole*wholeShare:
+		k.former, k.lowered = k.limit, now
+	}
+}
+
+// endLowering forgets the former limit when all windows that began under it are
+// over.
+func (k *account) endLowering(now Instant, window time.Duration) {
+	if k.former > 0 && now.Since(k.lowered) > window {
+		k.former = 0
+	}
+}
+
 // recall takes in what is known of the grants of others, in place of what was
 // known before. Customers of whom nothing was found are taken to have used a
 // share of their quotas, evenly.
--- a/coordination/pkg/permit/limits_test.go
+++ b/coordination/pkg/permit/limits_test.go
@@ -76,6 +76,40 @@
 	is.True(!d.granted("tower", 600)) // what it used before still counts
 }
 
+func TestLowerQuotaBindsWhatComesAfterIt(t *testing.T) {
+	is := is.New(t)
+	whole := func(limit float64) []permit.Quota {
+		return []permit.Quota{{Customer: "tower", Limit: limit, Whole: limit}}
+	}
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: whole(1000), Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 600))
+	d.pass(time.Second)
+	d.configure(permit.Configured{Quotas: whole(500)})
+	is.True(d.granted("tower", 300)) // windows that begin now hold no more than 500
+	is.True(!d.granted("tower", 250))
+	is.True(!d.granted("tower", 150)) // nor those that began before more than 1000
+	is.True(d.granted("tower", 100))
+	d.configure(permit.Configured{Quotas: whole(450)}) // lowered again, that counts from the first time
+	is.True(!d.granted("tower", 100))
+	d.configure(permit.Configured{Quotas: whole(500)})
+	d.pass(window - time.Second + window/32) // the 600 are out of the window
+	is.True(!d.granted("tower", 150))
+	is.True(d.granted("tower", 100))
+	d.pass(2 * window)
+	is.True(d.granted("tower", 500))
+	is.True(!d.granted("tower", 10))
+}
+
+func TestSmallerShareOfAQuotaBindsAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := openBounded()
+	d.configure(permit.Configured{Quotas: []permit.Quota{{Customer: "tower", Limit: 1000, Whole: 1000}}, Before: permit.Before{First: true}})
+	is.True(d.granted("tower", 600))
+	d.configure(permit.Configured{Quotas: []permit.Quota{{Customer: "tower", Limit: 500, Whole: 1000}}, Partial: true})
+	is.True(!d.granted("tower", 10))
+}
+
 func TestRefusedRequestIsNotCharged(t *testing.T) {
 	is := is.New(t)
 	d := openBounded()
--- a/godwitmoord/pkg/dispatch/bounds.go
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -51,7 +51,12 @@
 			continue
 		}
 		limit := customer.Quota.PerSecond*p.QuotaWindow.Std().Seconds() + customer.Quota.Burst
-		event.Quotas = append(event.Quotas, permit.Quota{Customer: customer.Name, Limit: limit * share * fleet, Tolerance: tolerance(limit, p, service, fleet)})
+		event.Quotas = append(event.Quotas, permit.Quota{
+			Customer:  customer.Name,
+			Limit:     limit * share * fleet,
+			Whole:     limit * share,
+			Tolerance: tolerance(limit, p, service, fleet),
+		})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
 	event.Partial = fleet < 1
