A new owner places by what former ones learned of the endpoints

A grant tells what the owner knows of its endpoint; entries bring that to the next owner with their list of permits.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -379,6 +379,11 @@
 // reconcile takes up permits that an earlier owner granted, and gives back the
 // places of permits that the host no longer knows.
 func (c *Core) reconcile(e Listed) {
+	for _, p := range e.Paces {
+		if known := c.endpoints[p.Endpoint]; known != nil {
+			known.adopt(p)
+		}
+	}
 	listed := make(map[string]bool, len(e.Permits))
 	for _, p := range e.Permits {
 		listed[p.ID] = true
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -271,6 +271,24 @@
 	blend(&e.decodeCost, (u.Total-u.FirstByte).Seconds()/float64(u.AnswerTokens))
 }
 
+// pace gives what was learned, nil if nothing was.
+func (e *endpoint) pace() *Pace {
+	if !e.known() {
+		return nil
+	}
+	return &Pace{Endpoint: e.rules.Name, Request: e.fixedCost, Token: e.prefillCost, Part: e.decodeCost}
+}
+
+// adopt takes over what an earlier owner learned, where nothing is known here.
+func (e *endpoint) adopt(p Pace) {
+	if !e.known() {
+		e.fixedCost, e.prefillCost = p.Request, p.Token
+	}
+	if e.decodeCost == 0 {
+		e.decodeCost = p.Part
+	}
+}
+
 // learnPrompt splits the time to the first byte into a part that every request
 // has and one by token. Beside other prompts the first byte tells of theirs too,
 // and teaches nothing.
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -81,6 +81,17 @@
 	Total        time.Duration `json:"total,omitempty"`
 }
 
+// Pace is what an owner has learned of the speed of one endpoint. Zero costs are
+// not known.
+type Pace struct {
+	Endpoint string `json:"endpoint"`
+	// Request is what each request costs, Token each token of its prompt and Part
+	// each part of its answer, in seconds.
+	Request float64 `json:"request"`
+	Token   float64 `json:"token,omitempty"`
+	Part    float64 `json:"part,omitempty"`
+}
+
 // EndpointRules is what the configuration says of one endpoint.
 type EndpointRules struct {
 	Name         string  `json:"name"`
@@ -182,6 +193,8 @@
 		At      Instant  `json:"at"`
 		Host    string   `json:"host"`
 		Permits []Permit `json:"permits"`
+		// Paces are what earlier owners told the host of endpoints.
+		Paces []Pace `json:"paces,omitempty"`
 	}
 	// Reported is an endpoint's own, late word on the requests it runs.
 	Reported struct {
@@ -269,6 +282,9 @@
 		// Teach asks for Progressed with the first part: little is known yet of
 		// the endpoint.
 		Teach bool `json:"teach,omitempty"`
+		// Pace is what is known of the endpoint; nil while nothing is. The host
+		// brings it to the next owner.
+		Pace *Pace `json:"pace,omitempty"`
 	}
 	// Suspended stops a running request, so that a higher tier gets its place.
 	// The host cancels the attempt, gives the permit back and asks again.
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -190,6 +190,27 @@
 	p.is.Equal(len(p.places), 5)
 }
 
+func TestNewOwnerPlacesByWhatTheFormerOneLearned(t *testing.T) {
+	former := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
+	former.want("first", 1, 400*time.Millisecond)
+	former.finish("first", 450*time.Millisecond)
+	var pace *permit.Pace
+	for _, action := range former.core.Step(permit.Asked{At: former.now, Ask: permit.Ask{ID: "second", PromptTokens: 1000, Deadline: former.now.After(time.Minute)}}) {
+		if granted, isGrant := action.(permit.Granted); isGrant {
+			pace = granted.Pace
+		}
+	}
+	former.is.True(pace != nil)
+	former.is.Equal(pace.Part, 0.02) // 20 parts in 400 ms
+
+	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
+	p.step(permit.Listed{At: p.now, Host: "entry-1", Permits: []permit.Permit{{ID: "long-1", Endpoint: "i-1"}, {ID: "long-2", Endpoint: "i-1"}}, Paces: []permit.Pace{*pace}})
+	for i := range 5 {
+		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+	}
+	p.is.Equal(len(p.places), 5) // long answers of before keep nobody waiting
+}
+
 func TestCostOfAPromptIsToldFromWhatAllRequestsTake(t *testing.T) {
 	p := openPool(t, permit.EndpointRules{Name: "slow", Limit: 1}, permit.EndpointRules{Name: "fast", Limit: 1})
 	// Both take 60 ms for each request; a token costs 24 µs on one, 5 µs on the other.
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -199,8 +199,18 @@
 		Waited:   c.now.Since(w.since),
 		Estimate: estimate,
 		Teach:    len(c.weights) > 0 && w.ask.PromptTokens > 0 && e.prompts.n < fewPrompts,
+		Pace:     c.paceOf(e),
 	})
 	if !e.hasPlace(c.now, c.now < c.settled) || !c.mayTry(e) {
 		c.free = slices.DeleteFunc(c.free, func(other *endpoint) bool { return other == e })
 	}
 }
+
+// paceOf gives what a grant tells of its endpoint.
+func (c *Core) paceOf(e *endpoint) *Pace {
+	if len(c.weights) == 0 {
+		// Without goals requests do not wait for an endpoint to show.
+		return nil
+	}
+	return e.pace()
+}
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -95,6 +95,8 @@
 	held    map[string]*Grant
 	asked   map[string]string
 	listed  time.Time
+	// paces is what owners told of the endpoints of each service.
+	paces map[string]map[string]permit.Pace
 }
 
 // pending is an ask without an answer.
@@ -120,6 +122,7 @@
 		waiting: map[string]*pending{},
 		held:    map[string]*Grant{},
 		asked:   map[string]string{},
+		paces:   map[string]map[string]permit.Pace{},
 	}
 }
 
@@ -299,6 +302,7 @@
 			owner:    from.Name,
 		}}
 		e.held[m.ID] = result.grant
+		e.notePace(p.service, m.Pace)
 	}
 	asked := p.owner
 	e.mu.Unlock()
@@ -351,7 +355,7 @@
 		case <-time.After(watchInterval):
 		}
 		for _, service := range e.movedServices() {
-			e.sendList(service)
+			e.sendList(service, e.pacesOf(service))
 		}
 		for _, p := range e.overdue() {
 			e.sendAsk(p, e.ownerOf(p.service))
@@ -413,12 +417,40 @@
 	}
 	e.mu.Unlock()
 	for service := range services {
-		e.sendList(service)
+		e.sendList(service, nil)
 	}
 }
 
-// sendList tells the owner of a service what is held here.
-func (e *Entry) sendList(service string) {
+// notePace remembers what an owner told of an endpoint; e.mu is held.
+func (e *Entry) notePace(service string, pace *permit.Pace) {
+	if pace == nil {
+		return
+	}
+	if e.paces[service] == nil {
+		e.paces[service] = map[string]permit.Pace{}
+	}
+	e.paces[service][pace.Endpoint] = *pace
+}
+
+// pacesOf gives what is remembered of the endpoints in use, and forgets others.
+func (e *Entry) pacesOf(service string) []permit.Pace {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.paces[service]
+	var paces []permit.Pace
+	for name := range known {
+		if at, inUse := e.serviceOf(name); !inUse || at != service {
+			delete(known, name)
+			continue
+		}
+		paces = append(paces, known[name])
+	}
+	return paces
+}
+
+// sendList tells the owner of a service what is held here, and a new one how fast
+// its endpoints were.
+func (e *Entry) sendList(service string, paces []permit.Pace) {
 	e.mu.Lock()
 	permits := []permit.Permit{}
 	for _, g := range e.held {
@@ -427,5 +459,5 @@
 		}
 	}
 	e.mu.Unlock()
-	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits})
+	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits, Paces: paces})
 }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -189,7 +189,7 @@
 	case stallKind:
 		return permit.Stalled{At: now, ID: m.ID}
 	case listKind:
-		return permit.Listed{At: now, Host: from, Permits: m.Permits}
+		return permit.Listed{At: now, Host: from, Permits: m.Permits, Paces: m.Paces}
 	default:
 		return nil
 	}
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -196,7 +196,7 @@
 func (s *seat) announce(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate, Teach: a.Teach})
+		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate, Teach: a.Teach, Pace: a.Pace})
 	case permit.Suspended:
 		s.tell(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -33,6 +33,8 @@
 	// Goal and Patience are the times to those of the ask; zero is not told.
 	Goal     time.Duration `cbor:"8,keyasint,omitempty"`
 	Patience time.Duration `cbor:"9,keyasint,omitempty"`
+	// Paces are what earlier owners told of endpoints.
+	Paces []permit.Pace `cbor:"10,keyasint,omitempty"`
 	// Fault says how the endpoint failed.
 	Fault permit.Fault `cbor:"11,keyasint,omitempty"`
 }
@@ -48,6 +50,8 @@
 	Estimate   time.Duration `cbor:"5,keyasint,omitempty"`
 	// Teach asks for word of the first part.
 	Teach bool `cbor:"7,keyasint,omitempty"`
+	// Pace is what the owner knows of the endpoint.
+	Pace *permit.Pace `cbor:"8,keyasint,omitempty"`
 	// Suspend asks for a permit that was granted back.
 	Suspend bool `cbor:"6,keyasint,omitempty"`
 }
