Use the slack of quotas, keep the overshoot for what owners don't see

What is tolerated beyond a quota was used to 0.55 of its sum, too much for large quotas and too little for small ones: what an owner cannot see, plain services and grants not written at a kill, grows with the quota.

--- a/godwitmoord/pkg/dispatch/bounds.go
+++ b/godwitmoord/pkg/dispatch/bounds.go
@@ -23,9 +23,10 @@
 	// besideShare is the part of a quota that a host grants that is taken for the
 	// owner by some, while by its own view another is.
 	besideShare = 0.2
-	// toleranceShare is the part of what is tolerated beyond a quota that is used;
-	// the rest is for plain services and for changes of owners.
-	toleranceShare = 0.55
+	// slackShare is the part of the tokens tolerated beyond a quota that is used.
+	// The rest, and the share of the quota that is tolerated beside, are for plain
+	// services and for what a killed owner had not written down.
+	slackShare = 0.85
 )
 
 // bound adds what the platform bounds over all hosts together. The part of each
@@ -55,18 +56,17 @@
 			Customer:  customer.Name,
 			Limit:     limit * share * fleet,
 			Whole:     limit * share,
-			Tolerance: tolerance(limit, p, service, fleet),
+			Tolerance: tolerance(p, service, fleet),
 		})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
 	event.Partial = fleet < 1
 }
 
-// tolerance gives the part of what the platform tolerates beyond a limit that an
-// owner may use that is in touch with the whole fleet.
-func tolerance(limit float64, p *settings.Platform, service *configuration.Service, fleet float64) float64 {
+// tolerance gives what an owner may grant beyond a limit that is in touch with the whole fleet.
+func tolerance(p *settings.Platform, service *configuration.Service, fleet float64) float64 {
 	if fleet < 1 || service.Kind != configuration.Model {
 		return 0
 	}
-	return toleranceShare * (p.QuotaOvershoot*limit + p.QuotaSlack)
+	return slackShare * p.QuotaSlack
 }
