Long requests wait until an endpoint has shown its speed

In the first second slow endpoints got prompts of 50,000 tokens and answers of 400 parts before anything of them was known, and held up whatever came after for seconds; callers of these left after 4 s.

--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -21,6 +21,10 @@
 	// firstRequests is how many requests an endpoint gets of which nothing is
 	// known.
 	firstRequests = 2
+	// longPrompt, in tokens, and longAnswer, in parts, are too much for an endpoint
+	// of which nothing is known: a slow one would be busy with them for seconds.
+	longPrompt = 4000
+	longAnswer = 60
 	// fewPrompts is the weight of measured prompts up to which more are asked for.
 	fewPrompts = 4
 	// fullRest is how long an endpoint gets no work that had no place, stallRest
@@ -170,6 +174,9 @@
 // harms tells whether taking in the request's prompt would make work of the
 // same tier or a higher one late.
 func (e *endpoint) harms(a Ask, now Instant) bool {
+	if a.Goal > 0 && e.tooLongFor(a) {
+		return true
+	}
 	prompt := e.promptTime(a)
 	if prompt < shortPrompt {
 		return false
@@ -183,6 +190,12 @@
 	})
 }
 
+// tooLongFor tells whether a request is long and the endpoint has not shown yet
+// how fast it is.
+func (e *endpoint) tooLongFor(a Ask) bool {
+	return (!e.known() && a.PromptTokens > longPrompt) || (e.decodeCost == 0 && a.AnswerTokens > longAnswer)
+}
+
 // breaksGaps tells whether the prompts to be taken in would hold up a running
 // answer for longer than the pause wanted between its parts.
 func (e *endpoint) breaksGaps(a Ask, now Instant) bool {
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -190,6 +190,28 @@
 	p.is.Equal(len(p.places), 5)
 }
 
+func TestLongRequestWaitsUntilAnEndpointHasShown(t *testing.T) {
+	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12}, permit.EndpointRules{Name: "i-2", Limit: 12})
+	ask := func(id string, prompt, parts int) {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{ID: id, PromptTokens: prompt, AnswerTokens: parts, Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second)}})
+	}
+	ask("short", 600, 10)
+	ask("prompt", 30_000, 10)
+	ask("answer", 600, 200)
+	shown := p.places["short"]
+	p.is.Equal(len(p.places), 1) // a slow one would be busy with either for seconds
+	p.pass(100 * time.Millisecond)
+	p.step(permit.Finished{At: p.now, ID: "short", Usage: permit.Usage{PromptTokens: 600, AnswerTokens: 10, FirstByte: 30 * time.Millisecond, Total: 100 * time.Millisecond}})
+	p.is.Equal(p.places["prompt"], shown)
+	p.is.Equal(p.places["answer"], shown)
+	ask("alone", 30_000, 10)
+	p.step(permit.Marked{At: p.now, Endpoint: shown})
+	ask("next", 30_000, 10)
+	p.is.Equal(p.places["next"], "")
+	p.pass(950 * time.Millisecond)
+	p.is.True(p.places["next"] != "") // better than missing the goal
+}
+
 func TestNewOwnerPlacesByWhatTheFormerOneLearned(t *testing.T) {
 	former := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
 	former.want("first", 1, 400*time.Millisecond)
