A few hosts prove the configuration for all

Now three hosts, or one in eight, do so; the others hear the proof with the probes, keep one long watch for changes, and look for themselves when no proof is younger than 3 s or another host has a newer version, which also shows a watch that went silent sooner than before.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -1,7 +1,7 @@
 // Package discovery follows the platform's store: the operators' configuration
 // and the endpoints by a watch each, since every call is paid for. The regular
-// ends of a watch prove that nothing changed. Hosts are listed once; after that
-// they know each other.
+// ends of a watch prove that nothing changed; of the configuration a few hosts
+// prove that for all. Hosts are listed once; after that they know each other.
 //
 // # Usage
 //
@@ -24,9 +24,6 @@
 )
 
 const (
-	// declaredWait is how long a watch of the configuration lasts without changes.
-	// A third of the bound for keys taken away leaves room for one that fails.
-	declaredWait = 1500 * time.Millisecond
 	// declaredGather and endpointsGather are the pauses after changes. A version
 	// must be in force and a leaving endpoint left alone within two seconds.
 	declaredGather  = 100 * time.Millisecond
@@ -34,8 +31,9 @@
 	// declaredPause bounds the pause between failed reads of the configuration:
 	// callers with keys wait for the first that succeeds.
 	declaredPause = 300 * time.Millisecond
-	// endpointsWait is the same for the endpoints: a connection that went silent
-	// must show before an endpoint that leaves may get no more work.
+	// endpointsWait is how long a watch of the endpoints lasts without changes: a
+	// connection that went silent must show before an endpoint that leaves may get
+	// no more work.
 	endpointsWait = 2 * time.Second
 	// lapseGrace is how long after the store's return an endpoint is used whose
 	// entry went away: those that live are back in about two seconds.
@@ -96,9 +94,10 @@
 		return err
 	}
 	s.tellHosts()
-	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: declaredWait, gather: declaredGather, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
-	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: endpointsWait, gather: endpointsGather, longest: longPause, take: s.takeEndpoints, done: s.expire}
+	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: s.declaredWait, gather: declaredGather, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
+	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: always(endpointsWait), gather: endpointsGather, longest: longPause, take: s.takeEndpoints, done: s.expire}
 	go declared.run(ctx)
+	go (&prover{service: s, inForce: s.release, others: s.members, declared: declared}).run(ctx)
 	go s.endpoints.run(ctx)
 	go s.run(ctx)
 	return nil
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,7 +34,8 @@
 type follower struct {
 	service *Service
 	prefix  string
-	wait    time.Duration
+	// wait gives how long the next watch lasts without changes.
+	wait func() time.Duration
 	// gather is the pause after changes, in which further ones come together: each
 	// return of a watch is a call.
 	gather time.Duration
@@ -51,21 +53,62 @@
 	since    time.Time
 	regained time.Time
 	pause    time.Duration
+
+	mu sync.Mutex
+	// again is set when a look was asked for, and cut ends the call under way.
+	again bool
+	cut   context.CancelFunc
+}
+
+// look ends the watch under way and lists anew.
+func (f *follower) look() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.again = true
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
+// begin readies a call that look can end, and gives how long it may wait; a
+// listing if a look was asked for meanwhile.
+func (f *follower) begin(ctx context.Context) (context.Context, time.Duration) {
+	wait := f.wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.again {
+		f.again, f.known = false, false
+	}
+	ctx, f.cut = context.WithCancel(ctx)
+	return ctx, wait
+}
+
+// end tells whether a look ended the call.
+func (f *follower) end() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut()
+	f.cut = nil
+	return f.again
 }
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := boottime.Now()
-		n, err := f.call(ctx)
+		calling, wait := f.begin(ctx)
+		n, err := f.call(calling, wait)
+		looked := f.end()
 		var compacted *keyvalue.CompactedError
 		switch {
+		case err != nil && looked:
+			// The listing comes next.
 		case errors.As(err, &compacted):
 			f.service.common.Log.Info("store changes were dropped, listing again", zap.String("prefix", f.prefix), zap.Int64("revision", f.revision))
 			f.known = false
 		case err != nil:
 			f.fail(ctx, err)
 		default:
-			upTo := f.provenUpTo(asked, n)
+			upTo := provenUpTo(asked, wait, n)
 			f.take(n)
 			f.revision, f.known = n.revision, true
 			f.succeed()
@@ -79,17 +122,17 @@
 
 // provenUpTo gives until when nothing newer than n had come. A watch that ends
 // without changes after its whole wait proves that to near its end.
-func (f *follower) provenUpTo(asked time.Duration, n news) time.Duration {
-	waited := !n.whole && len(n.changes) == 0 && boottime.Now()-asked >= f.wait
+func provenUpTo(asked, wait time.Duration, n news) time.Duration {
+	waited := !n.whole && len(n.changes) == 0 && boottime.Now()-asked >= wait
 	if waited {
-		return asked + f.wait - answerSlack
+		return asked + wait - answerSlack
 	}
 	return asked
 }
 
-func (f *follower) call(ctx context.Context) (news, error) {
+func (f *follower) call(ctx context.Context, wait time.Duration) (news, error) {
 	if f.known {
-		changes, err := f.service.store.Watch(ctx, f.prefix, f.revision, f.wait)
+		changes, err := f.service.store.Watch(ctx, f.prefix, f.revision, wait)
 		return news{changes: changes.Changes, revision: changes.Revision}, err
 	}
 	listing, err := f.service.store.List(ctx, f.prefix)
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
 		f := &follower{
-			service: New(c, store, nil), wait: time.Second, gather: 250 * time.Millisecond, longest: time.Second,
+			service: New(c, store, nil), wait: always(time.Second), gather: 250 * time.Millisecond, longest: time.Second,
 			take: func(n news) { taken = append(taken, n) }, done: func(time.Duration) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), span)
@@ -90,6 +90,32 @@
 	is.Equal(whole, 2) // what is missing the second time is gone
 }
 
+func TestLookEndsALongWatch(t *testing.T) {
+	is := is.New(t)
+	store := &played{}
+	synctest.Test(t, func(t *testing.T) {
+		proven := time.Duration(0)
+		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+		f := &follower{
+			service: New(c, store, nil), wait: always(quietWait), longest: time.Second,
+			take: func(news) {}, done: func(upTo time.Duration) { proven = upTo },
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		go f.run(ctx)
+		time.Sleep(3 * time.Second)
+		before := proven
+		f.look()
+		synctest.Wait()
+		is.Equal(store.lists, 2)   // at the start and now
+		is.Equal(store.watches, 2) // and the watch goes on
+		is.True(proven >= before)
+		time.Sleep(6 * time.Second)
+		is.Equal(store.lists, 2)
+		is.Equal(store.watches, 2)
+	})
+}
+
 func TestStoreThatFailsIsAskedLessOften(t *testing.T) {
 	is := is.New(t)
 	down := errors.New("turned away")
--- /dev/null
+++ b/godwitmoord/pkg/discovery/prover_test.go
@@ -0,0 +1,63 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/document"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/kernel"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+)
+
+// hostNamed gives the discovery of a host that is ready and alone so far.
+func hostNamed(name string) *Service {
+	c := &common.Common{
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Kernel: kernel.New(zap.NewNop()),
+		Self:     host.Identity{Name: name, Incarnation: 1},
+		Settings: settings.Settings{Platform: &settings.Platform{KeyRevocation: document.Duration(5 * time.Second)}},
+	}
+	s := New(c, &played{}, nil)
+	s.members = membership.New(c)
+	s.members.SetPhase(membership.Ready)
+	return s
+}
+
+func TestFewHostsProveTheConfigurationForAll(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range 64 {
+		names = append(names, fmt.Sprint("entry-", i))
+	}
+	is.Equal(len(host.Ranked(names, proverKey, max(leastProvers, len(names)/proverShare))), 8)
+	is.Equal(hostNamed("entry-1").declaredWait(), provenWait) // one alone proves it itself
+}
+
+// told is what is known of versions here and elsewhere.
+type told struct {
+	version, elsewhere int64
+	age                time.Duration
+}
+
+func (k told) InForceVersion() int64   { return k.version }
+func (k told) Age(int64) time.Duration { return k.age }
+func (k told) NewestVersion() int64    { return k.elsewhere }
+
+func TestHostLooksForItselfWhenItMust(t *testing.T) {
+	is := is.New(t)
+	due := func(k told) bool {
+		p := &prover{inForce: k, others: k}
+		return p.due()
+	}
+	is.True(!due(told{}))          // the first listing is under way
+	is.True(due(told{version: 7})) // nothing proved it yet
+	is.True(!due(told{version: 7, elsewhere: 7, age: 2 * time.Second}))
+	is.True(due(told{version: 7, elsewhere: 7, age: 4 * time.Second})) // others prove it no more
+	is.True(due(told{version: 7, elsewhere: 8, age: time.Second}))     // its watch missed a version
+}
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -398,6 +398,18 @@
 	}
 }
 
+// NewestVersion gives the highest version that another host is known to have in
+// force; zero if none is known.
+func (s *Service) NewestVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := int64(0)
+	for _, e := range s.table {
+		newest = max(newest, e.row.Version)
+	}
+	return newest
+}
+
 // Alone tells whether other hosts are known and none of them is alive.
 func (s *Service) Alone() bool {
 	s.mu.Lock()
--- a/godwitmoord/pkg/release/install.go
+++ b/godwitmoord/pkg/release/install.go
@@ -22,7 +22,7 @@
 func (s *Service) Install(version int64, c configuration.Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.version()
+	known := s.InForceVersion()
 	if version < known {
 		s.common.Count("release.refused.older")
 		s.common.Log.Warn("older configuration refused", zap.Int64("offered", version), zap.Int64("in-force", known))
@@ -68,7 +68,7 @@
 // was, or is not the one in force.
 func (s *Service) Age(version int64) time.Duration {
 	confirmed := time.Duration(s.confirmed.Load())
-	if confirmed == 0 || version != s.version() {
+	if confirmed == 0 || version != s.InForceVersion() {
 		return 0
 	}
 	return max(s.now()-confirmed, 1)
@@ -77,7 +77,7 @@
 // Learn takes in that another host knew a version to be the newest: so a host
 // that the store turns away goes on serving while others reach it.
 func (s *Service) Learn(version int64, at time.Duration) {
-	if version > 0 && version == s.version() {
+	if version > 0 && version == s.InForceVersion() {
 		s.Confirm(at)
 	}
 }
--- a/godwitmoord/pkg/release/release.go
+++ b/godwitmoord/pkg/release/release.go
@@ -178,7 +178,7 @@
 }
 
 func (s *Service) newest() (address string, newer bool) {
-	version := s.version()
+	version := s.InForceVersion()
 	for _, m := range s.members.Members() {
 		if m.Version > version {
 			version, address, newer = m.Version, m.Address, true
@@ -187,7 +187,8 @@
 	return address, newer
 }
 
-func (s *Service) version() int64 {
+// InForceVersion gives the version in force; zero before the first.
+func (s *Service) InForceVersion() int64 {
 	if current := s.Current(); current != nil {
 		return current.Version
 	}
@@ -220,7 +221,7 @@
 func (s *Service) adopt(r configuration.Release, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	version := s.version()
+	version := s.InForceVersion()
 	if r.Version < version {
 		s.common.Count("release.refused.older")
 		s.common.Log.Warn("older configuration refused", zap.String("source", source), zap.Int64("offered", r.Version), zap.Int64("in-force", version))
