Hosts that own no service watch endpoints in long turns

Only owners choose endpoints; entries need the address of those granted. Grants bring it, and a host that owns nothing watches the entries for 10 s a turn and gathers changes for 1 s; one that becomes an owner looks at once.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,10 @@
 	// must be in force and a leaving endpoint left alone within two seconds.
 	declaredGather  = 100 * time.Millisecond
 	endpointsGather = 250 * time.Millisecond
+	// casualGather and casualWait are the same for endpoints where this host owns
+	// no service: then it only sends to those that owners grant.
+	casualGather = time.Second
+	casualWait   = 10 * time.Second
 	// declaredPause bounds the pause between failed reads of the configuration:
 	// callers with keys wait for the first that succeeds.
 	declaredPause = 300 * time.Millisecond
@@ -74,7 +79,9 @@
 	table Table
 	// endpoints follows the entries of endpoints.
 	endpoints *follower
-	hosts     map[string]string
+	// casual is set while this host owns no service.
+	casual atomic.Bool
+	hosts  map[string]string
 	// kept holds the revisions of what was kept, for the one who keeps.
 	kept map[string]int64
 }
@@ -94,8 +101,8 @@
 		return err
 	}
 	s.tellHosts()
-	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: s.declaredWait, gather: declaredGather, longest: declaredPause, take: s.takeDeclared, done: s.confirm}
-	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: always(endpointsWait), gather: endpointsGather, longest: longPause, take: s.takeEndpoints, done: s.expire}
+	declared := &follower{service: s, prefix: s.layout.ConfigurationKey(), wait: s.declaredWait, gather: always(declaredGather), longest: declaredPause, take: s.takeDeclared, done: s.confirm}
+	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), wait: s.endpointsWait, gather: s.endpointsGather, longest: longPause, take: s.takeEndpoints, done: s.expire}
 	go declared.run(ctx)
 	go (&prover{service: s, inForce: s.release, others: s.members, declared: declared}).run(ctx)
 	go s.endpoints.run(ctx)
@@ -151,6 +158,28 @@
 	}
 }
 
+// Attend says whether this host owns a service. A new owner looks at once at what
+// became of the endpoints.
+func (s *Service) Attend(owner bool) {
+	if was := s.casual.Swap(!owner); was && owner {
+		s.endpoints.look()
+	}
+}
+
+func (s *Service) endpointsWait() time.Duration {
+	if s.casual.Load() {
+		return casualWait
+	}
+	return endpointsWait
+}
+
+func (s *Service) endpointsGather() time.Duration {
+	if s.casual.Load() {
+		return casualGather
+	}
+	return endpointsGather
+}
+
 // expire forgets endpoints whose entries did not come back.
 func (s *Service) expire(time.Duration) {
 	if s.table.Expire(time.Now()) {
@@ -158,8 +187,12 @@
 	}
 }
 
-// lapseUntil gives until when an endpoint is used whose entry is missing.
+// lapseUntil gives until when an endpoint is used whose entry is missing. A long
+// watch may not have noticed that the store was away.
 func (s *Service) lapseUntil() time.Time {
+	if s.casual.Load() {
+		return time.Now().Add(goneGrace)
+	}
 	until := s.endpoints.regained.Add(lapseGrace)
 	if latest := time.Now().Add(goneGrace); s.endpoints.lost || latest.Before(until) {
 		until = latest
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -38,7 +38,7 @@
 	wait func() time.Duration
 	// gather is the pause after changes, in which further ones come together: each
 	// return of a watch is a call.
-	gather time.Duration
+	gather func() time.Duration
 	// longest bounds the pause between failed calls.
 	longest time.Duration
 	take    func(news)
@@ -114,7 +114,7 @@
 			f.succeed()
 			f.done(upTo)
 			if !n.whole && len(n.changes) > 0 {
-				f.rest(ctx, f.gather)
+				f.rest(ctx, f.gather())
 			}
 		}
 	}
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
 		f := &follower{
-			service: New(c, store, nil), wait: always(time.Second), gather: 250 * time.Millisecond, longest: time.Second,
+			service: New(c, store, nil), wait: always(time.Second), gather: always(250 * time.Millisecond), longest: time.Second,
 			take: func(n news) { taken = append(taken, n) }, done: func(time.Duration) {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), span)
@@ -97,7 +97,7 @@
 		proven := time.Duration(0)
 		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
 		f := &follower{
-			service: New(c, store, nil), wait: always(quietWait), longest: time.Second,
+			service: New(c, store, nil), wait: always(quietWait), gather: always(0), longest: time.Second,
 			take: func(news) {}, done: func(upTo time.Duration) { proven = upTo },
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -116,6 +116,27 @@
 	})
 }
 
+func TestHostThatOwnsNothingWatchesEndpointsInLongTurns(t *testing.T) {
+	is := is.New(t)
+	store := &played{}
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}, store, nil)
+		s.endpoints = &follower{service: s, wait: s.endpointsWait, gather: s.endpointsGather, longest: time.Second, take: func(news) {}, done: func(time.Duration) {}}
+		s.Attend(false)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		go s.endpoints.run(ctx)
+		time.Sleep(9 * time.Second)
+		is.Equal(store.watches, 1)
+		s.Attend(true)
+		synctest.Wait()
+		is.Equal(store.lists, 2) // a new owner looks at once
+		time.Sleep(6 * time.Second)
+		is.True(store.watches >= 3)
+		is.Equal(store.lists, 2)
+	})
+}
+
 func TestStoreThatFailsIsAskedLessOften(t *testing.T) {
 	is := is.New(t)
 	down := errors.New("turned away")
--- a/godwitmoord/pkg/dispatch/bounds_test.go
+++ b/godwitmoord/pkg/dispatch/bounds_test.go
@@ -117,4 +117,5 @@
 type emptyStore struct{}
 
 func (*emptyStore) Keep(context.Context, string, []byte) error     { return nil }
+func (*emptyStore) Attend(bool)                                    {}
 func (*emptyStore) Kept(context.Context, string) ([][]byte, error) { return nil, nil }
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -28,7 +28,9 @@
 
 // Grant is a permit as its entry holds it. Give it back with Done or Unused.
 type Grant struct {
-	Permit   permit.Permit
+	Permit permit.Permit
+	// Address is where the owner knows the endpoint to be; empty if it does not.
+	Address  string
 	Estimate time.Duration
 	// Teach asks for Progressed with the first part of the answer.
 	Teach   bool
@@ -295,6 +297,7 @@
 	if m.Endpoint != "" {
 		result = answer{grant: &Grant{
 			Permit:   permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
+			Address:  m.Address,
 			Estimate: m.Estimate,
 			Teach:    m.Teach,
 			entry:    e,
--- a/godwitmoord/pkg/dispatch/keeper.go
+++ b/godwitmoord/pkg/dispatch/keeper.go
@@ -43,6 +43,8 @@
 	Keep(ctx context.Context, key string, value []byte) error
 	// Kept gives what was kept under all keys that begin so.
 	Kept(ctx context.Context, prefix string) ([][]byte, error)
+	// Attend says whether this host owns a service.
+	Attend(owner bool)
 }
 
 // keptPage is what one owner granted of one service in the window.
@@ -101,6 +103,7 @@
 			return
 		case <-time.After(shareInterval):
 		}
+		k.store.Attend(k.owner.ownsAny())
 		shared := k.follow()
 		for _, s := range k.owner.openSeats() {
 			if s.choose() || shared {
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -10,10 +10,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/common"
@@ -124,6 +126,18 @@
 	}
 }
 
+// ownsAny tells whether this host owns a service, by its own view.
+func (o *Owner) ownsAny() bool {
+	current := o.release.Current()
+	if current == nil {
+		return true
+	}
+	ready := o.members.ReadyNames()
+	return slices.ContainsFunc(current.Configuration.Services, func(s configuration.Service) bool {
+		return ownerOf(ready, s.Name) == o.common.Self.Name
+	})
+}
+
 func (o *Owner) openSeats() []*seat {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -196,7 +196,7 @@
 func (s *seat) announce(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Estimate: a.Estimate, Teach: a.Teach, Pace: a.Pace})
+		s.tell(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.address(a.Endpoint), Estimate: a.Estimate, Teach: a.Teach, Pace: a.Pace})
 	case permit.Suspended:
 		s.tell(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
@@ -204,6 +204,21 @@
 	}
 }
 
+// address gives where an endpoint is; empty if it left the configuration.
+func (s *seat) address(endpoint string) string {
+	current := s.owner.release.Current()
+	service, known := current.Configuration.Service(s.service)
+	if !known {
+		return ""
+	}
+	for _, e := range service.Endpoints {
+		if e.Name == endpoint {
+			return e.Address
+		}
+	}
+	return ""
+}
+
 func (s *seat) tell(name string, m ownerMessage) {
 	o := s.owner
 	if name != o.common.Self.Name {
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -44,6 +44,8 @@
 	ID string `cbor:"1,keyasint"`
 	// Endpoint is set for a grant.
 	Endpoint string `cbor:"2,keyasint,omitempty"`
+	// Address is where the owner knows the endpoint to be.
+	Address string `cbor:"9,keyasint,omitempty"`
 	// Reason is set for a refusal.
 	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
--- a/godwitmoord/pkg/serving/journey.go
+++ b/godwitmoord/pkg/serving/journey.go
@@ -147,7 +147,7 @@
 
 // send uses a permit for one attempt and gives it back.
 func (j *journey) send(ctx context.Context, grant *dispatch.Grant) error {
-	address, known := j.address(grant.Permit.Endpoint)
+	address, known := j.address(grant)
 	if !known {
 		grant.Unused()
 		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("it left the configuration")}
@@ -268,17 +268,18 @@
 }
 
 // address looks an endpoint up in the configuration in force, which may be
-// newer than the one the request came in under.
-func (j *journey) address(endpoint string) (string, bool) {
+// newer than the one the request came in under. One that this host has not found
+// yet is where the owner says.
+func (j *journey) address(grant *dispatch.Grant) (address string, known bool) {
 	current := j.service.release.Current()
 	service, known := current.Configuration.Service(j.request.Service.Name)
 	if !known {
 		return "", false
 	}
 	for _, e := range service.Endpoints {
-		if e.Name == endpoint {
+		if e.Name == grant.Permit.Endpoint {
 			return e.Address, !e.Leaving || !j.request.Keyless
 		}
 	}
-	return "", false
+	return grant.Address, grant.Address != "" && j.request.Keyless
 }
