Nothing is sent to an endpoint that this host knows has left

Now each host ends the use of an endpoint in time, remembers for a minute which have left, and sends them nothing whoever grants it; hosts tell each other the newest change of endpoints they know, so a silent watch shows.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +41,10 @@
 	// connection that went silent must show before an endpoint that leaves may get
 	// no more work.
 	endpointsWait = 2 * time.Second
+	// loopInterval is how often the use of endpoints is looked at. behindBound is
+	// how long a change may be known elsewhere before this host looks for itself.
+	loopInterval = 100 * time.Millisecond
+	behindBound  = casualGather + 300*time.Millisecond
 	// lapseGrace is how long after the store's return an endpoint is used whose
 	// entry went away: those that live are back in about two seconds.
 	lapseGrace = 2200 * time.Millisecond
@@ -76,7 +81,12 @@
 	release *release.Service
 	members *membership.Service
 
+	mu    sync.Mutex
 	table Table
+	// newest is the revision of the newest change of endpoints known; behind is
+	// since when another host has told of a newer one.
+	newest int64
+	behind time.Time
 	// endpoints follows the entries of endpoints.
 	endpoints *follower
 	// casual is set while this host owns no service.
@@ -107,6 +117,7 @@
 	go (&prover{service: s, inForce: s.release, others: s.members, declared: declared}).run(ctx)
 	go s.endpoints.run(ctx)
 	go s.run(ctx)
+	go s.loop(ctx)
 	return nil
 }
 
@@ -133,6 +144,8 @@
 
 // takeEndpoints takes in the entries of endpoints.
 func (s *Service) takeEndpoints(n news) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	changed := n.whole
 	standing := map[string]bool{}
 	for _, c := range n.changes {
@@ -154,8 +167,46 @@
 		}
 	}
 	if changed {
-		s.release.Found(s.table.ByService())
+		s.release.Found(s.table.ByService(), s.table.Left())
 	}
+	s.newest = max(s.newest, s.table.Newest())
+	if n.whole {
+		s.newest = max(s.newest, n.revision)
+	}
+	s.members.SetEndpoints(s.newest)
+}
+
+// loop ends the use of endpoints in time, and looks for changes that others have
+// and this host's watch did not bring.
+func (s *Service) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(loopInterval):
+		}
+		s.expire(0)
+		if s.isBehind() {
+			s.endpoints.look()
+		}
+	}
+}
+
+// isBehind tells whether another host has known a newer change of endpoints for
+// longer than a watch takes to bring it.
+func (s *Service) isBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.members.NewestEndpoints() <= s.newest:
+		s.behind = time.Time{}
+	case s.behind.IsZero():
+		s.behind = time.Now()
+	case time.Since(s.behind) > behindBound:
+		s.behind = time.Time{}
+		return true
+	}
+	return false
 }
 
 // Attend says whether this host owns a service. A new owner looks at once at what
@@ -182,8 +233,10 @@
 
 // expire forgets endpoints whose entries did not come back.
 func (s *Service) expire(time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.table.Expire(time.Now()) {
-		s.release.Found(s.table.ByService())
+		s.release.Found(s.table.ByService(), s.table.Left())
 	}
 }
 
--- /dev/null
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -0,0 +1,61 @@
+package discovery
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+)
+
+// plainLayout is a layout whose only entries are endpoints of one service.
+type plainLayout struct{ Layout }
+
+func (plainLayout) EndpointName(key string) (string, bool) {
+	return strings.CutPrefix(key, "endpoints/")
+}
+
+func (plainLayout) Endpoint(name string, _ []byte) (string, configuration.Endpoint, error) {
+	return "desk", configuration.Endpoint{Name: name, Address: "127.0.0.1:1"}, nil
+}
+
+func TestEndpointOfACasualHostEndsInTime(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := hostNamed("entry-1")
+		s.layout = plainLayout{}
+		s.endpoints = &follower{service: s}
+		s.casual.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.loop(ctx)
+		entry := keyvalue.Entry{Key: "endpoints/i-1", Revision: 5}
+		s.takeEndpoints(news{changes: []keyvalue.Change{{Entry: entry}}})
+		entry.Revision = 6
+		s.takeEndpoints(news{changes: []keyvalue.Change{{Entry: entry, Removed: true}}})
+		time.Sleep(goneGrace - 100*time.Millisecond)
+		is.True(!s.release.HasLeft("i-1")) // its entry may have lapsed with the store
+		time.Sleep(300 * time.Millisecond) // long before the watch ends
+		is.True(s.release.HasLeft("i-1"))
+		is.True(!s.isBehind())
+	})
+}
+
+func TestHostLooksForAChangeThatOthersKnow(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		s := hostNamed("entry-1")
+		s.newest = -1 // others have told of revision 0
+		is.True(!s.isBehind())
+		time.Sleep(behindBound / 2)
+		is.True(!s.isBehind()) // its own watch may bring it yet
+		time.Sleep(behindBound)
+		is.True(s.isBehind())
+		s.newest = 0
+		is.True(!s.isBehind())
+	})
+}
--- a/godwitmoord/pkg/discovery/prover_test.go
+++ b/godwitmoord/pkg/discovery/prover_test.go
@@ -13,6 +13,7 @@
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/release"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
@@ -26,6 +27,7 @@
 	s := New(c, &played{}, nil)
 	s.members = membership.New(c)
 	s.members.SetPhase(membership.Ready)
+	s.release = release.New(c, nil)
 	return s
 }
 
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -20,11 +20,16 @@
 	service  string
 	endpoint configuration.Endpoint
 	revision int64
-	// gone is set when the entry is missing; until then the endpoint is used.
+	// gone is set when the entry is missing; until then the endpoint is used, and
+	// after that it has left.
 	gone  bool
 	until time.Time
+	left  bool
 }
 
+// leftMemory is how long an endpoint that left is remembered.
+const leftMemory = time.Minute
+
 // Put takes in an entry. It tells whether anything changed that matters.
 func (t *Table) Put(service string, e configuration.Endpoint, revision int64) bool {
 	known, found := t.sights[e.Name]
@@ -54,18 +59,44 @@
 	return true
 }
 
-// Expire forgets the endpoints whose entries did not come back.
+// Expire takes endpoints whose entries did not come back as having left, and
+// tells whether there were any.
 func (t *Table) Expire(now time.Time) bool {
 	expired := false
 	for name, s := range t.sights {
-		if s.gone && !now.Before(s.until) {
-			delete(t.sights, name)
+		switch {
+		case !s.gone || now.Before(s.until):
+		case !s.left:
+			s.left, s.until = true, now
+			t.sights[name] = s
 			expired = true
+		case now.Sub(s.until) > leftMemory:
+			delete(t.sights, name)
 		}
 	}
 	return expired
 }
 
+// Left gives the endpoints that are known to have left.
+func (t *Table) Left() map[string]bool {
+	left := map[string]bool{}
+	for name, s := range t.sights {
+		if s.left {
+			left[name] = true
+		}
+	}
+	return left
+}
+
+// Newest gives the revision of the newest change taken in.
+func (t *Table) Newest() int64 {
+	newest := int64(0)
+	for _, s := range t.sights {
+		newest = max(newest, s.revision)
+	}
+	return newest
+}
+
 // Names gives the endpoints whose entries stand.
 func (t *Table) Names() []string {
 	var names []string
@@ -81,7 +112,9 @@
 func (t *Table) ByService() map[string][]configuration.Endpoint {
 	services := map[string][]configuration.Endpoint{}
 	for _, s := range t.sights {
-		services[s.service] = append(services[s.service], s.endpoint)
+		if !s.left {
+			services[s.service] = append(services[s.service], s.endpoint)
+		}
 	}
 	for _, endpoints := range services {
 		slices.SortFunc(endpoints, func(a, b configuration.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
--- a/godwitmoord/pkg/discovery/table_test.go
+++ b/godwitmoord/pkg/discovery/table_test.go
@@ -22,6 +22,22 @@
 	is.True(table.Remove("i-1", 8, now.Add(time.Second)))
 	is.True(table.Expire(now.Add(2 * time.Second)))
 	is.Equal(len(table.ByService()["desk"]), 0)
+	is.True(table.Left()["i-1"]) // whoever grants it is late to know
+	is.Equal(table.Newest(), int64(8))
+	table.Expire(now.Add(2 * time.Minute))
+	is.True(!table.Left()["i-1"])
+}
+
+func TestEndpointThatComesBackHasNotLeft(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Unix(1000, 0)
+	table.Put("desk", configuration.Endpoint{Name: "i-1"}, 5)
+	table.Remove("i-1", 6, now)
+	is.True(table.Expire(now))
+	is.True(table.Put("desk", configuration.Endpoint{Name: "i-1"}, 7))
+	is.True(!table.Left()["i-1"])
+	is.Equal(len(table.ByService()["desk"]), 1)
 }
 
 func TestLeavingEndpointWhoseEntryGoesIsGoneAtOnce(t *testing.T) {
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -21,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -175,6 +176,10 @@
 	listed []listedHost
 	lost   []func(host.Identity)
 	proof  Proof
+	// endpoints is the revision of the newest change of endpoints known here,
+	// newestEndpoints the highest that another host told of.
+	endpoints       atomic.Int64
+	newestEndpoints atomic.Int64
 	// differing counts probes in a row after which the tables differed.
 	differing int
 }
@@ -410,6 +415,13 @@
 	return newest
 }
 
+// SetEndpoints tells the others the revision of the newest change of endpoints
+// known here.
+func (s *Service) SetEndpoints(revision int64) { s.endpoints.Store(revision) }
+
+// NewestEndpoints gives the highest such revision that another host told of.
+func (s *Service) NewestEndpoints() int64 { return s.newestEndpoints.Load() }
+
 // Alone tells whether other hosts are known and none of them is alive.
 func (s *Service) Alone() bool {
 	s.mu.Lock()
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -61,6 +61,8 @@
 	// ProofAge is how long ago the version was proven to be the newest; zero if it
 	// never was.
 	ProofAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// Endpoints is the revision of the newest change of endpoints known.
+	Endpoints int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // run probes one host after the other.
@@ -313,6 +315,7 @@
 	}
 	m.Digest = s.digest()
 	m.Version = s.self.row.Version
+	m.Endpoints = s.endpoints.Load()
 	if s.proof != nil {
 		m.ProofAge = s.proof.Age(m.Version)
 	}
@@ -363,6 +366,9 @@
 			return m, &peer.RefusedError{Why: "malformed row in a probe"}
 		}
 	}
+	for known := s.newestEndpoints.Load(); m.Endpoints > known; known = s.newestEndpoints.Load() {
+		s.newestEndpoints.CompareAndSwap(known, m.Endpoints)
+	}
 	for _, r := range m.Rows {
 		if ended, lost := s.merge(r); lost {
 			s.tellLost(ended)
--- a/godwitmoord/pkg/release/install.go
+++ b/godwitmoord/pkg/release/install.go
@@ -36,16 +36,24 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("customers", len(c.Customers)))
 }
 
-// Found replaces what was found of endpoints, by service.
-func (s *Service) Found(sights map[string][]configuration.Endpoint) {
+// Found replaces what was found of endpoints, by service, and which of them have
+// left.
+func (s *Service) Found(sights map[string][]configuration.Endpoint, left map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sights = sights
+	s.left.Store(&left)
 	if current := s.Current(); current != nil {
 		s.put(current.Version, current.Configuration)
 	}
 }
 
+// HasLeft tells whether this host knows that an endpoint has left.
+func (s *Service) HasLeft(endpoint string) bool {
+	left := s.left.Load()
+	return left != nil && (*left)[endpoint]
+}
+
 // put stores a configuration with the endpoints found; s.mu is held.
 func (s *Service) put(version int64, c configuration.Configuration) {
 	c = c.WithEndpoints(s.sights)
--- a/godwitmoord/pkg/release/release.go
+++ b/godwitmoord/pkg/release/release.go
@@ -58,6 +58,8 @@
 	// sights is what was found of endpoints; nil where the configuration lists
 	// them itself.
 	sights map[string][]configuration.Endpoint
+	// left holds the endpoints that are known to have left.
+	left atomic.Pointer[map[string]bool]
 	// confirmed is the boot time at which the version in force was known to be
 	// the newest, in nanoseconds; zero if it never was.
 	confirmed atomic.Int64
--- a/godwitmoord/pkg/serving/journey.go
+++ b/godwitmoord/pkg/serving/journey.go
@@ -269,7 +269,8 @@
 
 // address looks an endpoint up in the configuration in force, which may be
 // newer than the one the request came in under. One that this host has not found
-// yet is where the owner says.
+// yet is where the owner says; one that it knows to have left is nowhere, as the
+// owner may be late to hear of it.
 func (j *journey) address(grant *dispatch.Grant) (address string, known bool) {
 	current := j.service.release.Current()
 	service, known := current.Configuration.Service(j.request.Service.Name)
@@ -281,5 +282,6 @@
 			return e.Address, !e.Leaving || !j.request.Keyless
 		}
 	}
-	return grant.Address, grant.Address != "" && j.request.Keyless
+	found := grant.Address != "" && j.request.Keyless
+	return grant.Address, found && !j.service.release.HasLeft(grant.Permit.Endpoint)
 }
