--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -222,6 +223,12 @@
 	if p.RepeatRatio < 0 || p.RepeatSlack < 0 || p.RepeatWindow < 0 {
 		add("repeat-ratio", "the bound on repeats is below zero", "set ratio, slack and window to zero or above")
 	}
+	if slices.ContainsFunc(p.RankWeights, func(weight float64) bool { return weight <= 0 }) {
+		add("rank-weights", "a weight is not above zero", "give each rank a weight above zero, or leave the list out")
+	}
+	if p.WorstRankWeight < 0 {
+		add("worst-rank-weight", "is below zero", "set it to zero or above")
+	}
 	return problems
 }
 
