--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -35,87 +35,6 @@
 	Age      time.Duration `json:"age"`
 }
 
-// RepeatBound bounds how often requests are sent once more: in any window, the
-// ratio of the requests plus the slack. The zero value allows everything.
-type RepeatBound struct {
-	Ratio  float64       `json:"ratio,omitempty"`
-	Slack  float64       `json:"slack,omitempty"`
-	Window time.Duration `json:"window,omitempty"`
-}
-
-// tally counts amounts in the slots of a sliding window.
-type tally struct {
-	width int64
-	slot  int64
-	// One slot more than the window has, as the oldest is only partly inside.
-	amounts [windowSlots + 1]float64
-}
-
-// advance empties the slots whose time is over.
-func (t *tally) advance(now Instant) {
-	if t.width <= 0 {
-		return
-	}
-	current := int64(now) / t.width
-	if current-t.slot > int64(len(t.amounts)) {
-		t.slot = current - int64(len(t.amounts))
-	}
-	for t.slot < current {
-		t.slot++
-		t.amounts[t.index(t.slot)] = 0
-	}
-}
-
-func (t *tally) index(slot int64) int { return int(slot % int64(len(t.amounts))) }
-
-// add counts an amount at a time that may lie in the past.
-func (t *tally) add(at Instant, amount float64) {
-	if t.width <= 0 {
-		return
-	}
-	slot := int64(at) / t.width
-	if slot <= t.slot && slot > t.slot-int64(len(t.amounts)) {
-		t.amounts[t.index(slot)] += amount
-	}
-}
-
-func (t *tally) sum() float64 {
-	sum := 0.0
-	for _, amount := range t.amounts {
-		sum += amount
-	}
-	return sum
-}
-
-// dropBefore forgets what was counted before an instant.
-func (t *tally) dropBefore(at Instant) {
-	if t.width <= 0 {
-		return
-	}
-	first := int64(at) / t.width
-	for slot := t.slot - int64(len(t.amounts)) + 1; slot < min(first, t.slot+1); slot++ {
-		if slot >= 0 {
-			t.amounts[t.index(slot)] = 0
-		}
-	}
-}
-
-// fallsTo gives how long until the sum is no more than limit, if nothing comes.
-func (t *tally) fallsTo(limit float64, now Instant) time.Duration {
-	sum := t.sum()
-	for slot := t.slot - int64(len(t.amounts)) + 1; slot <= t.slot; slot++ {
-		if sum <= limit {
-			break
-		}
-		sum -= t.amounts[t.index(slot)]
-		if sum <= limit {
-			end := (slot + int64(len(t.amounts))) * t.width
-			return Instant(end).Since(now)
-		}
-	}
-	return 0
-}
-
 // account is what one customer was granted lately.
 type account struct {
 	limit     float64
@@ -319,18 +238,6 @@
 	return spent
 }
 
-// spending gives the amounts by age.
-func (t *tally) spending(customer string, now Instant) []Spending {
-	var spent []Spending
-	for slot := t.slot; slot > t.slot-int64(len(t.amounts)) && slot >= 0; slot-- {
-		if tokens := t.amounts[t.index(slot)]; tokens > 0 {
-			age := max(0, now.Since(Instant(slot*t.width)))
-			spent = append(spent, Spending{Customer: customer, Tokens: tokens, Age: age})
-		}
-	}
-	return spent
-}
-
 // refund gives back what a request was charged that is not sent.
 func (c *Core) refund(w *waiter) {
 	if k := c.accounts[w.ask.Customer]; k != nil && !w.ask.Repeat {
@@ -338,33 +245,3 @@
 		k.own.add(w.since, -float64(w.ask.QuotaTokens))
 	}
 }
-
-// repeats counts requests and repeats in a window.
-type repeats struct {
-	bound           RepeatBound
-	requests, again tally
-}
-
-func (r *repeats) configure(bound RepeatBound) {
-	r.bound = bound
-	r.requests.width = int64(bound.Window) / windowSlots
-	r.again.width = r.requests.width
-}
-
-// admit counts a request, and tells whether a repeat is within the bound.
-func (r *repeats) admit(now Instant, repeat bool) bool {
-	if r.bound.Window <= 0 {
-		return true
-	}
-	r.requests.advance(now)
-	r.again.advance(now)
-	if !repeat {
-		r.requests.add(now, 1)
-		return true
-	}
-	if r.again.sum()+1 > r.bound.Ratio*r.requests.sum()+r.bound.Slack {
-		return false
-	}
-	r.again.add(now, 1)
-	return true
-}
