--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -47,9 +47,9 @@
 }
 
 // want asks for an answer whose first part is wanted within goal.
-func (p *pool) want(id string, tier int, goal time.Duration) {
+func (p *pool) want(id string, goal time.Duration) {
 	p.step(permit.Asked{At: p.now, Ask: permit.Ask{
-		ID: id, Tier: tier, PromptTokens: 1000, AnswerTokens: 20, GapGoal: 300 * time.Millisecond,
+		ID: id, Tier: 1, PromptTokens: 1000, AnswerTokens: 20, GapGoal: 300 * time.Millisecond,
 		Deadline: p.now.After(12 * time.Second), Goal: p.now.After(goal), Patience: p.now.After(2400 * time.Millisecond),
 	}})
 }
@@ -116,10 +116,10 @@
 
 func TestMissedGoalGoesBehindThoseThatCanStillBeMet(t *testing.T) {
 	p := openPool(t, engine(1))
-	p.want("running", 1, 400*time.Millisecond)
-	p.want("late", 1, 100*time.Millisecond)
+	p.want("running", 400*time.Millisecond)
+	p.want("late", 100*time.Millisecond)
 	p.pass(300 * time.Millisecond)
-	p.want("fresh", 1, 400*time.Millisecond)
+	p.want("fresh", 400*time.Millisecond)
 	p.finish("running", 100*time.Millisecond)
 	p.is.Equal(p.places["fresh"], "i-1")
 	p.finish("fresh", 100*time.Millisecond)
@@ -164,11 +164,11 @@
 	p := openPool(t, engine(1))
 	for i := range 20 {
 		id := fmt.Sprint("known-", i)
-		p.want(id, 1, 400*time.Millisecond)
+		p.want(id, 400*time.Millisecond)
 		p.finish(id, time.Second)
 	}
 	for i := range 12 { // a place turns over once a second; callers wait 2.4 s
-		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+		p.want(fmt.Sprint("ask-", i), 400*time.Millisecond)
 	}
 	p.is.True(len(p.refused) >= 7)
 	for id, refused := range p.refused {
@@ -182,7 +182,7 @@
 func TestUnknownEndpointGetsTwoRequestsUntilItShows(t *testing.T) {
 	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
 	for i := range 5 {
-		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+		p.want(fmt.Sprint("ask-", i), 400*time.Millisecond)
 	}
 	p.is.Equal(len(p.places), 2)
 	p.is.True(p.teach["ask-0"])
@@ -214,7 +214,7 @@
 
 func TestNewOwnerPlacesByWhatTheFormerOneLearned(t *testing.T) {
 	former := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
-	former.want("first", 1, 400*time.Millisecond)
+	former.want("first", 400*time.Millisecond)
 	former.finish("first", 450*time.Millisecond)
 	var pace *permit.Pace
 	for _, action := range former.core.Step(permit.Asked{At: former.now, Ask: permit.Ask{ID: "second", PromptTokens: 1000, Deadline: former.now.After(time.Minute)}}) {
@@ -228,7 +228,7 @@
 	p := openPool(t, permit.EndpointRules{Name: "i-1", Limit: 12})
 	p.step(permit.Listed{At: p.now, Host: "entry-1", Permits: []permit.Permit{{ID: "long-1", Endpoint: "i-1"}, {ID: "long-2", Endpoint: "i-1"}}, Paces: []permit.Pace{*pace}})
 	for i := range 5 {
-		p.want(fmt.Sprint("ask-", i), 1, 400*time.Millisecond)
+		p.want(fmt.Sprint("ask-", i), 400*time.Millisecond)
 	}
 	p.is.Equal(len(p.places), 5) // long answers of before keep nobody waiting
 }
@@ -256,9 +256,9 @@
 
 func TestFullEndpointRestsForAMomentOnly(t *testing.T) {
 	p := openPool(t, engine(5))
-	p.want("a", 1, 400*time.Millisecond)
+	p.want("a", 400*time.Millisecond)
 	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.TurnedDown})
-	p.want("b", 1, 400*time.Millisecond)
+	p.want("b", 400*time.Millisecond)
 	p.is.Equal(p.places["b"], "")
 	p.pass(200 * time.Millisecond)
 	p.is.Equal(p.places["b"], "i-1")
@@ -266,38 +266,38 @@
 
 func TestOneLostAnswerDoesNotCloseAnEndpoint(t *testing.T) {
 	p := openPool(t, engine(5))
-	p.want("a", 1, 400*time.Millisecond)
+	p.want("a", 400*time.Millisecond)
 	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.Lost})
-	p.want("b", 1, 400*time.Millisecond)
+	p.want("b", 400*time.Millisecond)
 	p.is.Equal(p.places["b"], "i-1")
 	for i := range 8 { // all answers are lost
 		id := fmt.Sprint("lost-", i)
-		p.want(id, 1, 400*time.Millisecond)
+		p.want(id, 400*time.Millisecond)
 		p.step(permit.Failed{At: p.now, ID: id, Fault: permit.Lost})
 	}
-	p.want("c", 1, 400*time.Millisecond)
+	p.want("c", 400*time.Millisecond)
 	p.is.Equal(p.places["c"], "")
 }
 
 func TestSilentRequestStallsItsEndpointOnlyWhereNoOtherIsAnswered(t *testing.T) {
 	p := openPool(t, engine(5))
-	p.want("slow", 1, 400*time.Millisecond)
-	p.want("other", 1, 400*time.Millisecond)
+	p.want("slow", 400*time.Millisecond)
+	p.want("other", 400*time.Millisecond)
 	p.pass(500 * time.Millisecond)
 	p.finish("other", 500*time.Millisecond)
 	p.step(permit.Stalled{At: p.now, ID: "slow"})
-	p.want("next", 1, 400*time.Millisecond)
+	p.want("next", 400*time.Millisecond)
 	p.is.Equal(p.places["next"], "i-1") // the endpoint answers others
 	p.pass(500 * time.Millisecond)
 	p.step(permit.Stalled{At: p.now, ID: "next"})
-	p.want("later", 1, 400*time.Millisecond)
+	p.want("later", 400*time.Millisecond)
 	p.is.Equal(p.places["later"], "")
 }
 
 func TestLongPromptStaysOffEndpointsWhereItHoldsUpOthersUntilItMust(t *testing.T) {
 	slow := permit.EndpointRules{Name: "slow", Limit: 5, PrefillSpeed: 20_000, DecodeSpeed: 20}
 	p := openPool(t, slow)
-	p.want("stream", 1, 400*time.Millisecond)
+	p.want("stream", 400*time.Millisecond)
 	long := permit.Ask{ID: "long", PromptTokens: 8000, AnswerTokens: 20, Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second), Patience: p.now.After(2400 * time.Millisecond)}
 	p.step(permit.Asked{At: p.now, Ask: long})
 	p.is.Equal(p.places["long"], "") // 400 ms of prompt would break the stream's pauses
