A look does not end the listing of a slow store

Found on reading the prover again: a host without a proof looks every 400 ms, and each look ended the call under way, so that a listing that takes longer never came to its end while the store is that slow. A listing under way now stands for the look.

--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -55,15 +55,21 @@
 	pause    time.Duration
 
 	mu sync.Mutex
-	// again is set when a look was asked for, and cut ends the call under way.
-	again bool
-	cut   context.CancelFunc
+	// again is set when a look was asked for. listing is set while a listing is
+	// under way, and cut ends the call under way.
+	again   bool
+	listing bool
+	cut     context.CancelFunc
 }
 
-// look ends the watch under way and lists anew.
+// look ends the watch under way and lists anew. A listing that is under way will
+// do: a slow store must get to its end.
 func (f *follower) look() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.listing {
+		return
+	}
 	f.again = true
 	if f.cut != nil {
 		f.cut()
@@ -79,6 +85,7 @@
 	if f.again {
 		f.again, f.known = false, false
 	}
+	f.listing = !f.known
 	ctx, f.cut = context.WithCancel(ctx)
 	return ctx, wait
 }
@@ -88,7 +95,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cut()
-	f.cut = nil
+	f.cut, f.listing = nil, false
 	return f.again
 }
 
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -18,13 +18,20 @@
 type played struct {
 	lists   int
 	watches int
+	// listTime is how long a listing takes.
+	listTime time.Duration
 	// watch answers each watch; nil waits for its whole time.
 	watch func(number int) (keyvalue.Changes, error)
 }
 
-func (p *played) List(context.Context, string) (keyvalue.Listing, error) {
+func (p *played) List(ctx context.Context, _ string) (keyvalue.Listing, error) {
 	p.lists++
-	return keyvalue.Listing{Revision: 10}, nil
+	select {
+	case <-ctx.Done():
+		return keyvalue.Listing{}, ctx.Err()
+	case <-time.After(p.listTime):
+		return keyvalue.Listing{Revision: 10}, nil
+	}
 }
 
 func (p *played) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (keyvalue.Changes, error) {
@@ -116,6 +123,27 @@
 	})
 }
 
+func TestLookDoesNotEndTheListingOfASlowStore(t *testing.T) {
+	is := is.New(t)
+	store := &played{listTime: 900 * time.Millisecond}
+	synctest.Test(t, func(t *testing.T) {
+		listed := 0
+		c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+		f := &follower{
+			service: New(c, store, nil), wait: always(quietWait), gather: always(0), longest: time.Second,
+			take: func(news) { listed++ }, done: func(time.Duration) {},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		go f.run(ctx)
+		for range 8 {
+			time.Sleep(lookPause)
+			f.look()
+		}
+		is.True(listed >= 2)
+	})
+}
+
 func TestHostThatOwnsNothingWatchesEndpointsInLongTurns(t *testing.T) {
 	is := is.New(t)
 	store := &played{}
