A listing is no change for others

Found on reading the diff: a listing raised the revision that a host tells the others to that of the whole store, which rises with every write; each look would have made all other hosts look in turn, and so on. Only the revisions of entries are told now.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -83,8 +83,10 @@
 
 	mu    sync.Mutex
 	table Table
-	// newest is the revision of the newest change of endpoints known; behind is
-	// since when another host has told of a newer one.
+	// told is the revision of the newest change of endpoints known, which the
+	// others hear; newest is that up to which this host knows all changes, and
+	// behind since when another host has told of a later one.
+	told   int64
 	newest int64
 	behind time.Time
 	// endpoints follows the entries of endpoints.
@@ -149,6 +151,7 @@
 	changed := n.whole
 	standing := map[string]bool{}
 	for _, c := range n.changes {
+		s.told = max(s.told, c.Entry.Revision)
 		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
 		switch {
 		case !isEndpoint:
@@ -169,11 +172,11 @@
 	if changed {
 		s.release.Found(s.table.ByService(), s.table.Left())
 	}
-	s.newest = max(s.newest, s.table.Newest())
+	s.newest = max(s.newest, s.told)
 	if n.whole {
 		s.newest = max(s.newest, n.revision)
 	}
-	s.members.SetEndpoints(s.newest)
+	s.members.SetEndpoints(s.told)
 }
 
 // loop ends the use of endpoints in time, and looks for changes that others have
--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -45,6 +45,20 @@
 	})
 }
 
+func TestListingIsNoChangeForOthers(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		s := hostNamed("entry-1")
+		s.layout = plainLayout{}
+		s.endpoints = &follower{service: s}
+		entry := keyvalue.Entry{Key: "endpoints/i-1", Revision: 5}
+		// The store's revision rises with all that is written there.
+		s.takeEndpoints(news{changes: []keyvalue.Change{{Entry: entry}}, revision: 90, whole: true})
+		is.Equal(s.told, int64(5)) // else each look would make all others look
+		is.Equal(s.newest, int64(90))
+	})
+}
+
 func TestHostLooksForAChangeThatOthersKnow(t *testing.T) {
 	is := is.New(t)
 	synctest.Test(t, func(*testing.T) {
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -88,15 +88,6 @@
 	return left
 }
 
-// Newest gives the revision of the newest change taken in.
-func (t *Table) Newest() int64 {
-	newest := int64(0)
-	for _, s := range t.sights {
-		newest = max(newest, s.revision)
-	}
-	return newest
-}
-
 // Names gives the endpoints whose entries stand.
 func (t *Table) Names() []string {
 	var names []string
--- a/godwitmoord/pkg/discovery/table_test.go
+++ b/godwitmoord/pkg/discovery/table_test.go
@@ -23,7 +23,6 @@
 	is.True(table.Expire(now.Add(2 * time.Second)))
 	is.Equal(len(table.ByService()["desk"]), 0)
 	is.True(table.Left()["i-1"]) // whoever grants it is late to know
-	is.Equal(table.Newest(), int64(8))
 	table.Expire(now.Add(2 * time.Minute))
 	is.True(!table.Left()["i-1"])
 }
