A refusal of one customer makes no request of another late

A caller could name a part of another customer's prompt; what an ask is for is now told apart by customer. Named tierShare what was called a service.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -66,7 +66,7 @@
 	worstWeight float64
 	worst       int
 	worstFactor float64
-	services    []service
+	shares      []tierShare
 	// typical is the mean work of the requests of each tier, in seconds of a place.
 	typical []float64
 	// offered is the work that was asked for lately, by tier, in seconds.
@@ -211,10 +211,10 @@
 	}
 	for len(c.typical) < tiers {
 		c.typical = append(c.typical, 0)
-		c.services = append(c.services, service{})
+		c.shares = append(c.shares, tierShare{})
 		c.offered = append(c.offered, tally{width: int64(offeredWindow) / windowSlots})
 	}
-	c.typical, c.offered, c.services = c.typical[:tiers], c.offered[:tiers], c.services[:tiers]
+	c.typical, c.offered, c.shares = c.typical[:tiers], c.offered[:tiers], c.shares[:tiers]
 }
 
 // queueOf gives the queue a request waits in.
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -126,6 +126,30 @@
 	p.is.Equal(p.places["late"], "i-1") // late is still worth something
 }
 
+func TestRefusalOfOneCustomerMakesNoOtherLate(t *testing.T) {
+	p := openPool(t, engine(1))
+	ask := func(id, customer string) {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{
+			ID: id, Subject: "menu", Customer: customer, Tier: 1, PromptTokens: 1000, AnswerTokens: 20,
+			Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second),
+		}})
+	}
+	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 1, Weights: weights, Endpoints: []permit.EndpointRules{engine(1)}})
+	p.want("running", 400*time.Millisecond)
+	p.want("waiting", time.Second)
+	ask("refused", "tower") // the queue is full
+	_, refused := p.refused["refused"]
+	p.is.True(refused)
+	p.step(permit.Withdrawn{At: p.now, ID: "waiting"})
+	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 9, Weights: weights, Endpoints: []permit.EndpointRules{engine(1)}})
+	p.pass(1100 * time.Millisecond) // the goal of the refused one is over
+	ask("back", "tower")
+	ask("first", "shop")
+	p.finish("running", 400*time.Millisecond)
+	p.is.Equal(p.places["first"], "i-1")
+	p.is.Equal(p.places["back"], "")
+}
+
 func TestCallerThatComesBackIsAsLateAsItIs(t *testing.T) {
 	p := openPool(t, engine(1))
 	ask := func(id, subject string) {
--- a/coordination/pkg/permit/returns.go
+++ b/coordination/pkg/permit/returns.go
@@ -18,10 +18,13 @@
 }
 
 type refusal struct {
-	subject string
-	at      Instant
+	wanted string
+	at     Instant
 }
 
+// wanted names what an ask is for, for its customer alone.
+func (a Ask) wanted() string { return a.Customer + "/" + a.Subject }
+
 // note remembers a refused request.
 func (r *refusals) note(a Ask, now Instant) {
 	if a.Subject == "" || a.Goal == 0 {
@@ -31,8 +34,8 @@
 		r.goals = map[string]Instant{}
 	}
 	r.forget(now)
-	r.goals[a.Subject] = a.Goal
-	r.order = append(r.order, refusal{subject: a.Subject, at: now})
+	r.goals[a.wanted()] = a.Goal
+	r.order = append(r.order, refusal{wanted: a.wanted(), at: now})
 }
 
 // forget drops what is over, and the oldest beyond the bound. A subject that was
@@ -40,7 +43,7 @@
 func (r *refusals) forget(now Instant) {
 	gone := 0
 	for gone < len(r.order) && (now.Since(r.order[gone].at) > returnMemory || len(r.order)-gone >= mostRefused) {
-		delete(r.goals, r.order[gone].subject)
+		delete(r.goals, r.order[gone].wanted)
 		gone++
 	}
 	r.order = r.order[gone:]
@@ -51,8 +54,8 @@
 // without.
 func (r *refusals) firstGoal(a Ask, now Instant) Instant {
 	r.forget(now)
-	goal, returned := r.goals[a.Subject]
-	if !returned || a.Goal == 0 {
+	goal, returned := r.goals[a.wanted()]
+	if !returned || a.Goal == 0 || a.Subject == "" {
 		return a.Goal
 	}
 	return min(goal, a.Goal)
--- a/coordination/pkg/permit/share.go
+++ b/coordination/pkg/permit/share.go
@@ -16,15 +16,15 @@
 	noTier = -1
 )
 
-// service tells how much of what was asked for of one tier was served in time
+// tierShare tells how much of what was asked for of one tier was served in time
 // lately. The zero value has seen nothing.
-type service struct {
+type tierShare struct {
 	asked, served float64
 	faded         Instant
 }
 
 // fade lets time pass.
-func (s *service) fade(now Instant) {
+func (s *tierShare) fade(now Instant) {
 	if s.faded > 0 {
 		left := math.Exp(-now.Since(s.faded).Seconds() / shareMemory.Seconds())
 		s.asked *= left
@@ -33,11 +33,11 @@
 	s.faded = now
 }
 
-func (s *service) share() float64 { return s.served / s.asked }
+func (s *tierShare) share() float64 { return s.served / s.asked }
 
 // noteAsked counts a request that can still meet its goal.
 func (c *Core) noteAsked(w *waiter) {
-	if s := &c.services[w.ask.Tier]; w.counts() {
+	if s := &c.shares[w.ask.Tier]; w.counts() {
 		s.fade(c.now)
 		s.asked++
 	}
@@ -45,7 +45,7 @@
 
 // noteServed counts a place given in time.
 func (c *Core) noteServed(w *waiter) {
-	if s := &c.services[w.ask.Tier]; w.counts() {
+	if s := &c.shares[w.ask.Tier]; w.counts() {
 		s.fade(c.now)
 		s.served++
 	}
@@ -64,8 +64,8 @@
 		return
 	}
 	all, least := 0.0, 0.0
-	for tier := range c.services {
-		s := &c.services[tier]
+	for tier := range c.shares {
+		s := &c.shares[tier]
 		s.fade(c.now)
 		if s.asked < leastAsked {
 			continue
@@ -76,7 +76,7 @@
 		}
 	}
 	if c.worst != noTier {
-		own := c.services[c.worst].asked * c.weightOf(c.worst)
+		own := c.shares[c.worst].asked * c.weightOf(c.worst)
 		c.worstFactor = 1 + c.worstWeight*all/own
 	}
 }
