--- /dev/null
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -0,0 +1,146 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+)
+
+// takeEndpoints takes in the entries of endpoints.
+func (s *Service) takeEndpoints(n news) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := n.whole
+	standing := map[string]bool{}
+	for _, c := range n.changes {
+		s.told = max(s.told, c.Entry.Revision)
+		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
+		switch {
+		case !isEndpoint:
+		case c.Removed:
+			changed = s.remove(name, c.Entry.Revision) || changed
+		default:
+			standing[name] = true
+			changed = s.takeEndpoint(name, c.Entry) || changed
+		}
+	}
+	if n.whole {
+		for _, name := range s.table.Names() {
+			if !standing[name] {
+				s.remove(name, n.revision)
+			}
+		}
+	}
+	if changed {
+		s.release.Found(s.table.ByService(), s.table.Left())
+	}
+	s.newest = max(s.newest, s.told)
+	if n.whole {
+		s.newest = max(s.newest, n.revision)
+	}
+	s.members.SetEndpoints(s.told)
+}
+
+// loop ends the use of endpoints in time, and looks for changes that others have
+// and this host's watch did not bring.
+func (s *Service) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(loopInterval):
+		}
+		s.expire(0)
+		if s.isBehind() {
+			s.endpoints.look()
+		}
+	}
+}
+
+// isBehind tells whether another host has known a newer change of endpoints for
+// longer than a watch takes to bring it.
+func (s *Service) isBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.members.NewestEndpoints() <= s.newest:
+		s.behind = time.Time{}
+	case s.behind.IsZero():
+		s.behind = time.Now()
+	case time.Since(s.behind) > behindBound:
+		s.behind = time.Time{}
+		return true
+	}
+	return false
+}
+
+// Attend says whether this host owns a service. A new owner looks at once at what
+// became of the endpoints.
+func (s *Service) Attend(owner bool) {
+	if was := s.casual.Swap(!owner); was && owner {
+		s.endpoints.look()
+	}
+}
+
+func (s *Service) endpointsWait() time.Duration {
+	if s.casual.Load() {
+		return casualWait
+	}
+	return endpointsWait
+}
+
+func (s *Service) endpointsGather() time.Duration {
+	if s.casual.Load() {
+		return casualGather
+	}
+	return endpointsGather
+}
+
+// expire forgets endpoints whose entries did not come back.
+func (s *Service) expire(time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Expire(time.Now()) {
+		s.release.Found(s.table.ByService(), s.table.Left())
+	}
+}
+
+// lapseUntil gives until when an endpoint is used whose entry is missing. A long
+// watch may not have noticed that the store was away.
+func (s *Service) lapseUntil() time.Time {
+	if s.casual.Load() {
+		return time.Now().Add(goneGrace)
+	}
+	until := s.endpoints.regained.Add(lapseGrace)
+	if latest := time.Now().Add(goneGrace); s.endpoints.lost || latest.Before(until) {
+		until = latest
+	}
+	return until
+}
+
+func (s *Service) remove(name string, revision int64) bool {
+	until := s.lapseUntil()
+	if !s.table.Remove(name, revision, until) {
+		return false
+	}
+	s.common.Log.Info("endpoint entry gone", zap.String("endpoint", name), zap.Int64("revision", revision),
+		zap.Bool("may-come-back", time.Now().Before(until)))
+	s.table.Expire(time.Now())
+	return true
+}
+
+func (s *Service) takeEndpoint(name string, e keyvalue.Entry) bool {
+	service, endpoint, err := s.layout.Endpoint(name, e.Value)
+	if err != nil {
+		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
+		return s.remove(name, e.Revision)
+	}
+	changed := s.table.Put(service, endpoint, e.Revision)
+	if changed {
+		s.common.Log.Info("endpoint found", zap.String("endpoint", name), zap.String("service", service),
+			zap.String("address", endpoint.Address), zap.Bool("leaving", endpoint.Leaving), zap.Int64("revision", e.Revision))
+	}
+	return changed
+}
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -62,6 +62,11 @@
 	cut     context.CancelFunc
 }
 
+// always gives a wait that never changes.
+func always(wait time.Duration) func() time.Duration {
+	return func() time.Duration { return wait }
+}
+
 // look ends the watch under way and lists anew. A listing that is under way will
 // do: a slow store must get to its end.
 func (f *follower) look() {
--- a/godwitmoord/pkg/discovery/prover.go
+++ b/godwitmoord/pkg/discovery/prover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/host"
 )
 
@@ -61,12 +62,19 @@
 		}
 		if time.Since(p.looked) > lookPause && p.due() {
 			p.looked = time.Now()
-			p.service.common.Count("discovery.looks")
-			p.declared.look()
+			p.look()
 		}
 	}
 }
 
+func (p *prover) look() {
+	version := p.inForce.InForceVersion()
+	p.service.common.Count("discovery.looks")
+	p.service.common.Log.Info("looking at the configuration", zap.Int64("version", version),
+		zap.Int64("newest-elsewhere", p.others.NewestVersion()), zap.Duration("proven-ago", p.inForce.Age(version)))
+	p.declared.look()
+}
+
 // due tells whether this host must look at the configuration now.
 func (p *prover) due() bool {
 	version := p.inForce.InForceVersion()
@@ -86,8 +94,3 @@
 	}
 	return quietWait
 }
-
-// always gives a wait that never changes.
-func always(wait time.Duration) func() time.Duration {
-	return func() time.Duration { return wait }
-}
