--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -26,7 +26,7 @@
 func TestEndpointOfACasualHostEndsInTime(t *testing.T) {
 	is := is.New(t)
 	synctest.Test(t, func(t *testing.T) {
-		s := hostNamed("entry-1")
+		s := loneHost()
 		s.layout = plainLayout{}
 		s.endpoints = &follower{service: s}
 		s.casual.Store(true)
@@ -48,7 +48,7 @@
 func TestListingIsNoChangeForOthers(t *testing.T) {
 	is := is.New(t)
 	synctest.Test(t, func(*testing.T) {
-		s := hostNamed("entry-1")
+		s := loneHost()
 		s.layout = plainLayout{}
 		s.endpoints = &follower{service: s}
 		entry := keyvalue.Entry{Key: "endpoints/i-1", Revision: 5}
@@ -62,7 +62,7 @@
 func TestHostLooksForAChangeThatOthersKnow(t *testing.T) {
 	is := is.New(t)
 	synctest.Test(t, func(*testing.T) {
-		s := hostNamed("entry-1")
+		s := loneHost()
 		s.newest = -1 // others have told of revision 0
 		is.True(!s.isBehind())
 		time.Sleep(behindBound / 2)
--- a/godwitmoord/pkg/discovery/prover_test.go
+++ b/godwitmoord/pkg/discovery/prover_test.go
@@ -17,11 +17,11 @@
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
-// hostNamed gives the discovery of a host that is ready and alone so far.
-func hostNamed(name string) *Service {
+// loneHost gives the discovery of a host that is ready and alone so far.
+func loneHost() *Service {
 	c := &common.Common{
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Kernel: kernel.New(zap.NewNop()),
-		Self:     host.Identity{Name: name, Incarnation: 1},
+		Self:     host.Identity{Name: "entry-1", Incarnation: 1},
 		Settings: settings.Settings{Platform: &settings.Platform{KeyRevocation: document.Duration(5 * time.Second)}},
 	}
 	s := New(c, &played{}, nil)
@@ -38,7 +38,7 @@
 		names = append(names, fmt.Sprint("entry-", i))
 	}
 	is.Equal(len(host.Ranked(names, proverKey, max(leastProvers, len(names)/proverShare))), 8)
-	is.Equal(hostNamed("entry-1").declaredWait(), provenWait) // one alone proves it itself
+	is.Equal(loneHost().declaredWait(), provenWait) // one alone proves it itself
 }
 
 // told is what is known of versions here and elsewhere.
