--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -52,6 +52,12 @@
 	return keyvalue.Outcome{Applied: true}, nil
 }
 
+// pass lets time go by in a bubble, until all that is due then is done.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // follow runs a follower for a time on a paused clock.
 func follow(t *testing.T, store *played, span time.Duration) (taken []news, regained time.Time) {
 	synctest.Test(t, func(t *testing.T) {
@@ -110,14 +116,14 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		go f.run(ctx)
-		time.Sleep(3 * time.Second)
+		pass(3 * time.Second)
 		before := proven
 		f.look()
 		synctest.Wait()
 		is.Equal(store.lists, 2)   // at the start and now
 		is.Equal(store.watches, 2) // and the watch goes on
 		is.True(proven >= before)
-		time.Sleep(6 * time.Second)
+		pass(6 * time.Second)
 		is.Equal(store.lists, 2)
 		is.Equal(store.watches, 2)
 	})
@@ -137,7 +143,7 @@
 		defer cancel()
 		go f.run(ctx)
 		for range 8 {
-			time.Sleep(lookPause)
+			pass(lookPause)
 			f.look()
 		}
 		is.True(listed >= 2)
@@ -154,12 +160,12 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		go s.endpoints.run(ctx)
-		time.Sleep(9 * time.Second)
+		pass(9 * time.Second)
 		is.Equal(store.watches, 1)
 		s.Attend(true)
 		synctest.Wait()
 		is.Equal(store.lists, 2) // a new owner looks at once
-		time.Sleep(6 * time.Second)
+		pass(6 * time.Second)
 		is.True(store.watches >= 3)
 		is.Equal(store.lists, 2)
 	})
