--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -66,7 +66,8 @@
 	return both
 }
 
-// setQuotas takes the quotas in force over. A lower one takes effect at once.
+// setQuotas takes the quotas in force over. A lower one binds what comes after it,
+// and a smaller share of one all that is counted.
 func (c *Core) setQuotas(quotas []Quota, window time.Duration) {
 	if c.accounts == nil {
 		c.accounts = map[string]*account{}
