--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -164,6 +164,16 @@
 	return nil, false
 }
 
+// Endpoint gives the endpoint of that name.
+func (s *Service) Endpoint(name string) (Endpoint, bool) {
+	for _, e := range s.Endpoints {
+		if e.Name == name {
+			return e, true
+		}
+	}
+	return Endpoint{}, false
+}
+
 // Route gives the service whose prefix is the longest one of the request path,
 // and the path that remains.
 func (c *Configuration) Route(requestPath string) (*Service, string, bool) {
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -270,10 +270,8 @@
 func (e *Entry) serviceOf(endpoint string) (string, bool) {
 	current := e.owners.release.Current()
 	for _, s := range current.Configuration.Services {
-		for _, other := range s.Endpoints {
-			if other.Name == endpoint {
-				return s.Name, true
-			}
+		if _, listed := s.Endpoint(endpoint); listed {
+			return s.Name, true
 		}
 	}
 	return "", false
--- a/godwitmoord/pkg/dispatch/seat.go
+++ b/godwitmoord/pkg/dispatch/seat.go
@@ -211,12 +211,8 @@
 	if !known {
 		return ""
 	}
-	for _, e := range service.Endpoints {
-		if e.Name == endpoint {
-			return e.Address
-		}
-	}
-	return ""
+	e, _ := service.Endpoint(endpoint)
+	return e.Address
 }
 
 func (s *seat) tell(name string, m ownerMessage) {
--- a/godwitmoord/pkg/serving/journey.go
+++ b/godwitmoord/pkg/serving/journey.go
@@ -277,10 +277,8 @@
 	if !known {
 		return "", false
 	}
-	for _, e := range service.Endpoints {
-		if e.Name == grant.Permit.Endpoint {
-			return e.Address, !e.Leaving || !j.request.Keyless
-		}
+	if e, listed := service.Endpoint(grant.Permit.Endpoint); listed {
+		return e.Address, !e.Leaving || !j.request.Keyless
 	}
 	found := grant.Address != "" && j.request.Keyless
 	return grant.Address, found && !j.service.release.HasLeft(grant.Permit.Endpoint)
