Log how a resumed stream went on and why it was taken as complete

"request finished" now says status, number of events, id of the last one and why the answer was taken as complete; "attempt failed" says how far the caller is; a new line "resumed attempt ended" gives endpoint, status and content type of the answer, the event after which it had to begin, the id of its first event, how many events it added, its end and its error. One line for each resumed attempt.

What is sent to callers is unchanged: receive is split from sendAttempt so that each way in which a resumed attempt ends is logged.

--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -20,9 +20,12 @@
 	eventStream   = "text/event-stream"
 )
 
-// idFieldPrefix starts the line that holds an event's id, if that is not the
-// first line.
-var idFieldPrefix = []byte("\nid:")
+// The reasons why an answer was taken as complete, as they are logged.
+const (
+	endOfBody     = "end of body"
+	endInEvent    = "end of body inside an event"
+	endFinalEvent = "final event"
+)
 
 // errCallerDisconnected reports that the answer cannot be written to the caller
 // any more.
@@ -51,6 +54,11 @@
 	// that has an id.
 	events    int
 	lastEvent string
+	// firstEvent is the id of the first event that the current attempt returned;
+	// empty if that event has none.
+	firstEvent string
+	// end says why the answer was taken as complete; empty until then.
+	end string
 	// storedBody holds the body, which is stored to answer a repeated key. A body
 	// longer than storeLimit bytes is not stored, and exceedsLimit is set.
 	storedBody   bytes.Buffer
@@ -102,6 +110,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			r.sendHead()
+			r.end = endOfBody
 			return nil
 		}
 		if err != nil {
@@ -113,7 +122,7 @@
 // forwardEvents forwards the whole events of a stream and counts them.
 func (r *relay) forwardEvents(body io.Reader) error {
 	partial := make([]byte, 0, readBufferSize)
-	done := false
+	done, begun := false, false
 	for {
 		// The same buffer holds the incomplete last event and the next data.
 		partial = slices.Grow(partial, readBufferSize/2)
@@ -122,6 +131,10 @@
 		end := bytes.LastIndex(partial, []byte("\n\n"))
 		if end >= 0 {
 			events := partial[:end+2]
+			if !begun {
+				begun = true
+				r.firstEvent = firstEventID(events)
+			}
 			done = done || (r.hasFinalEvent && bytes.Contains(events, []byte("data: [DONE]")))
 			if err := r.writePart(events); err != nil {
 				return err
@@ -132,6 +145,7 @@
 		}
 		switch {
 		case done:
+			r.end = endFinalEvent
 			return nil
 		case errors.Is(err, io.EOF) && r.hasFinalEvent:
 			return errStreamIncomplete
@@ -148,25 +162,19 @@
 // forwardRest forwards the data after the last whole event of a complete body.
 func (r *relay) forwardRest(rest []byte) error {
 	if len(rest) > 0 {
+		r.end = endInEvent
 		return r.writePart(rest)
 	}
 	r.sendHead()
+	r.end = endOfBody
 	return nil
 }
 
 // recordLastEvent records the id of the last event that has one.
 func (r *relay) recordLastEvent(events []byte) {
-	at := bytes.LastIndex(events, idFieldPrefix)
-	switch {
-	case at >= 0:
-		events = events[at+len(idFieldPrefix):]
-	case bytes.HasPrefix(events, idFieldPrefix[1:]):
-		events = events[len(idFieldPrefix)-1:]
-	default:
-		return
+	if id := lastEventID(events); id != "" {
+		r.lastEvent = id
 	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	r.lastEvent = string(bytes.TrimSpace(line))
 }
 
 // writePart sends a part of the body to the caller and stores it if the answer is
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -164,9 +164,9 @@
 		grant.Unused()
 		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("the endpoint is no longer in the configuration")}
 	}
-	start, eventsBefore := time.Now(), r.relay.events
+	start := time.Now()
 	message := r.attemptRequest(ctx, grant)
-	r.relay.firstByteAt = time.Time{}
+	r.relay.firstByteAt, r.relay.firstEvent = time.Time{}, ""
 	r.relay.onFirstByte = r.firstPartReporter(grant, start)
 	r.awaitingHead = true
 	answer, err := r.service.sender.Send(ctx, address, message)
@@ -182,6 +182,19 @@
 	r.mayHaveRun = true
 	r.runs++
 	defer answer.Close()
+	if !r.relay.headSent {
+		return r.receive(ctx, answer, grant, start)
+	}
+	afterEvent, afterEvents := r.relay.lastEvent, r.relay.events
+	err = r.receive(ctx, answer, grant, start)
+	r.logResumed(answer, afterEvent, afterEvents, err)
+	return err
+}
+
+// receive forwards the answer of an attempt to the caller, or keeps it if another
+// attempt may return a better one, and returns the permit.
+func (r *requestRun) receive(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
+	eventsBefore := r.relay.events
 	var suspended atomic.Bool
 	grant.OnSuspended(func() {
 		suspended.Store(true)
@@ -192,9 +205,9 @@
 	}
 	if r.impliesNotRun(answer.Status) {
 		grant.Done(permit.Usage{Total: time.Since(start)})
-		return &attempt.LostError{Address: address, Cause: errEndpointFailed}
+		return &attempt.LostError{Address: grant.Permit.Endpoint, Cause: errEndpointFailed}
 	}
-	err = r.relay.forward(answer)
+	err := r.relay.forward(answer)
 	if err != nil && suspended.Load() {
 		grant.Unused()
 		return errSuspended
@@ -250,7 +263,8 @@
 		return
 	}
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
-		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Error(err))
+		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.events),
+		zap.String("last-event", r.relay.lastEvent), zap.Error(err))
 	grant.Failed(classifyFault(err))
 }
 
