Test that a cut stream is not ended by an answer that does not continue it

A worker of the stand-in can now answer a request that goes on after an event with an error, a plain text, the stream from its start, events without ids, or an end inside an event. On this code:

- TestCutStreamIsNotEndedByAnAnswerThatDoesNotContinueIt: all four ways fail; the caller gets "id: 1", "id: 2" and an orderly end, or what the second worker said.
- TestStreamGoesOnAfterAnAnswerThatDidNotContinueIt: fails for text, start and without ids; an error passes, as a third attempt is left.
- TestStreamThatEndsInsideAnEventIsNotComplete: fails; the part of an event is sent as the end of the stream.

--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -53,17 +53,22 @@
 		workers: map[string]*platformtest.Worker{}, workerAddresses: map[string]string{}, customerKey: "good-key",
 	}
 	for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
-		worker := &platformtest.Worker{ID: name}
-		if strings.HasPrefix(name, "pool") {
-			worker.EventCount = 6
-		}
-		server := httptest.NewServer(worker)
-		t.Cleanup(server.Close)
-		s.workers[name], s.workerAddresses[name] = worker, strings.TrimPrefix(server.URL, "http://")
+		s.startWorker(name)
 	}
 	return s
 }
 
+// startWorker starts a worker of the service that begins its name.
+func (s *platformDeployment) startWorker(name string) {
+	worker := &platformtest.Worker{ID: name}
+	if strings.HasPrefix(name, "pool") {
+		worker.EventCount = 6
+	}
+	server := httptest.NewServer(worker)
+	s.t.Cleanup(server.Close)
+	s.workers[name], s.workerAddresses[name] = worker, strings.TrimPrefix(server.URL, "http://")
+}
+
 // writeConfiguration writes the operators' configuration to the store, as the
 // next version.
 func (s *platformDeployment) writeConfiguration() {
@@ -74,6 +79,7 @@
 			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "lookup", Kind: "safe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true},
+			{Name: "long-chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true, MaxAttempts: 3},
 			{Name: "plan", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second},
 			{Name: "short", Kind: "unsafe", Service: "desk", Timeout: 200 * time.Millisecond},
 		},
