Let an endpoint state the offset at which a resumed answer begins

A resumed attempt tells the endpoint how many events the caller already has (Resume-Offset). The answer looked the same whether the endpoint began there or at the first event, so a host could not tell a continuation from a second whole answer, and a caller could receive both joined.

An answer that begins at an offset now returns Resume-Offset with that value. The stand-in engine sets the header, the native dialect reads it into EndpointResponse.Offset, and attempt.Answer.Offset hands it on. A value that is not a number above zero states no offset.

--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -100,7 +100,9 @@
 	// receive, so that an answer to another request is detected.
 	EchoesAttempt bool `json:"echoes-attempt,omitempty"`
 	// Resumes is set if the endpoints can start a stream at a later event when they
-	// receive the header Resume-Offset.
+	// receive the header Resume-Offset, which holds the number of events that the
+	// caller already has. An answer that begins there returns the header with the
+	// same value; an answer without it begins at the first event.
 	Resumes bool `json:"resumes,omitempty"`
 	// Endpoints are the endpoints of the service.
 	Endpoints []Endpoint `json:"endpoints"`
--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -79,6 +79,9 @@
 	Attempt string
 	// NotRun is set if the endpoint did not run the request.
 	NotRun bool
+	// Offset is the number of parts that the answer leaves out because the caller
+	// has them; zero if the endpoint stated none.
+	Offset int
 	// Running, Waiting and Places are the endpoint's load: the requests that run,
 	// the requests that wait, and the number that can run at the same time. Places
 	// is zero if the endpoint did not send its load.
--- a/coordination/pkg/exchange/native.go
+++ b/coordination/pkg/exchange/native.go
@@ -60,10 +60,22 @@
 }
 
 // ReadEndpointResponse returns the attempt that is answered, whether the endpoint refused to
-// run it, and the idle limit of the connection.
+// run it, the offset at which the answer begins, and the idle limit of the connection.
 func (Native) ReadEndpointResponse(status int, header http.Header) EndpointResponse {
 	refused := status == http.StatusServiceUnavailable && header.Get(notRunHeader) == "true"
-	return EndpointResponse{Attempt: header.Get(AttemptHeader), NotRun: refused, IdleLimit: KeepAliveTimeout(header)}
+	return EndpointResponse{
+		Attempt: header.Get(AttemptHeader), NotRun: refused, Offset: readOffset(header), IdleLimit: KeepAliveTimeout(header),
+	}
+}
+
+// readOffset returns the offset that an answer states. A value that is not a number
+// states none, so that the answer is not taken for one that leaves parts out.
+func readOffset(header http.Header) int {
+	offset, err := strconv.Atoi(header.Get(OffsetHeader))
+	if err != nil || offset < 0 {
+		return 0
+	}
+	return offset
 }
 
 func setOrDelete(header http.Header, name, value string) {
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -107,6 +107,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Offset is the number of parts that the answer leaves out because the caller
+	// has them; zero if the endpoint stated none.
+	Offset int
 	Body   io.Reader
 	close  func()
 }
@@ -156,7 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset}
 	body := &bodyReader{roundTrip: t, body: response.Body, remaining: response.ContentLength, reusable: !response.Close, idleLimit: answerHead.IdleLimit}
 	answer.Body = body
 	answer.close = func() { t.finish(body.complete) }
--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -3,8 +3,9 @@
 // limited size and reports its load with a delay.
 //
 // It serves POST /v1/completions as a stream of server-sent events. The header
-// Resume-Offset starts the answer at a later token. Closing the connection
-// cancels the run.
+// Resume-Offset starts the answer at a later token, and the answer states the
+// token at which it begins in the same header. Closing the connection cancels the
+// run.
 package engine
 
 import (
@@ -13,6 +14,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,7 @@
 const (
 	maxBodyBytes  = 16 << 20
 	defaultTokens = 16
+	offsetHeader  = "Resume-Offset"
 	// prefillChunk is the maximum number of prompt tokens computed in one step,
 	// over all sequences of the batch.
 	prefillChunk = 2048
@@ -87,6 +90,7 @@
 	digest       uint64
 	promptTokens int
 	prefillLeft  int
+	firstToken   int
 	nextToken    int
 	maxTokens    int
 	prefilled    atomic.Int64
@@ -245,7 +249,7 @@
 		return
 	}
 	var offset int
-	if text := r.Header.Get("Resume-Offset"); text != "" {
+	if text := r.Header.Get(offsetHeader); text != "" {
 		if _, err := fmt.Sscan(text, &offset); err != nil || offset < 0 {
 			http.Error(w, "Resume-Offset is no number", http.StatusBadRequest)
 			return
@@ -271,11 +275,13 @@
 		return nil, e.faults
 	}
 	tokens := answer.PromptTokens(request.Prompt)
+	firstToken := min(offset, request.MaxTokens-1)
 	s := &sequence{
 		digest:       answer.Digest(request.Prompt),
 		promptTokens: tokens,
 		prefillLeft:  tokens - e.cache.lookupAndAdd(request.Prompt, tokens),
-		nextToken:    min(offset, request.MaxTokens-1),
+		firstToken:   firstToken,
+		nextToken:    firstToken,
 		maxTokens:    request.MaxTokens,
 		tokens:       make(chan int, request.MaxTokens),
 		cancelled:    r.Context().Done(),
@@ -292,6 +298,9 @@
 	}
 	w.Header().Set(runlog.AttemptHeader, attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.firstToken > 0 {
+		w.Header().Set(offsetHeader, strconv.Itoa(s.firstToken))
+	}
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	_ = control.Flush()
--- /dev/null
+++ b/standin/pkg/engine/engine_test.go
@@ -0,0 +1,75 @@
+package engine_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/standin/pkg/engine"
+	"godwitmoor.example/standin/pkg/runlog"
+)
+
+const prompt = "which allowance?"
+
+// serveEngine starts an engine with a real socket and returns its URL.
+func serveEngine(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	log, err := runlog.Open(filepath.Join(t.TempDir(), "runs.jsonl"), "endpoint")
+	is.NoErr(err)
+	e := engine.New(engine.Config{Prefill: 1e6, Step: time.Millisecond, CacheTokens: 1000}, log)
+	e.Start(t.Context())
+	s := httptest.NewServer(e.Handler())
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// answer is what an engine returned. err is the error that ended its body, if any.
+type answer struct {
+	status      int
+	offset      string
+	contentType string
+	body        string
+	err         error
+}
+
+// complete requests tokens tokens from offset on.
+func complete(t *testing.T, url string, tokens, offset int) answer {
+	t.Helper()
+	is := is.New(t)
+	body := strings.NewReader(fmt.Sprintf(`{"prompt": %q, "max_tokens": %d}`, prompt, tokens))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+"/v1/completions", body)
+	is.NoErr(err)
+	if offset > 0 {
+		request.Header.Set("Resume-Offset", strconv.Itoa(offset))
+	}
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{
+		status: response.StatusCode, offset: response.Header.Get("Resume-Offset"),
+		contentType: response.Header.Get("Content-Type"), body: string(data), err: err,
+	}
+}
+
+func TestAnswerStatesTheOffsetAtWhichItBegins(t *testing.T) {
+	is := is.New(t)
+	url := serveEngine(t)
+	whole := complete(t, url, 6, 0)
+	is.NoErr(whole.err)
+	is.Equal(whole.offset, "")
+	is.Equal(strings.Count(whole.body, "data: "), 7)
+	rest := complete(t, url, 6, 4)
+	is.NoErr(rest.err)
+	is.Equal(rest.offset, "4")
+	is.Equal(strings.Count(rest.body, "data: "), 3)
+	is.True(strings.Contains(rest.body, `"index":4,`))
+}
