Join an answer to a stream only if it continues it

A stream broke off in the middle, and the attempt that should have gone on was answered with something else.

Cause: what a further attempt returned was taken for the continuation without a check. An error answer was held back only while the request might run once more; the error of the last run allowed went to relay.forward, which asked neither for the status nor for the kind of body, sent the error's body as the rest of the stream and its end as the end of the stream. In the same way a plain text, a stream from its start, events that can't be placed, and on the product's own interface an answer that ignored Resume-Offset were joined. canResume asked only whether the route allows it, also where the answer begun was no stream or where the last event had no id, so that the next run began at the start.

Change: relay.forward, the one place that sends bytes, lets an answer through after the head was sent only if what the caller has is a stream up to a known position, and the answer is a stream of status 200 that states the position: by the id of its first event where endpoints continue after an id, by the offset that it states otherwise. Anything else is a NotContinuedError, of which nothing is sent; another attempt follows where one is allowed, else the answer ends broken off. The id is also checked where the caller itself resumes.

--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -1,29 +1,85 @@
 package serving
 
-import "bytes"
+import (
+	"bytes"
+	"iter"
+	"strconv"
+)
 
-// idFieldPrefix starts the line that holds an event's id, if that is not the
-// first line.
-var idFieldPrefix = []byte("\nid:")
-
-// firstEventID returns the id of the first of some whole events; empty if it has
+// event is one server-sent event. A comment, which has neither an id nor data, is
 // none.
-func firstEventID(events []byte) string {
-	first, _, _ := bytes.Cut(events, []byte("\n\n"))
-	return lastEventID(first)
+type event struct {
+	id      []byte
+	hasData bool
+}
+
+// withLine returns the event with one of its lines added.
+func (e event) withLine(line []byte) event {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		e.id = bytes.TrimSpace(value)
+	case "data":
+		e.hasData = true
+	}
+	return e
+}
+
+// isEvent reports whether the lines make up an event rather than a comment.
+func (e event) isEvent() bool { return e.hasData || len(e.id) > 0 }
+
+// parseEvents returns the events of a stream's part that ends with a whole event.
+func parseEvents(part []byte) iter.Seq[event] {
+	return func(yield func(event) bool) {
+		var current event
+		for line := range bytes.Lines(part) {
+			line = bytes.TrimRight(line, "\r\n")
+			if len(line) > 0 {
+				current = current.withLine(line)
+				continue
+			}
+			if current.isEvent() && !yield(current) {
+				return
+			}
+			current = event{}
+		}
+	}
+}
+
+// lastEventEnd returns the index behind the last whole event of data; zero if data
+// holds none.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, terminator := range []string{"\n\n", "\r\n\r\n"} {
+		if at := bytes.LastIndex(data, []byte(terminator)); at >= 0 {
+			end = max(end, at+len(terminator))
+		}
+	}
+	return end
+}
+
+// streamPosition is the point up to which the caller has a stream.
+type streamPosition struct {
+	// events is the number of events that were forwarded.
+	events int
+	// lastEvent is the id of the last event that the caller has; empty if that
+	// event has none.
+	lastEvent string
+}
+
+// withEvent returns the position after one more event.
+func (p streamPosition) withEvent(e event) streamPosition {
+	return streamPosition{events: p.events + 1, lastEvent: string(e.id)}
 }
 
-// lastEventID returns the id of the last event that has one; empty if none has.
-func lastEventID(events []byte) string {
-	at := bytes.LastIndex(events, idFieldPrefix)
-	switch {
-	case at >= 0:
-		events = events[at+len(idFieldPrefix):]
-	case bytes.HasPrefix(events, idFieldPrefix[1:]):
-		events = events[len(idFieldPrefix)-1:]
-	default:
-		return ""
+// precedes reports whether an event with an id can be the next one after the
+// position. Ids that are numbers increase along a stream. Of other ids, only a
+// repetition of the last one is certain to be wrong.
+func (p streamPosition) precedes(id string) bool {
+	next, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(p.lastEvent, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != p.lastEvent
 	}
-	line, _, _ := bytes.Cut(events, []byte("\n"))
-	return string(bytes.TrimSpace(line))
+	return next > last
 }
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -23,7 +25,6 @@
 // The reasons why an answer was taken as complete, as they are logged.
 const (
 	endOfBody     = "end of body"
-	endInEvent    = "end of body inside an event"
 	endFinalEvent = "final event"
 )
 
@@ -34,28 +35,47 @@
 // errStreamIncomplete reports that a stream of events ended before its final event.
 var errStreamIncomplete = errors.New("the stream ended before its final event")
 
+// NotContinuedError reports that an attempt's answer does not go on where the
+// stream broke off that the caller already receives.
+type NotContinuedError struct {
+	// Position says where the stream broke off, Got where or with what the answer
+	// begins.
+	Position, Got string
+}
+
+func (e *NotContinuedError) Error() string {
+	return fmt.Sprintf("the answer begins with %s and does not continue the stream after %s; check that the endpoint can resume streams", e.Got, e.Position)
+}
+
 // relay forwards the answer of one request to its caller. A stream of events may
 // come from several attempts. Only whole events are forwarded, so that the next
-// attempt can resume after the last of them.
+// attempt can resume after the last of them, and only an answer that is shown to
+// continue there is joined to what the caller already has.
 type relay struct {
 	caller Caller
 	answer *attempt.Answer
-	// streams is set if an answer may be a stream of events. hasFinalEvent is set
-	// if the stream ends with a final "data: [DONE]" event; otherwise it ends
-	// with its body.
-	streams       bool
+	// streams is set if an answer may be a stream of events.
+	streams bool
+	// resumesByID is set if the endpoints continue a stream after the event whose
+	// id they are sent; otherwise they continue it at an offset, which they state
+	// in their answer.
+	resumesByID bool
+	// hasFinalEvent is set if the stream ends with a final "data: [DONE]" event;
+	// otherwise it ends with its body.
 	hasFinalEvent bool
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent bool
-	// status and contentType are those of the first answer.
+	// status and contentType are those of the first answer; streaming is set if
+	// that is a stream of events.
 	status      int
 	contentType string
-	// events is the number of events forwarded, lastEvent the id of the last one
-	// that has an id.
-	events    int
-	lastEvent string
-	// firstEvent is the id of the first event that the current attempt returned;
-	// empty if that event has none.
+	streaming   bool
+	// position is the point up to which the caller has the stream. It begins with
+	// the event that the caller itself resumes after.
+	position streamPosition
+	// continued is set once the current attempt's first event was found to follow
+	// the position; firstEvent is its id, empty if it has none.
+	continued  bool
 	firstEvent string
 	// end says why the answer was taken as complete; empty until then.
 	end string
@@ -74,16 +94,77 @@
 	callerGone bool
 }
 
+// beginAttempt forgets what was recorded of the attempt before; onFirstByte is for
+// the next one.
+func (r *relay) beginAttempt(onFirstByte func()) {
+	r.firstByteAt, r.firstEvent, r.continued = time.Time{}, "", false
+	r.onFirstByte = onFirstByte
+}
+
 // forward sends one answer to the caller up to its end. An error other than
-// errCallerDisconnected means that the answer is incomplete.
+// errCallerDisconnected means that the answer is incomplete, or, if it is a
+// *NotContinuedError, that nothing of it was sent.
 func (r *relay) forward(a *attempt.Answer) error {
 	r.answer = a
-	if r.streams && strings.HasPrefix(a.Header.Get("Content-Type"), eventStream) {
+	if err := r.checkContinues(a); err != nil {
+		return err
+	}
+	if r.isStream(a) {
 		return r.forwardEvents(a.Body)
 	}
 	return r.forwardBytes(a.Body)
 }
 
+// isStream reports whether an answer is a stream of events.
+func (r *relay) isStream(a *attempt.Answer) bool {
+	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return r.streams && a.Status == http.StatusOK && strings.EqualFold(strings.TrimSpace(mediaType), eventStream)
+}
+
+// canContinue reports whether another attempt can continue what the caller already
+// has: a stream up to a known position.
+func (r *relay) canContinue() bool {
+	known := !r.resumesByID || r.position.events == 0 || r.position.lastEvent != ""
+	return r.streaming && known
+}
+
+// checkContinues checks the head of an answer that must continue what the caller
+// already has. Where events have ids, checkFirstEvent completes the check.
+func (r *relay) checkContinues(a *attempt.Answer) error {
+	switch {
+	case !r.headSent:
+		return nil
+	case !r.canContinue() || !r.isStream(a):
+		return r.notContinued(fmt.Sprintf("status %d and content type %q", a.Status, a.Header.Get("Content-Type")))
+	case !r.resumesByID && a.Offset != r.position.events:
+		return r.notContinued(fmt.Sprintf("offset %d", a.Offset))
+	default:
+		return nil
+	}
+}
+
+// checkFirstEvent checks that the first event of an attempt follows the last one
+// that the caller has.
+func (r *relay) checkFirstEvent(e event) error {
+	if r.continued {
+		return nil
+	}
+	r.firstEvent = string(e.id)
+	if r.resumesByID && r.position.lastEvent != "" && !r.position.precedes(r.firstEvent) {
+		return r.notContinued(fmt.Sprintf("event %q", r.firstEvent))
+	}
+	r.continued = true
+	return nil
+}
+
+func (r *relay) notContinued(got string) error {
+	position := fmt.Sprintf("%d events", r.position.events)
+	if r.position.lastEvent != "" {
+		position = fmt.Sprintf("event %q", r.position.lastEvent)
+	}
+	return &NotContinuedError{Position: position, Got: got}
+}
+
 // sendHead sends the head of the answer if it was not sent yet. It is called only
 // when the first part of the body, or its end, has arrived: until then another
 // endpoint can still answer instead.
@@ -93,7 +174,7 @@
 	}
 	a := r.answer
 	header := exchange.EndToEnd(a.Header)
-	r.status, r.contentType = a.Status, a.Header.Get("Content-Type")
+	r.status, r.contentType, r.streaming = a.Status, a.Header.Get("Content-Type"), r.isStream(a)
 	r.caller.WriteHead(a.Status, header)
 	r.headSent = true
 }
@@ -122,33 +203,20 @@
 // forwardEvents forwards the whole events of a stream and counts them.
 func (r *relay) forwardEvents(body io.Reader) error {
 	partial := make([]byte, 0, readBufferSize)
-	done, begun := false, false
 	for {
 		// The same buffer holds the incomplete last event and the next data.
 		partial = slices.Grow(partial, readBufferSize/2)
 		n, err := body.Read(partial[len(partial):cap(partial)])
 		partial = partial[:len(partial)+n]
-		end := bytes.LastIndex(partial, []byte("\n\n"))
-		if end >= 0 {
-			events := partial[:end+2]
-			if !begun {
-				begun = true
-				r.firstEvent = firstEventID(events)
-			}
-			done = done || (r.hasFinalEvent && bytes.Contains(events, []byte("data: [DONE]")))
-			if err := r.writePart(events); err != nil {
+		if end := lastEventEnd(partial); end > 0 {
+			if err := r.forwardWhole(partial[:end]); err != nil {
 				return err
 			}
-			r.events += bytes.Count(events, []byte("\n\n"))
-			r.recordLastEvent(events)
-			partial = append(partial[:0], partial[end+2:]...)
+			partial = append(partial[:0], partial[end:]...)
 		}
 		switch {
-		case done:
-			r.end = endFinalEvent
+		case r.end == endFinalEvent:
 			return nil
-		case errors.Is(err, io.EOF) && r.hasFinalEvent:
-			return errStreamIncomplete
 		case errors.Is(err, io.EOF):
 			return r.forwardRest(partial)
 		case err != nil:
@@ -159,24 +227,38 @@
 	}
 }
 
+// forwardWhole forwards a part of a stream that ends with a whole event.
+func (r *relay) forwardWhole(part []byte) error {
+	position := r.position
+	for e := range parseEvents(part) {
+		if err := r.checkFirstEvent(e); err != nil {
+			return err
+		}
+		position = position.withEvent(e)
+	}
+	if err := r.writePart(part); err != nil {
+		return err
+	}
+	r.position = position
+	if r.hasFinalEvent && bytes.Contains(part, []byte("data: [DONE]")) {
+		r.end = endFinalEvent
+	}
+	return nil
+}
+
 // forwardRest forwards the data after the last whole event of a complete body.
 func (r *relay) forwardRest(rest []byte) error {
+	if r.hasFinalEvent {
+		return errStreamIncomplete
+	}
+	r.end = endOfBody
 	if len(rest) > 0 {
-		r.end = endInEvent
 		return r.writePart(rest)
 	}
 	r.sendHead()
-	r.end = endOfBody
 	return nil
 }
 
-// recordLastEvent records the id of the last event that has one.
-func (r *relay) recordLastEvent(events []byte) {
-	if id := lastEventID(events); id != "" {
-		r.lastEvent = id
-	}
-}
-
 // writePart sends a part of the body to the caller and stores it if the answer is
 // to be stored.
 func (r *relay) writePart(data []byte) error {
@@ -223,7 +305,7 @@
 	u := permit.Usage{FirstByte: r.firstByteAt.Sub(start), Total: time.Since(start)}
 	if request.Streams {
 		u.PromptTokens = request.PromptTokens
-		u.AnswerTokens = max(r.events-previousEvents-r.finalEvents(), 0)
+		u.AnswerTokens = max(r.position.events-previousEvents-r.finalEvents(), 0)
 	}
 	return u
 }
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -42,15 +42,15 @@
 func TestStreamResumesAfterTheLastWholeEvent(t *testing.T) {
 	is := is.New(t)
 	var caller recordingCaller
-	r := relay{caller: &caller, streams: true}
+	r := relay{caller: &caller, streams: true, resumesByID: true}
 	err := r.forward(streamAnswer(truncatedBody{strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nid: 3\nda")}))
 	is.True(err != nil)
-	is.Equal(r.lastEvent, "2") // not the 9: it is part of an event's data
+	is.Equal(r.position.lastEvent, "2") // not the 9: it is part of an event's data
 	is.Equal(caller.got.String(), "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\n")
 	is.NoErr(r.forward(streamAnswer(strings.NewReader("id: 3\ndata: c\n\n"))))
 	is.Equal(caller.got.String(), "id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nid: 3\ndata: c\n\n")
-	is.Equal(r.lastEvent, "3")
-	is.Equal(r.events, 3)
+	is.Equal(r.position.lastEvent, "3")
+	is.Equal(r.position.events, 3)
 }
 
 func TestWholeStreamIsForwardedToItsLastByte(t *testing.T) {
@@ -67,5 +67,94 @@
 	r := relay{caller: &caller, streams: true, hasFinalEvent: true}
 	err := r.forward(streamAnswer(strings.NewReader("data: a\n\n")))
 	is.True(errors.Is(err, errStreamIncomplete))
-	is.NoErr(r.forward(streamAnswer(strings.NewReader("data: b\n\ndata: [DONE]\n\n"))))
+	rest := streamAnswer(strings.NewReader("data: b\n\ndata: [DONE]\n\n"))
+	rest.Offset = 1
+	is.NoErr(r.forward(rest))
+	is.Equal(caller.got.String(), "data: a\n\ndata: b\n\ndata: [DONE]\n\n")
+}
+
+func TestAnswerThatDoesNotContinueTheStreamIsNotForwarded(t *testing.T) {
+	text := http.Header{"Content-Type": {"text/plain"}}
+	events := http.Header{"Content-Type": {"Text/Event-Stream; charset=utf-8"}}
+	for name, test := range map[string]struct {
+		byID   bool
+		answer attempt.Answer
+		body   string
+	}{
+		"error":                    {true, attempt.Answer{Status: 500, Header: events}, "id: 3\ndata: c\n\n"},
+		"no content":               {true, attempt.Answer{Status: 204, Header: events}, ""},
+		"text":                     {true, attempt.Answer{Status: 200, Header: text}, "id: 3\ndata: c\n\n"},
+		"no type":                  {true, attempt.Answer{Status: 200, Header: http.Header{}}, ""},
+		"first event again":        {true, attempt.Answer{Status: 200, Header: events}, "id: 1\ndata: a\n\n"},
+		"last event again":         {true, attempt.Answer{Status: 200, Header: events}, ": hello\n\nid: 2\ndata: b\n\n"},
+		"event without id":         {true, attempt.Answer{Status: 200, Header: events}, "data: c\n\n"},
+		"id that is no number":     {true, attempt.Answer{Status: 200, Header: events}, "id:\ndata: c\n\n"},
+		"no offset":                {false, attempt.Answer{Status: 200, Header: events}, "data: c\n\ndata: [DONE]\n\n"},
+		"another offset":           {false, attempt.Answer{Status: 200, Header: events, Offset: 1}, "data: c\n\ndata: [DONE]\n\n"},
+		"error that states offset": {false, attempt.Answer{Status: 503, Header: events, Offset: 2}, "data: [DONE]\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var caller recordingCaller
+			r := relay{caller: &caller, streams: true, resumesByID: test.byID, hasFinalEvent: !test.byID}
+			begun := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+			is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader(begun)})) != nil)
+			r.beginAttempt(nil)
+			test.answer.Body = strings.NewReader(test.body)
+			err := r.forward(&test.answer)
+			var notContinued *NotContinuedError
+			is.True(errors.As(err, &notContinued))
+			got, _ := strings.CutSuffix(caller.got.String(), ": hello\n\n")
+			is.Equal(got, begun)
+		})
+	}
+}
+
+func TestStreamIsContinuedAfterTheCallersOwnLastEvent(t *testing.T) {
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true, resumesByID: true}
+	r.position.lastEvent = "7"
+	err := r.forward(streamAnswer(strings.NewReader("id: 1\ndata: a\n\n")))
+	is.True(errors.HasType(err, (*NotContinuedError)(nil)))
+	is.Equal(caller.status, 0) // another endpoint can still answer
+	r.beginAttempt(nil)
+	is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader("id: 8\ndata: h\n\n")})) != nil)
+	r.beginAttempt(nil)
+	is.NoErr(r.forward(streamAnswer(strings.NewReader("id: 9\ndata: i\n\n"))))
+	is.Equal(caller.got.String(), "id: 8\ndata: h\n\nid: 9\ndata: i\n\n")
+}
+
+func TestStreamWhosePositionIsUnknownCannotContinue(t *testing.T) {
+	for _, begun := range []string{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, resumesByID: true}
+		is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader(begun)})) != nil)
+		is.True(!r.canContinue())
+	}
+}
+
+func TestCommentsAndLineEndsDoNotMoveThePosition(t *testing.T) {
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true}
+	begun := ": hello\r\n\r\nid: 1\r\ndata: a\r\n\r\n: still here\r\n\r\n"
+	is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader(begun + "id: 2\r\n")})) != nil)
+	is.Equal(caller.got.String(), begun)
+	is.Equal(r.position, streamPosition{events: 1, lastEvent: "1"})
+}
+
+func TestPlainAnswerThatBrokeOffCannotContinue(t *testing.T) {
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true, resumesByID: true}
+	r.position.lastEvent = "7"
+	text := &attempt.Answer{Status: http.StatusOK, Header: http.Header{}, Body: truncatedBody{strings.NewReader("half")}}
+	is.True(r.forward(text) != nil)
+	is.True(!r.canContinue())
+	r.beginAttempt(nil)
+	err := r.forward(streamAnswer(strings.NewReader("id: 8\ndata: h\n\n")))
+	is.True(errors.HasType(err, (*NotContinuedError)(nil)))
+	is.Equal(caller.got.String(), "half")
 }
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -58,7 +58,7 @@
 		zap.Float64("estimate-ms", milliseconds(r.estimate)), zap.Float64("queued-ms", milliseconds(r.queueTime)),
 		zap.Float64("first-part-ms", r.firstPartMilliseconds()), zap.Float64("took-ms", line.Took), zap.Float64("deadline-ms", line.Deadline),
 		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason),
-		zap.Int("status", r.relay.status), zap.Int("events", r.relay.events), zap.String("last-event", r.relay.lastEvent), zap.String("end", r.relay.end),
+		zap.Int("status", r.relay.status), zap.Int("events", r.relay.position.events), zap.String("last-event", r.relay.position.lastEvent), zap.String("end", r.relay.end),
 	}
 	if refused, isRefusal := result.(Refused); isRefusal {
 		fields = append(fields, zap.Float64("retry-after-ms", milliseconds(refused.RetryAfter)))
@@ -73,7 +73,7 @@
 		zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID), zap.String("endpoint", r.endpoint),
 		zap.Int("status", answer.Status), zap.String("content-type", answer.Header.Get("Content-Type")),
 		zap.String("after-event", afterEvent), zap.Int("after-events", previousEvents), zap.String("first-event", r.relay.firstEvent),
-		zap.Int("events", r.relay.events-previousEvents), zap.String("end", r.relay.end), zap.Error(err))
+		zap.Int("events", r.relay.position.events-previousEvents), zap.String("end", r.relay.end), zap.Error(err))
 }
 
 // firstPartMilliseconds returns the time from the request's arrival to the first
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -60,7 +60,7 @@
 		Subject:      request.Subject,
 		Tier:         request.Rank,
 		PromptTokens: request.PromptTokens,
-		AnswerTokens: max(request.AnswerTokens-r.relay.events, 0),
+		AnswerTokens: max(request.AnswerTokens-r.relay.position.events, 0),
 		Customer:     request.Customer,
 		QuotaTokens:  request.QuotaTokens,
 		GapGoal:      request.GapGoal,
@@ -166,8 +166,7 @@
 	}
 	start := time.Now()
 	message := r.attemptRequest(ctx, grant)
-	r.relay.firstByteAt, r.relay.firstEvent = time.Time{}, ""
-	r.relay.onFirstByte = r.firstPartReporter(grant, start)
+	r.relay.beginAttempt(r.firstPartReporter(grant, start))
 	r.awaitingHead = true
 	answer, err := r.service.sender.Send(ctx, address, message)
 	r.awaitingHead = false
@@ -185,7 +184,7 @@
 	if !r.relay.headSent {
 		return r.receive(ctx, answer, grant, start)
 	}
-	afterEvent, afterEvents := r.relay.lastEvent, r.relay.events
+	afterEvent, afterEvents := r.relay.position.lastEvent, r.relay.position.events
 	err = r.receive(ctx, answer, grant, start)
 	r.logResumed(answer, afterEvent, afterEvents, err)
 	return err
@@ -194,13 +193,13 @@
 // receive forwards the answer of an attempt to the caller, or keeps it if another
 // attempt may return a better one, and returns the permit.
 func (r *requestRun) receive(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
-	eventsBefore := r.relay.events
+	eventsBefore := r.relay.position.events
 	var suspended atomic.Bool
 	grant.OnSuspended(func() {
 		suspended.Store(true)
 		answer.Close()
 	})
-	if r.mayRunAgain() && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
+	if !r.relay.headSent && r.mayRunAgain() && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
 		return r.storeErrorAnswer(answer, grant, start)
 	}
 	if r.impliesNotRun(answer.Status) {
@@ -238,8 +237,8 @@
 // attemptRequest returns the message for the granted endpoint.
 func (r *requestRun) attemptRequest(ctx context.Context, grant *dispatch.Grant) attempt.Request {
 	message := r.request.attemptRequest(grant.Permit.ID, grant.Permit.Endpoint)
-	message.EndpointRequest.Offset = r.relay.events
-	message.EndpointRequest.LastEvent = r.relay.lastEvent
+	message.EndpointRequest.Offset = r.relay.position.events
+	message.EndpointRequest.LastEvent = r.relay.position.lastEvent
 	message.FirstByteTimeout = r.dataTimeout(message.FirstByteTimeout, grant.Estimate)
 	message.GapTimeout = r.dataTimeout(message.GapTimeout, grant.Estimate)
 	if r.request.Keyless {
@@ -263,8 +262,8 @@
 		return
 	}
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
-		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.events),
-		zap.String("last-event", r.relay.lastEvent), zap.Error(err))
+		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.position.events),
+		zap.String("last-event", r.relay.position.lastEvent), zap.Error(err))
 	grant.Failed(classifyFault(err))
 }
 
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -77,10 +77,11 @@
 // canResume reports whether another attempt can continue the answer that was
 // partly sent to the caller.
 func (r *requestRun) canResume() bool {
+	resumable := r.request.Service.Resumes
 	if r.request.Keyless {
-		return r.request.Resumable
+		resumable = r.request.Resumable
 	}
-	return r.request.Service.Resumes && r.relay.events > 0
+	return resumable && r.relay.canContinue()
 }
 
 // failureResult returns the result for the caller when no further attempt is made
