Take a stream as complete only at the end of an event

Callers got a stream that ended as complete with part of an event, or before its last event.

On the product's own interface the text "data: [DONE]" ended a stream wherever it stood, also inside a token's text or behind another field.

Change: a body that ends inside an event is incomplete, its part is not forwarded, and the stream goes on at another endpoint or ends broken off. Empty lines and comments after the last event are forwarded as before. The final event is one whose only data line is [DONE].

The old TestWholeStreamIsForwardedToItsLastByte took the line "trailer" without an end as the rest of a whole stream; such a line is the beginning of a field, so it is now one of the parts that must not be forwarded, and four real trailers (none, an empty line, a comment with and without its end) must be.

--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -6,11 +6,16 @@
 	"strconv"
 )
 
+// finalEventData is the data of the event that ends a stream of the product's own
+// interface.
+const finalEventData = "[DONE]"
+
 // event is one server-sent event. A comment, which has neither an id nor data, is
 // none.
 type event struct {
 	id      []byte
 	hasData bool
+	isFinal bool
 }
 
 // withLine returns the event with one of its lines added.
@@ -20,6 +25,7 @@
 	case "id":
 		e.id = bytes.TrimSpace(value)
 	case "data":
+		e.isFinal = !e.hasData && string(bytes.TrimSpace(value)) == finalEventData
 		e.hasData = true
 	}
 	return e
@@ -58,6 +64,18 @@
 	return end
 }
 
+// endsInsideEvent reports whether rest, which follows the last whole event of a
+// stream, is the beginning of another event. Empty lines and comments are not.
+func endsInsideEvent(rest []byte) bool {
+	for line := range bytes.Lines(rest) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // streamPosition is the point up to which the caller has a stream.
 type streamPosition struct {
 	// events is the number of events that were forwarded.
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -32,7 +32,8 @@
 // any more.
 var errCallerDisconnected = errors.New("the caller has disconnected")
 
-// errStreamIncomplete reports that a stream of events ended before its final event.
+// errStreamIncomplete reports that a stream of events ended before its final event,
+// or inside an event.
 var errStreamIncomplete = errors.New("the stream ended before its final event")
 
 // NotContinuedError reports that an attempt's answer does not go on where the
@@ -229,26 +230,28 @@
 
 // forwardWhole forwards a part of a stream that ends with a whole event.
 func (r *relay) forwardWhole(part []byte) error {
-	position := r.position
+	position, isFinal := r.position, false
 	for e := range parseEvents(part) {
 		if err := r.checkFirstEvent(e); err != nil {
 			return err
 		}
 		position = position.withEvent(e)
+		isFinal = isFinal || (r.hasFinalEvent && e.isFinal)
 	}
 	if err := r.writePart(part); err != nil {
 		return err
 	}
 	r.position = position
-	if r.hasFinalEvent && bytes.Contains(part, []byte("data: [DONE]")) {
+	if isFinal {
 		r.end = endFinalEvent
 	}
 	return nil
 }
 
-// forwardRest forwards the data after the last whole event of a complete body.
+// forwardRest forwards the data after the last whole event of a complete body. The
+// beginning of an event is not forwarded: the stream is incomplete then.
 func (r *relay) forwardRest(rest []byte) error {
-	if r.hasFinalEvent {
+	if r.hasFinalEvent || endsInsideEvent(rest) {
 		return errStreamIncomplete
 	}
 	r.end = endOfBody
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -54,11 +54,25 @@
 }
 
 func TestWholeStreamIsForwardedToItsLastByte(t *testing.T) {
-	is := is.New(t)
-	var caller recordingCaller
-	r := relay{caller: &caller, streams: true}
-	is.NoErr(r.forward(streamAnswer(strings.NewReader("id: 1\ndata: a\n\ntrailer"))))
-	is.Equal(caller.got.String(), "id: 1\ndata: a\n\ntrailer")
+	for _, trailer := range []string{"", "\n", ": trailer", ": trailer\n"} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true}
+		is.NoErr(r.forward(streamAnswer(strings.NewReader("id: 1\ndata: a\n\n" + trailer))))
+		is.Equal(caller.got.String(), "id: 1\ndata: a\n\n"+trailer)
+	}
+}
+
+func TestStreamThatEndsInsideAnEventIsIncompleteAndItsPartIsNotForwarded(t *testing.T) {
+	for _, part := range []string{"id: 2\nda", "data: b", "data: b\n", "i", "trailer", ": comment\nid: 2\n"} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, resumesByID: true}
+		err := r.forward(streamAnswer(strings.NewReader("id: 1\ndata: a\n\n" + part)))
+		is.True(errors.Is(err, errStreamIncomplete))
+		is.Equal(caller.got.String(), "id: 1\ndata: a\n\n")
+		is.True(r.canContinue())
+	}
 }
 
 func TestStreamThatEndsWithoutItsFinalEventIsIncomplete(t *testing.T) {
@@ -73,6 +87,16 @@
 	is.Equal(caller.got.String(), "data: a\n\ndata: b\n\ndata: [DONE]\n\n")
 }
 
+func TestTextOfTheFinalEventInsideAnotherDoesNotEndTheStream(t *testing.T) {
+	for _, data := range []string{`data: {"text": "data: [DONE]"}`, "data: data: [DONE]", "data: a\ndata: [DONE]", "note: [DONE]\ndata: a"} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, hasFinalEvent: true}
+		err := r.forward(streamAnswer(strings.NewReader(data + "\n\n")))
+		is.True(errors.Is(err, errStreamIncomplete))
+	}
+}
+
 func TestAnswerThatDoesNotContinueTheStreamIsNotForwarded(t *testing.T) {
 	text := http.Header{"Content-Type": {"text/plain"}}
 	events := http.Header{"Content-Type": {"Text/Event-Stream; charset=utf-8"}}
