--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
@@ -69,6 +70,10 @@
 // logResumed logs how an attempt ended that had to continue an answer which the
 // caller already received in part: up to the event afterEvent, of previousEvents.
 func (r *requestRun) logResumed(answer *attempt.Answer, afterEvent string, previousEvents int, err error) {
+	r.service.common.Count("streams.resumed")
+	if errors.HasType(err, (*NotContinuedError)(nil)) {
+		r.service.common.Count("streams.not-continued")
+	}
 	r.service.common.Log.Info("resumed attempt ended",
 		zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID), zap.String("endpoint", r.endpoint),
 		zap.Int("status", answer.Status), zap.String("content-type", answer.Header.Get("Content-Type")),
