Answer an offset at the end with only the final event

A caller that already had all tokens of an answer and resumed it got the last token again, because the engine began at most one token before the end. A host whose first endpoint broke off between the last token and the final event so delivered one token twice.

The engine now begins at the number of tokens at most, and sends only the final event there. It also finishes the prefill before it ends such a run, as it does for others.

Before, TestOffsetAtTheEndDoesNotRepeatTheLastToken fails (the stated offset is 5 instead of 6); now it passes.

--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -178,7 +178,11 @@
 			continue
 		default:
 		}
-		if s.prefillLeft == 0 {
+		if s.prefillLeft > 0 {
+			active = append(active, s)
+			continue
+		}
+		if s.nextToken < s.maxTokens {
 			s.tokens <- s.nextToken
 			s.nextToken++
 		}
@@ -275,7 +279,7 @@
 		return nil, e.faults
 	}
 	tokens := answer.PromptTokens(request.Prompt)
-	firstToken := min(offset, request.MaxTokens-1)
+	firstToken := min(offset, request.MaxTokens)
 	s := &sequence{
 		digest:       answer.Digest(request.Prompt),
 		promptTokens: tokens,
--- a/standin/pkg/engine/engine_test.go
+++ b/standin/pkg/engine/engine_test.go
@@ -73,3 +73,14 @@
 	is.Equal(strings.Count(rest.body, "data: "), 3)
 	is.True(strings.Contains(rest.body, `"index":4,`))
 }
+
+func TestOffsetAtTheEndDoesNotRepeatTheLastToken(t *testing.T) {
+	is := is.New(t)
+	url := serveEngine(t)
+	for _, offset := range []int{6, 7} {
+		rest := complete(t, url, 6, offset)
+		is.NoErr(rest.err)
+		is.Equal(rest.offset, "6")
+		is.Equal(rest.body, "data: [DONE]\n\n")
+	}
+}
