Let the stand-in engine answer resumed requests wrongly

The engine could cut a stream off, but always answered a resumed request as asked, so no test could show what a caller receives otherwise.

The fault "resume" has four values for requests that carry Resume-Offset: "error" answers 500 with a body, "text" 200 with a plain body, "start" begins at the first token and states no offset, "end" ends the stream regularly without its final event. The fault "end-in-event" makes a cut stream end regularly, in the middle of an event.

TestResumeFaultsAnswerOnlyResumedRequestsWrongly and TestEndInEventEndsTheBodyRegularly pass; they name faults that the engine did not have before.

--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -51,9 +51,15 @@
 
 // Faults are the faults that can be injected with POST /faults.
 type Faults struct {
-	// CutAfter is the number of tokens after which each stream is closed; zero
+	// CutAfter is the number of tokens after which each stream breaks off; zero
 	// means that streams are completed.
 	CutAfter int `json:"cut-after"`
+	// EndInEvent makes a stream with CutAfter end regularly, in the middle of the
+	// event after its last token.
+	EndInEvent bool `json:"end-in-event"`
+	// Resume is how the engine answers requests that carry Resume-Offset. Their
+	// streams are not cut.
+	Resume ResumeFault `json:"resume"`
 	// Slow multiplies the duration of each step if it is greater than 1.
 	Slow float64 `json:"slow"`
 	// Freeze stops all decoding and keeps the connections open.
@@ -67,6 +73,41 @@
 	Leaving bool `json:"leaving"`
 }
 
+// ResumeFault is a wrong way to answer a request that carries Resume-Offset. Empty
+// means that the answer begins at the offset.
+type ResumeFault string
+
+// The values of ResumeFault.
+const (
+	// ResumeError answers 500 with a body.
+	ResumeError ResumeFault = "error"
+	// ResumeText answers 200 with the whole text as a plain body.
+	ResumeText ResumeFault = "text"
+	// ResumeStart begins the stream at its first token and states no offset.
+	ResumeStart ResumeFault = "start"
+	// ResumeEnd ends the stream regularly without its final event.
+	ResumeEnd ResumeFault = "end"
+)
+
+// UnknownResumeFaultError reports a value that is no ResumeFault.
+type UnknownResumeFaultError struct{ Value string }
+
+func (e *UnknownResumeFaultError) Error() string {
+	return fmt.Sprintf("resume: %q is no fault; use %q, %q, %q, %q or leave it out",
+		e.Value, ResumeError, ResumeText, ResumeStart, ResumeEnd)
+}
+
+// UnmarshalText accepts the values of ResumeFault.
+func (f *ResumeFault) UnmarshalText(data []byte) error {
+	switch value := ResumeFault(data); value {
+	case "", ResumeError, ResumeText, ResumeStart, ResumeEnd:
+		*f = value
+		return nil
+	default:
+		return &UnknownResumeFaultError{Value: string(data)}
+	}
+}
+
 // Engine simulates one worker of a model service.
 type Engine struct {
 	config Config
@@ -262,22 +303,54 @@
 	if request.MaxTokens <= 0 {
 		request.MaxTokens = defaultTokens
 	}
-	s, faults := e.enqueue(r, request, offset)
-	if s == nil {
+	faults := e.currentFaults().forOffset(offset)
+	switch {
+	case faults.Refuse:
 		w.Header().Set("Not-Run", "true")
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
+	case faults.Resume == ResumeError:
+		writeText(w, r, http.StatusInternalServerError, "the run failed")
+		return
+	case faults.Resume == ResumeText:
+		writeText(w, r, http.StatusOK, answer.Text(request.Prompt, request.MaxTokens))
+		return
+	case faults.Resume == ResumeStart:
+		offset = 0
 	}
+	s := e.enqueue(r, request, offset)
 	e.log.Write(runlog.NewLine(r, runlog.Started))
 	e.stream(w, r, s, faults)
 }
 
-func (e *Engine) enqueue(r *http.Request, request completionRequest, offset int) (*sequence, Faults) {
+func (e *Engine) currentFaults() Faults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Refuse {
-		return nil, e.faults
+	return e.faults
+}
+
+// forOffset returns the faults of a request with this offset.
+func (f Faults) forOffset(offset int) Faults {
+	switch {
+	case offset == 0:
+		f.Resume = ""
+	case f.Resume != "":
+		f.CutAfter = 0
 	}
+	return f
+}
+
+// writeText writes a body that is no stream.
+func writeText(w http.ResponseWriter, r *http.Request, status int, text string) {
+	w.Header().Set(runlog.AttemptHeader, r.Header.Get(runlog.AttemptHeader))
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	fmt.Fprint(w, text)
+}
+
+func (e *Engine) enqueue(r *http.Request, request completionRequest, offset int) *sequence {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	tokens := answer.PromptTokens(request.Prompt)
 	firstToken := min(offset, request.MaxTokens)
 	s := &sequence{
@@ -292,7 +365,7 @@
 	}
 	e.arrived = append(e.arrived, s)
 	e.running++
-	return s, e.faults
+	return s
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, s *sequence, faults Faults) {
@@ -322,7 +395,9 @@
 					return
 				}
 				e.endRun(r, s, runlog.Finished, generated)
-				fmt.Fprint(w, "data: [DONE]\n\n")
+				if faults.Resume != ResumeEnd {
+					fmt.Fprint(w, "data: [DONE]\n\n")
+				}
 				return
 			}
 			generated++
@@ -336,12 +411,21 @@
 			_ = control.Flush()
 			if faults.CutAfter > 0 && generated >= faults.CutAfter {
 				e.endRun(r, s, runlog.Cancelled, generated)
-				panic(http.ErrAbortHandler)
+				faults.cut(w)
+				return
 			}
 		}
 	}
 }
 
+// cut ends a stream before its end: by closing the connection, or regularly.
+func (f Faults) cut(w io.Writer) {
+	if !f.EndInEvent {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(w, `data: {"index"`)
+}
+
 func (e *Engine) endRun(r *http.Request, s *sequence, phase runlog.Phase, generated int) {
 	e.mu.Lock()
 	e.running--
--- a/standin/pkg/engine/engine_test.go
+++ b/standin/pkg/engine/engine_test.go
@@ -12,11 +12,15 @@
 	"time"
 
 	"github.com/matryer/is"
+	text "godwitmoor.example/standin/pkg/answer"
 	"godwitmoor.example/standin/pkg/engine"
 	"godwitmoor.example/standin/pkg/runlog"
 )
 
-const prompt = "which allowance?"
+const (
+	prompt = "which allowance?"
+	tokens = 6
+)
 
 // serveEngine starts an engine with a real socket and returns its URL.
 func serveEngine(t *testing.T) string {
@@ -40,8 +44,8 @@
 	err         error
 }
 
-// complete requests tokens tokens from offset on.
-func complete(t *testing.T, url string, tokens, offset int) answer {
+// complete requests the answer to prompt from offset on.
+func complete(t *testing.T, url string, offset int) answer {
 	t.Helper()
 	is := is.New(t)
 	body := strings.NewReader(fmt.Sprintf(`{"prompt": %q, "max_tokens": %d}`, prompt, tokens))
@@ -63,11 +67,11 @@
 func TestAnswerStatesTheOffsetAtWhichItBegins(t *testing.T) {
 	is := is.New(t)
 	url := serveEngine(t)
-	whole := complete(t, url, 6, 0)
+	whole := complete(t, url, 0)
 	is.NoErr(whole.err)
 	is.Equal(whole.offset, "")
 	is.Equal(strings.Count(whole.body, "data: "), 7)
-	rest := complete(t, url, 6, 4)
+	rest := complete(t, url, 4)
 	is.NoErr(rest.err)
 	is.Equal(rest.offset, "4")
 	is.Equal(strings.Count(rest.body, "data: "), 3)
@@ -78,9 +82,54 @@
 	is := is.New(t)
 	url := serveEngine(t)
 	for _, offset := range []int{6, 7} {
-		rest := complete(t, url, 6, offset)
+		rest := complete(t, url, offset)
 		is.NoErr(rest.err)
 		is.Equal(rest.offset, "6")
 		is.Equal(rest.body, "data: [DONE]\n\n")
 	}
 }
+
+func injectFaults(t *testing.T, url, faults string) int {
+	t.Helper()
+	is := is.New(t)
+	response, err := http.Post(url+"/faults", "application/json", strings.NewReader(faults))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	return response.StatusCode
+}
+
+func TestResumeFaultsAnswerOnlyResumedRequestsWrongly(t *testing.T) {
+	is := is.New(t)
+	url := serveEngine(t)
+	whole := complete(t, url, 0)
+	for fault, wrong := range map[engine.ResumeFault]answer{
+		engine.ResumeError: {status: http.StatusInternalServerError, contentType: "text/plain; charset=utf-8", body: "the run failed"},
+		engine.ResumeText:  {status: http.StatusOK, contentType: "text/plain; charset=utf-8", body: text.Text(prompt, tokens)},
+	} {
+		is.Equal(injectFaults(t, url, fmt.Sprintf(`{"resume": %q}`, fault)), http.StatusOK)
+		is.Equal(complete(t, url, 4), wrong)
+		is.Equal(strings.Count(complete(t, url, 0).body, "data: "), strings.Count(whole.body, "data: "))
+	}
+	is.Equal(injectFaults(t, url, `{"resume": "start", "cut-after": 2}`), http.StatusOK)
+	start := complete(t, url, 4)
+	is.Equal(start.offset, "")
+	is.Equal(strings.Count(start.body, "data: "), 7)
+	is.Equal(injectFaults(t, url, `{"resume": "end"}`), http.StatusOK)
+	end := complete(t, url, 4)
+	is.NoErr(end.err)
+	is.Equal(strings.Count(end.body, "data: "), 2)
+	is.True(!strings.Contains(end.body, "[DONE]"))
+	is.Equal(injectFaults(t, url, `{"resume": "none"}`), http.StatusBadRequest)
+}
+
+func TestEndInEventEndsTheBodyRegularly(t *testing.T) {
+	is := is.New(t)
+	url := serveEngine(t)
+	is.Equal(injectFaults(t, url, `{"cut-after": 2, "end-in-event": true}`), http.StatusOK)
+	cut := complete(t, url, 0)
+	is.NoErr(cut.err)
+	is.Equal(strings.Count(cut.body, "data: "), 3)
+	is.True(strings.HasSuffix(cut.body, `data: {"index"`))
+	is.Equal(injectFaults(t, url, `{"cut-after": 2}`), http.StatusOK)
+	is.True(complete(t, url, 0).err != nil)
+}
