Let tests deploy several model endpoints of their own

deploy() always started one engine. Its steps are now functions of their own (newDeployment, newEngine, startHosts), and initialConfiguration takes the endpoints of the model service, so that a test can put several of them, or a handler of its own, in place of the engine. What deploy() starts is unchanged.

--- a/godwitmoord/pkg/app/deployment_test.go
+++ b/godwitmoord/pkg/app/deployment_test.go
@@ -44,6 +44,7 @@
 	desk          *httptest.Server
 	engine        *httptest.Server
 	runLogPath    string
+	runLog        *runlog.Log
 	hosts         []*entryHost
 	configuration operator.Deployment
 }
@@ -56,42 +57,65 @@
 }
 
 func deploy(t *testing.T, hosts int) *deployment {
+	t.Helper()
+	d := newDeployment(t)
+	d.engine = d.startEngine(d.runLog)
+	d.configuration = d.initialConfiguration(d.engine)
+	d.startHosts(hosts)
+	return d
+}
+
+// newDeployment starts the services that a deployment uses, without an engine.
+func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{t: t, is: is.New(t), runLogPath: filepath.Join(t.TempDir(), "runs.jsonl")}
-	log, err := runlog.Open(d.runLogPath, "endpoint")
+	var err error
+	d.runLog, err = runlog.Open(d.runLogPath, "endpoint")
 	d.is.NoErr(err)
-	serve := func(h http.Handler) *httptest.Server {
-		s := httptest.NewServer(h)
-		t.Cleanup(s.Close)
-		return s
-	}
-	d.keyValue = serve(keyvaluestandin.New().Handler())
-	d.hostList = serve(hostlist.New(0).Handler())
-	d.desk = serve(application.New(time.Millisecond, log).Handler())
-	d.engine = d.startEngine(log)
-	d.configuration = d.initialConfiguration()
+	d.keyValue = d.serve(keyvaluestandin.New().Handler())
+	d.hostList = d.serve(hostlist.New(0).Handler())
+	d.desk = d.serve(application.New(time.Millisecond, d.runLog).Handler())
+	return d
+}
+
+// startHosts applies the first configuration and starts hosts under it.
+func (d *deployment) startHosts(hosts int) {
+	d.t.Helper()
 	d.applyConfiguration()
 	for i := range hosts {
 		d.startReadyHost(fmt.Sprintf("entry-%d", i+1))
 	}
-	return d
+}
+
+func (d *deployment) serve(h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	d.t.Cleanup(s.Close)
+	return s
 }
 
 func (d *deployment) startEngine(log *runlog.Log) *httptest.Server {
+	return d.serve(d.newEngine(log))
+}
+
+func (d *deployment) newEngine(log *runlog.Log) http.Handler {
 	speeds := engine.Config{Prefill: 1e6, Step: 2 * time.Millisecond, CacheTokens: 1000, LoadLag: time.Second}
 	model := engine.New(speeds, log)
 	model.Start(d.t.Context())
-	s := httptest.NewServer(model.Handler())
-	d.t.Cleanup(s.Close)
-	return s
+	return model.Handler()
 }
 
-func (d *deployment) initialConfiguration() operator.Deployment {
+// initialConfiguration returns a configuration with these endpoints of the model
+// service; the first one is named "engine", the others "engine-2" and so on.
+func (d *deployment) initialConfiguration(engines ...*httptest.Server) operator.Deployment {
 	endpoint := func(name string, s *httptest.Server) []configuration.Endpoint {
 		return []configuration.Endpoint{{
 			Name: name, Address: strings.TrimPrefix(s.URL, "http://"), DataCentre: "lorient", InFlightLimit: 4,
 		}}
 	}
+	models := endpoint("engine", engines[0])
+	for i, s := range engines[1:] {
+		models = append(models, endpoint(fmt.Sprintf("engine-%d", i+2), s)...)
+	}
 	return operator.New("test").
 		WithTier("bench", 20*time.Second, "").
 		WithTier("review", time.Minute, "").
@@ -102,7 +126,7 @@
 		}, "").
 		WithService(configuration.Service{
 			Name: "atelier", Prefix: "/atelier", Kind: configuration.Model, EchoesAttempt: true, Resumes: true,
-			GapTimeout: document.Duration(time.Second), Endpoints: endpoint("engine", d.engine),
+			GapTimeout: document.Duration(time.Second), Endpoints: models,
 		}, "").
 		WithRule(configuration.Rule{Service: "atelier", Idempotent: true, Tier: "review"}, "").
 		WithRule(configuration.Rule{Service: "carnet", Path: "/stock/**", Idempotent: true, Tier: "bench"}, "").
