Split the decision core and its events by duty

core.go (476 lines) held the state, the configuration, the admission of asks, refusals, held permits and the hosts; event.go (322) also held asks, actions and learned rates. Each now has a file that names it, and core.go keeps the state and Step. Grants and adopted permits each computed the estimate that hold then kept; hold computes it now, and promptBacklog stands for the time of the queued prompts, which was written out four times.

--- /dev/null
+++ b/coordination/pkg/permit/admission.go
@@ -0,0 +1,70 @@
+package permit
+
+import "container/heap"
+
+func (c *Core) ask(a Ask) {
+	if c.waiting == nil || c.waiting[a.ID] != nil {
+		return
+	}
+	if h := c.held[a.ID]; h != nil {
+		// The grant was lost in transit, or it crossed the repeated ask.
+		c.actions = append(c.actions, Granted{ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate})
+		return
+	}
+	a.Tier = min(max(a.Tier, 0), c.lowestTier())
+	a.Goal = c.refusedGoals.originalGoal(a, c.now)
+	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
+	c.sequence++
+	c.updateLatestStart(w)
+	if !c.admit(w) {
+		return
+	}
+	c.estimateWork(w)
+	c.countAsked(w)
+	c.offeredWork[a.Tier].advance(c.now)
+	c.offeredWork[a.Tier].add(c.now, w.work)
+	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
+		c.refuse(w, QueueFull)
+		return
+	}
+	c.waiting[a.ID] = w
+	heap.Push(c.queueOf(w), w)
+}
+
+// admit checks a new ask against the retry budget and the quota of its customer,
+// and refuses it if it exceeds one of them.
+func (c *Core) admit(w *waiter) bool {
+	if !c.repeats.admit(c.now, w.ask.Repeat) {
+		c.refuse(w, NoRepeat)
+		return false
+	}
+	if w.ask.Repeat {
+		// The first attempt was charged to the quota.
+		return true
+	}
+	wait, charged := c.charge(w.ask)
+	if !charged {
+		c.refuseWithRetryAfter(w, OverQuota, wait)
+	}
+	return charged
+}
+
+// makeRoom refuses one waiting request of a tier below the given one, and reports
+// whether it found one.
+func (c *Core) makeRoom(tier int) bool {
+	for lowest := c.lowestTier(); lowest > tier; lowest-- {
+		for _, kind := range []int{lateQueue, onTimeQueue} {
+			q := c.queues[queuesPerTier*lowest+kind]
+			if len(q) == 0 {
+				continue
+			}
+			// The last element of the heap is a leaf, so it is never the most urgent
+			// one unless it is the only one.
+			w := q[len(q)-1]
+			c.dequeue(w)
+			c.refuse(w, Displaced)
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -211,7 +211,7 @@
 // exceedsGapGoals reports whether the queued prompts would pause a running answer for
 // longer than its GapGoal.
 func (e *endpoint) exceedsGapGoals(a Ask, now Instant) bool {
-	backlog := max(0, e.prefillUntil.Since(now)) + e.promptTime(a)
+	backlog := e.promptBacklog(now) + e.promptTime(a)
 	part := time.Duration(e.decodeCost * float64(time.Second))
 	return slices.ContainsFunc(e.permits, func(h *heldPermit) bool {
 		return h.ask.GapGoal > 0 && backlog+part > h.ask.GapGoal
@@ -225,6 +225,11 @@
 	e.peakPermits = len(e.permits)
 }
 
+// promptBacklog returns how long the endpoint still processes the prompts sent so far.
+func (e *endpoint) promptBacklog(now Instant) time.Duration {
+	return max(0, e.prefillUntil.Since(now))
+}
+
 func (e *endpoint) promptTime(a Ask) time.Duration {
 	return time.Duration(float64(a.PromptTokens) * e.prefillCost * float64(time.Second))
 }
@@ -248,13 +253,13 @@
 // firstPartTime returns the time to the first part of an answer, including the
 // prompts queued before it.
 func (e *endpoint) firstPartTime(a Ask, now Instant) time.Duration {
-	return e.unqueuedFirstPartTime(a) + max(0, e.prefillUntil.Since(now))
+	return e.unqueuedFirstPartTime(a) + e.promptBacklog(now)
 }
 
 // estimate returns a time within which the request will most likely be answered,
 // including the prompts queued before it.
 func (e *endpoint) estimate(a Ask, now Instant) time.Duration {
-	return e.requiredTime(a) + max(0, e.prefillUntil.Since(now))
+	return e.requiredTime(a) + e.promptBacklog(now)
 }
 
 // requiredTime returns the time that must be left until the deadline to start the
--- /dev/null
+++ b/coordination/pkg/permit/held_permit.go
@@ -0,0 +1,93 @@
+package permit
+
+import "time"
+
+// Permit is the right to send one request to one endpoint.
+type Permit struct {
+	ID       string `json:"id"`
+	Endpoint string `json:"endpoint"`
+	Tier     int    `json:"tier"`
+}
+
+// heldPermit is a permit that was granted and not yet returned.
+type heldPermit struct {
+	ask       Ask
+	endpoint  *endpoint
+	grantedAt Instant
+	estimate  time.Duration
+	// expected is the estimate without its safety margin. expectedEnd is when
+	// the answer is expected to end.
+	expected    time.Duration
+	expectedEnd Instant
+	// promptAlone is set if the endpoint was processing no other prompt at the grant.
+	promptAlone bool
+	// learnedFirstPart is set once the first part of the answer has updated the rates.
+	learnedFirstPart bool
+	suspending       bool
+	// lostAt is when the host of the permit was lost, or zero.
+	lostAt Instant
+}
+
+// hold records a permit at an endpoint and estimates how long its request takes.
+func (c *Core) hold(a Ask, e *endpoint) *heldPermit {
+	h := &heldPermit{ask: a, endpoint: e, grantedAt: c.now, estimate: e.estimate(a, c.now)}
+	h.expected = e.expectedTime(a) + e.promptBacklog(c.now)
+	h.expectedEnd = c.now.After(h.estimate)
+	e.addPermit(h, c.now)
+	c.held[a.ID] = h
+	return h
+}
+
+func (c *Core) withdraw(id string) {
+	if w := c.waiting[id]; w != nil {
+		c.refund(w)
+		c.dequeue(w)
+		return
+	}
+	c.finish(id, Usage{})
+}
+
+func (c *Core) finish(id string, usage Usage) {
+	h := c.held[id]
+	if h == nil {
+		return
+	}
+	if usage.Total > 0 {
+		h.endpoint.succeed(c.now)
+	}
+	h.endpoint.learn(h, usage)
+	c.release(id, h)
+}
+
+// progress updates the learned rates from the first part of an answer that is
+// still running.
+func (c *Core) progress(id string, usage Usage) {
+	if h := c.held[id]; h != nil && !h.learnedFirstPart {
+		h.learnedFirstPart = true
+		h.endpoint.learnFirstPart(h, usage)
+	}
+}
+
+func (c *Core) fail(id string, fault Fault) {
+	if h := c.held[id]; h != nil {
+		h.endpoint.fail(c.now, fault)
+		c.release(id, h)
+	}
+}
+
+// stall pauses an endpoint that has sent no data for a running request for too long.
+func (c *Core) stall(id string) {
+	if h := c.held[id]; h != nil && h.endpoint.lastAnswer <= h.grantedAt {
+		// An endpoint that has answered another request since the grant is not
+		// stalled: only this request is slow.
+		h.endpoint.stall(c.now)
+	}
+}
+
+func (c *Core) release(id string, h *heldPermit) {
+	if h.suspending {
+		c.suspendingCount--
+	}
+	h.endpoint.removePermit(h)
+	delete(c.held, id)
+}
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -194,15 +194,14 @@
 }
 
 func (c *Core) grant(w *waiter, e *endpoint) {
-	estimate := e.estimate(w.ask, c.now)
 	c.countServed(w)
-	c.hold(w.ask, e, estimate)
+	h := c.hold(w.ask, e)
 	c.actions = append(c.actions, Granted{
 		ID:              w.ask.ID,
 		Host:            w.ask.Host,
 		Endpoint:        e.rules.Name,
 		Waited:          c.now.Since(w.since),
-		Estimate:        estimate,
+		Estimate:        h.estimate,
 		ReportFirstPart: len(c.weights) > 0 && w.ask.PromptTokens > 0 && e.promptFit.weight < minPromptSamples,
 		Rates:           c.ratesOf(e),
 	})
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -1,5 +1,7 @@
 package permit
 
+import "container/heap"
+
 // waiter is a request that waits for a slot.
 type waiter struct {
 	ask   Ask
@@ -73,3 +75,13 @@
 	*q = (*q)[:last]
 	return w
 }
+
+// queueOf returns the queue in which a request waits.
+func (c *Core) queueOf(w *waiter) *queue { return &c.queues[queuesPerTier*w.ask.Tier+w.kind()] }
+
+func (c *Core) lowestTier() int { return len(c.queues)/queuesPerTier - 1 }
+
+func (c *Core) dequeue(w *waiter) {
+	heap.Remove(c.queueOf(w), w.position)
+	delete(c.waiting, w.ask.ID)
+}
