Split the probes and the service of membership by duty

Each now has a file that names it, with its constants.

Behaviour is unchanged. The tests of godwitmoord pass with the race detector.

--- /dev/null
+++ b/godwitmoord/pkg/membership/roles.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// avoidInterval is how long a host gets no role after a call to it failed.
+	avoidInterval = 2 * time.Second
+	// maxStartupWait bounds the wait for the fleet if a host list is configured.
+	// Without one, the bound is startupWaitHeartbeats.
+	maxStartupWait        = 8 * time.Second
+	startupWaitHeartbeats = 4
+	// propagationHeartbeats is the number of heartbeats in which a new phase
+	// reaches the other hosts.
+	propagationHeartbeats = 5
+)
+
+// FleetDiscovered reports whether this host knows the fleet well enough to take
+// a role: it is on the host list itself, and no host listed as live is missing
+// or dead in the table. After startupWait it returns true in any case. Two
+// hosts with different views of the fleet choose different owners for a
+// service, and each of these owners fills the endpoints to their limit. A list
+// that is wrong or unavailable delays a start by startupWait at most.
+func (s *Service) FleetDiscovered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.started) > s.startupWait() {
+		return true
+	}
+	selfListed := false
+	for _, l := range s.listed {
+		if l.Role != entryRole {
+			continue
+		}
+		if l.Name == s.self.row.Name {
+			selfListed = true
+			continue
+		}
+		if e := s.table[l.Name]; l.State == liveState && (e == nil || e.row.State == Dead) {
+			return false
+		}
+	}
+	return selfListed
+}
+
+// startupWait returns the longest time that a host waits until it knows the
+// others.
+func (s *Service) startupWait() time.Duration {
+	if s.common.Settings.HostListURL == "" {
+		// Listed hosts may have left long ago, so wait for a few heartbeats only.
+		return startupWaitHeartbeats * s.common.Settings.Heartbeat.Std()
+	}
+	return maxStartupWait
+}
+
+// ReadinessPropagated reports whether this host has been ready for long enough
+// that the other hosts have received that phase. Until then they may choose
+// another owner for a service than this host does, so requests for it would reach
+// two owners.
+func (s *Service) ReadinessPropagated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	propagation := propagationHeartbeats * s.common.Settings.Heartbeat.Std()
+	return s.self.row.Phase == Ready && time.Since(s.self.changedAt) > propagation
+}
+
+// Avoid excludes a host from roles for avoidInterval, after a call to it failed. It
+// also marks the host as unreachable from here.
+func (s *Service) Avoid(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.table[name]; e != nil {
+		e.avoidedAt = time.Now()
+		e.recordFailure()
+	}
+}
+
+// ReadyNames returns the names of the hosts that may have a role now, sorted. It
+// is never empty: if no host qualifies, it holds this host.
+func (s *Service) ReadyNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.table)+1)
+	for name, e := range s.table {
+		if e.isCandidate(Ready) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 && s.self.row.Phase == Starting {
+		// No other host is ready, so the fleet is starting. Counting the starting
+		// hosts makes those that know each other choose the same owners.
+		names = s.startingNames()
+	}
+	if s.self.row.Phase == Ready || len(names) == 0 {
+		names = append(names, s.self.row.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// startingNames returns the names of this host and of the others that are
+// starting; s.mu is held.
+func (s *Service) startingNames() []string {
+	names := []string{s.self.row.Name}
+	for name, e := range s.table {
+		if e.isCandidate(Starting) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// isCandidate reports whether a host in the given phase may have a role: it is
+// alive, and no call to it failed just now.
+func (e *tableRow) isCandidate(p Phase) bool {
+	return e.row.Phase == p && e.row.State == Alive && time.Since(e.avoidedAt) >= avoidInterval
+}
+
+// Isolated reports whether this host has lost contact with the fleet: other hosts
+// are known or listed, and none of them is alive.
+func (s *Service) Isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.table {
+		if e.row.State == Alive {
+			return false
+		}
+	}
+	return len(s.table) > 0 || s.othersListed()
+}
--- a/godwitmoord/pkg/membership/row.go
+++ b/godwitmoord/pkg/membership/row.go
@@ -5,6 +5,9 @@
 	"godwitmoor.example/coordination/pkg/host"
 )
 
+// maxFieldBytes bounds each text in a row.
+const maxFieldBytes = 128
+
 // Phase is a stage in the run of a host's process. Only the host itself sets it.
 type Phase uint8
 
--- a/godwitmoord/pkg/membership/share.go
+++ b/godwitmoord/pkg/membership/share.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// lostHostWindow is how long a host that is no longer alive still counts as
+// part of the fleet, as it may be cut off and serving. It starts again when a
+// suspected host is declared dead.
+const lostHostWindow = 15 * time.Second
+
 // ReachableShare returns the fraction of the fleet that this host is in contact
 // with. An owner grants only that fraction of each quota. Hosts that may be
 // granting without contact to this one lower the fraction; a host that has not
--- a/godwitmoord/pkg/membership/table.go
+++ b/godwitmoord/pkg/membership/table.go
@@ -7,6 +7,21 @@
 	"godwitmoor.example/coordination/pkg/host"
 )
 
+const (
+	// maxHosts bounds the rows of the table and of a message.
+	maxHosts = 4096
+	// forgetFactor times the setting dead-after is how long a dead host stays
+	// in the table.
+	forgetFactor = 60
+	// A host unreachable for no longer than briefAbsence is assumed not to have
+	// granted permits by itself.
+	briefAbsence = time.Second
+	// newProcessAge is how long after its start a process on the platform treats
+	// another row with its own name as left by an earlier process, and exceeds its
+	// incarnation.
+	newProcessAge = time.Second
+)
+
 // tableRow is the row of one host together with this host's own observations of
 // it.
 type tableRow struct {
