--- a/replay/pkg/measure/capacity.go
+++ b/replay/pkg/measure/capacity.go
@@ -39,6 +39,15 @@
 	calls    float64
 }
 
+func (u resourceUsage) minus(earlier resourceUsage) resourceUsage {
+	return resourceUsage{
+		cpu:      u.cpu - earlier.cpu,
+		resident: u.resident - earlier.resident,
+		bytes:    u.bytes - earlier.bytes,
+		calls:    u.calls - earlier.calls,
+	}
+}
+
 func measureIdle(ctx context.Context, s Options, r *report, size int) error {
 	plan := deployment.Plan{Kind: "hsu", Hosts: size, Engines: 1, Desks: 1, Generations: deployment.Generations}
 	run, err := start(ctx, s, fmt.Sprintf("idle-%d", size), plan)
@@ -47,7 +56,7 @@
 	}
 	defer run.stop()
 	time.Sleep(settleDelay)
-	before, err := sampleUsage(run)
+	before, err := run.sampleUsage()
 	if err != nil {
 		return err
 	}
@@ -56,7 +65,7 @@
 		return err
 	}
 	time.Sleep(idleDuration)
-	after, err := sampleUsage(run)
+	after, err := run.sampleUsage()
 	if err != nil {
 		return err
 	}
@@ -79,9 +88,9 @@
 	return nil
 }
 
-func sampleUsage(run *measuredDeployment) (resourceUsage, error) {
+func (r *measuredDeployment) sampleUsage() (resourceUsage, error) {
 	var sum resourceUsage
-	for _, h := range run.Hosts {
+	for _, h := range r.Hosts {
 		u, err := usageOf(h.Process.Pid())
 		if err != nil {
 			return sum, err
--- a/replay/pkg/measure/measure.go
+++ b/replay/pkg/measure/measure.go
@@ -134,12 +134,30 @@
 	Writes int64 `json:"writes"`
 }
 
+func (c storeCalls) minus(earlier storeCalls) storeCalls {
+	return storeCalls{Reads: c.Reads - earlier.Reads, Writes: c.Writes - earlier.Writes}
+}
+
 func (r *measuredDeployment) calls() (storeCalls, error) {
 	var c storeCalls
 	err := getJSON(r.KeyValue+"/calls", &c)
 	return c, err
 }
 
+// growth returns the difference between samples taken after and before the work.
+func growth[T any](sample func() (T, error), minus func(after, before T) T, work func() error) (T, error) {
+	var none T
+	before, err := sample()
+	if err != nil {
+		return none, err
+	}
+	if err := work(); err != nil {
+		return none, err
+	}
+	after, err := sample()
+	return minus(after, before), err
+}
+
 // counter is the JSON form of one counter in the metrics of a host.
 type counter struct {
 	Count int64 `json:"count"`
