--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -39,7 +39,7 @@
 	return func(yield func(event) bool) {
 		var current event
 		for line := range bytes.Lines(part) {
-			line = bytes.TrimRight(line, "\r\n")
+			line = withoutLineEnd(line)
 			if len(line) > 0 {
 				current = current.withLine(line)
 				continue
@@ -52,14 +52,23 @@
 	}
 }
 
+func withoutLineEnd(line []byte) []byte {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
+
 // lastEventEnd returns the index behind the last whole event of data; zero if data
 // holds none.
 func lastEventEnd(data []byte) int {
 	end := 0
-	for _, terminator := range []string{"\n\n", "\r\n\r\n"} {
-		if at := bytes.LastIndex(data, []byte(terminator)); at >= 0 {
-			end = max(end, at+len(terminator))
-		}
+	if at := bytes.LastIndex(data, []byte("\n\n")); at >= 0 {
+		end = at + len("\n\n")
+	}
+	if bytes.IndexByte(data, '\r') < 0 {
+		return end
+	}
+	if at := bytes.LastIndex(data, []byte("\r\n\r\n")); at >= 0 {
+		end = max(end, at+len("\r\n\r\n"))
 	}
 	return end
 }
@@ -68,7 +77,7 @@
 // stream, is the beginning of another event. Empty lines and comments are not.
 func endsInsideEvent(rest []byte) bool {
 	for line := range bytes.Lines(rest) {
-		line = bytes.TrimRight(line, "\r\n")
+		line = withoutLineEnd(line)
 		if len(line) > 0 && line[0] != ':' {
 			return true
 		}
