Bound the head of an answer in size

Callers saw: an endpoint in trouble that sends header fields, a line of the head or interim answers without end took the heap of the daemon until the request's deadline closed the connection.

Cause: nothing in package attempt bounded a head. http.ReadResponse reads it to its end, and interim answers were skipped in a loop.

Change: the buffered reader of a connection reads through a receiver, which counts the bytes of a head, over all interim answers, up to 16 KiB, and then ends the attempt with a HeadTooLongError. net/http already bounds chunk lines and trailers, and the number of answers to other attempts was bounded; tests show it.

--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -84,7 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{sender: s, address: address, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	c := &connection{sender: s, address: address, conn: conn, receiver: receiver{address: address, conn: conn}}
+	c.reader = bufio.NewReaderSize(&c.receiver, readBufferSize)
+	return c, nil
 }
 
 // setUnacknowledgedTimeout sets how long sent data may stay unacknowledged before
@@ -166,10 +168,12 @@
 
 // connection is one connection to an endpoint.
 type connection struct {
-	sender  *Sender
-	address string
-	conn    net.Conn
-	reader  *bufio.Reader
+	sender   *Sender
+	address  string
+	conn     net.Conn
+	receiver receiver
+	// reader reads through the receiver.
+	reader *bufio.Reader
 	// usableUntil is the time from which an idle connection must no longer be used.
 	usableUntil time.Time
 	// written receives the result of writing a long request; nil if none is being
@@ -321,6 +325,8 @@
 // readAnswer returns the next final answer on the connection. It skips interim
 // answers, those with a status below 200.
 func (c *connection) readAnswer(method string, limits waitLimits) (*http.Response, error) {
+	c.receiver.beginHead()
+	defer c.receiver.endHead()
 	for {
 		if err := c.awaitData(limits); errors.Is(err, errUnresponsive) {
 			c.sender.CloseIdle(c.address)
@@ -332,6 +338,9 @@
 			c.sender.CloseIdle(c.address)
 			return nil, errUnresponsive
 		}
+		if err != nil && c.receiver.err != nil {
+			return nil, c.receiver.err
+		}
 		if err != nil {
 			return nil, err
 		}
