Count only whole heads and data of a body as data of an endpoint

Callers saw: an endpoint that sent part of a head, interim answers, part of a chunk's length or of a trailer, and then only a few bytes at a time, held a keyless request until its deadline, although another endpoint could have served it. Its owner was not told, and interim answers made the endpoint look alive to other requests. With time limits, interim answers renewed them without end.

Cause: the limits of a wait applied only until the first byte. After it, nothing but the deadline bounded a keyless request.

Change: the receiver performs the wait for every read of the connection, from the moment when the consumer began to wait for the head or for the next data of the body. Only a whole head and data of a body are recorded as the endpoint's data. FirstByteTimeout bounds the whole head. An error of the receiver is returned even where net/http replaces it by its own, as in a trailer. An idle connection drops what its last wait referred to.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -45,13 +45,13 @@
 	MayReuseConnection bool
 	// EchoesAttempt says that the endpoint returns the attempt's id.
 	EchoesAttempt bool
-	// FirstByteTimeout bounds the wait for the answer's first byte, GapTimeout
-	// the wait for each further part. Zero means no limit.
+	// FirstByteTimeout bounds the wait for the answer's whole head, GapTimeout the
+	// wait for each further part. Zero means no limit.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
 	// OnInactive is called each time the endpoint has sent no data for another
 	// InactivityInterval, and reports whether to abandon the attempt; nil never
-	// abandons it.
+	// abandons it. Only a whole head and parts of the body are data.
 	InactivityInterval time.Duration
 	OnInactive         func(Inactivity) bool
 }
@@ -157,7 +157,7 @@
 		return nil, err
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header}
-	body := &bodyReader{roundTrip: t, body: response.Body, remaining: response.ContentLength, reusable: !response.Close, idleLimit: answerHead.IdleLimit}
+	body := &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: answerHead.IdleLimit}
 	answer.Body = body
 	answer.close = func() { t.finish(body.complete) }
 	if answerHead.NotRun {
@@ -194,20 +194,6 @@
 	return nil, exchange.EndpointResponse{}, crossed
 }
 
-// awaitPart waits for the next part of the body, if any is left. A regular end of
-// the connection is no error here: the body's reader decides whether it is
-// complete.
-func (r *bodyReader) awaitPart() error {
-	if r.remaining == 0 {
-		return nil
-	}
-	err := r.roundTrip.connection.awaitData(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
-}
-
 // limits returns the limits of one wait for data, which lasts no longer than
 // longest.
 func (t *roundTrip) limits(longest time.Duration) waitLimits {
@@ -223,6 +209,7 @@
 	t.finished = true
 	active := t.stopWatching()
 	if reusable && active && t.connection.isReusable() {
+		t.connection.receiver.release()
 		t.sender.putIdle(t.connection)
 		return
 	}
@@ -248,8 +235,6 @@
 type bodyReader struct {
 	roundTrip *roundTrip
 	body      io.Reader
-	// remaining is the number of bytes still to read; negative if it is not known.
-	remaining int64
 	// reusable is set if the endpoint keeps the connection open after the answer,
 	// for as long as idle; an idle of zero means that it did not state a limit.
 	reusable  bool
@@ -259,15 +244,17 @@
 }
 
 func (r *bodyReader) Read(into []byte) (int, error) {
-	if err := r.awaitPart(); err != nil {
-		return 0, err
-	}
+	c := r.roundTrip.connection
+	c.receiver.beginWait(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
 	n, err := r.body.Read(into)
-	if r.remaining > 0 {
-		r.remaining -= int64(n)
+	if n > 0 {
+		c.sender.recordData(c.address)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return n, c.receiver.cause(err)
 	}
-	if errors.Is(err, io.EOF) && r.reusable {
-		r.roundTrip.connection.setIdleLimit(r.idleLimit)
+	if err != nil && r.reusable {
+		c.setIdleLimit(r.idleLimit)
 		r.complete = true
 	}
 	return n, err
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -42,10 +42,6 @@
 	tcpUserTimeout = 18
 )
 
-// errUnresponsive ends an attempt whose endpoint sent no data within the time
-// limit.
-var errUnresponsive = errors.New("the endpoint sent no data within the time limit")
-
 // Sender sends attempts and holds the idle connections to endpoints. The zero
 // value uses the product's own dialect. It is safe for concurrent use.
 type Sender struct {
@@ -84,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{sender: s, address: address, conn: conn, receiver: receiver{address: address, conn: conn}}
+	c := &connection{sender: s, address: address, conn: conn, receiver: receiver{sender: s, address: address, conn: conn}}
 	c.reader = bufio.NewReaderSize(&c.receiver, readBufferSize)
 	return c, nil
 }
@@ -256,15 +252,6 @@
 	return c.reader.Buffered() == 0 && time.Now().Before(c.usableUntil)
 }
 
-// setReadTimeout sets the deadline of the next reads; zero or less removes it.
-func (c *connection) setReadTimeout(timeout time.Duration) {
-	if timeout <= 0 {
-		_ = c.conn.SetReadDeadline(time.Time{})
-		return
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
-}
-
 // recordData records that an endpoint sent data now.
 func (s *Sender) recordData(address string) {
 	s.mu.Lock()
@@ -283,80 +270,41 @@
 	return s.lastData[address].After(start)
 }
 
-// waitLimits limits one wait for data of an endpoint.
-type waitLimits struct {
-	// longest is the longest wait; zero means no limit.
-	longest time.Duration
-	// onInactive is called whenever the wait has lasted for another interval, and
-	// reports whether to end it.
-	interval   time.Duration
-	onInactive func(Inactivity) bool
-}
-
-// awaitData waits until data arrives, and then allows the time w.longest
-// for reading it.
-func (c *connection) awaitData(w waitLimits) error {
-	start := time.Now()
-	for c.reader.Buffered() == 0 {
-		remaining := w.longest - time.Since(start)
-		if w.longest > 0 && remaining <= 0 {
-			return errUnresponsive
-		}
-		step := max(remaining, 0)
-		if w.interval > 0 && w.onInactive != nil && (step == 0 || w.interval < step) {
-			step = w.interval
-		}
-		c.setReadTimeout(step)
-		_, err := c.reader.Peek(1)
-		var timeout net.Error
-		switch {
-		case err == nil:
-		case !errors.As(err, &timeout) || !timeout.Timeout():
-			return err
-		case w.onInactive != nil && w.onInactive(Inactivity{Duration: time.Since(start), EndpointAlive: c.sender.hasDataSince(c.address, start)}):
-			return errUnresponsive
-		}
-	}
-	c.sender.recordData(c.address)
-	c.setReadTimeout(w.longest)
-	return nil
-}
-
 // readAnswer returns the next final answer on the connection. It skips interim
 // answers, those with a status below 200.
 func (c *connection) readAnswer(method string, limits waitLimits) (*http.Response, error) {
-	c.receiver.beginHead()
+	c.receiver.beginHead(limits)
 	defer c.receiver.endHead()
 	for {
-		if err := c.awaitData(limits); errors.Is(err, errUnresponsive) {
-			c.sender.CloseIdle(c.address)
-			return nil, err
-		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
-			c.sender.CloseIdle(c.address)
-			return nil, errUnresponsive
-		}
-		if err != nil && c.receiver.err != nil {
-			return nil, c.receiver.err
-		}
 		if err != nil {
-			return nil, err
+			return nil, c.headError(err)
 		}
 		if response.StatusCode >= http.StatusOK {
+			c.sender.recordData(c.address)
 			return response, nil
 		}
 	}
 }
 
+// headError returns why the head of an answer could not be read, given the error of
+// net/http. If the endpoint stopped responding, its idle connections are closed.
+func (c *connection) headError(err error) error {
+	err = c.receiver.cause(err)
+	var timeout net.Error
+	if errors.Is(err, errUnresponsive) || (errors.As(err, &timeout) && timeout.Timeout()) {
+		c.sender.CloseIdle(c.address)
+	}
+	return err
+}
+
 // discardAnswer reads an answer to another attempt to its end and reports whether
 // the connection can still be used.
 func (c *connection) discardAnswer(response *http.Response, timeout time.Duration) bool {
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return false
 	}
-	c.setReadTimeout(timeout)
+	c.receiver.beginWait(waitLimits{longest: timeout})
 	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
 	return err == nil && !response.Close
 }
--- a/godwitmoord/pkg/attempt/endless_test.go
+++ b/godwitmoord/pkg/attempt/endless_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -27,8 +28,17 @@
 	headLimit = 16 << 10
 	// endlessBlockBytes is the size of the text that an endless answer repeats.
 	endlessBlockBytes = 64 << 10
-	// testTimeout bounds each request.
-	testTimeout = 1200 * time.Millisecond
+	// A dripping endpoint sends dripBytes every dripPause.
+	dripBytes = 3
+	dripPause = 5 * time.Millisecond
+	// abandonAfter is how long an attempt may wait for data before it is abandoned.
+	abandonAfter = 100 * time.Millisecond
+	// deadlineAfter is the time of a request that no other endpoint may serve, and
+	// the bound of every other request here.
+	deadlineAfter = 300 * time.Millisecond
+	testTimeout   = 1200 * time.Millisecond
+	// mutePath is the path of requests that an endpoint does not answer at all.
+	mutePath = "/mute"
 	// slack is how much later than expected an endpoint may see its connection
 	// closed on a busy computer.
 	slack = 400 * time.Millisecond
@@ -87,16 +97,17 @@
 type endlessEndpoint struct {
 	listener net.Listener
 	answer   endlessAnswer
+	drips    bool
 	// closed receives how long after the request each connection was closed.
 	closed chan time.Duration
 }
 
-func startEndless(t *testing.T, answer endlessAnswer) *endlessEndpoint {
+func startEndless(t *testing.T, answer endlessAnswer, drips bool) *endlessEndpoint {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &endlessEndpoint{listener: listener, answer: answer, closed: make(chan time.Duration, 64)}
+	e := &endlessEndpoint{listener: listener, answer: answer, drips: drips, closed: make(chan time.Duration, 64)}
 	t.Cleanup(func() { listener.Close() })
 	go e.run()
 	return e
@@ -115,11 +126,14 @@
 func (e *endlessEndpoint) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	if _, err := http.ReadRequest(reader); err != nil {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
 		return
 	}
 	start := time.Now()
-	go e.write(conn)
+	if request.URL.Path != mutePath {
+		go e.write(conn)
+	}
 	_, _ = reader.ReadByte()
 	e.closed <- time.Since(start)
 }
@@ -127,8 +141,15 @@
 // write sends the answer until the connection is closed.
 func (e *endlessEndpoint) write(conn net.Conn) {
 	_, err := io.WriteString(conn, e.answer.start)
-	for err == nil {
-		_, err = conn.Write(e.answer.block)
+	for at := 0; err == nil; {
+		if !e.drips {
+			_, err = conn.Write(e.answer.block)
+			continue
+		}
+		time.Sleep(dripPause)
+		end := min(at+dripBytes, len(e.answer.block))
+		_, err = conn.Write(e.answer.block[at:end])
+		at = end % len(e.answer.block)
 	}
 }
 
@@ -168,10 +189,18 @@
 	return p
 }
 
+// movableRequest is a request that is abandoned after abandonAfter without data.
+func movableRequest() attempt.Request {
+	p := keylessRequest()
+	p.InactivityInterval = 20 * time.Millisecond
+	p.OnInactive = func(s attempt.Inactivity) bool { return s.Duration >= abandonAfter }
+	return p
+}
+
 // sendAndDiscard sends p, reads the answer to its end without keeping it and
 // returns the error of the first step that fails.
-func sendAndDiscard(sender *attempt.Sender, address string, p attempt.Request) error {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+func sendAndDiscard(sender *attempt.Sender, address string, p attempt.Request, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	answer, err := sender.Send(ctx, address, p)
 	if err != nil {
@@ -191,11 +220,11 @@
 	for _, a := range endlessHeads() {
 		t.Run(a.name, func(t *testing.T) {
 			is := is.New(t)
-			e := startEndless(t, a)
+			e := startEndless(t, a, false)
 			var sender attempt.Sender
 			var err error
 			checkAllocated(t, maxAllocatedBytes, func() {
-				err = sendAndDiscard(&sender, e.address(), keylessRequest())
+				err = sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
 			})
 			e.checkClosed(t, slack)
 			is.True(isLost(err))
@@ -211,14 +240,14 @@
 	answers := append(endlessHeads(), endlessChunkFraming()...)
 	var endpoints []*endlessEndpoint
 	for i := range connections {
-		endpoints = append(endpoints, startEndless(t, answers[i%len(answers)]))
+		endpoints = append(endpoints, startEndless(t, answers[i%len(answers)], false))
 	}
 	var sender attempt.Sender
 	checkAllocated(t, connections*maxAllocatedBytes, func() {
 		var attempts sync.WaitGroup
 		for _, e := range endpoints {
 			attempts.Go(func() {
-				if err := sendAndDiscard(&sender, e.address(), keylessRequest()); err == nil {
+				if err := sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout); err == nil {
 					t.Errorf("%s: accepted as a complete answer", e.answer.name)
 				}
 			})
@@ -245,15 +274,112 @@
 	is.True(errors.HasType(err, (*attempt.HeadTooLongError)(nil)))
 }
 
+func TestDrippingHeadHoldsARequestThatMayMove(t *testing.T) {
+	for _, a := range endlessHeads() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			start := time.Now()
+			is.True(isLost(sendAndDiscard(&sender, e.address(), movableRequest(), testTimeout)))
+			is.True(time.Since(start) >= abandonAfter)
+			e.checkClosed(t, abandonAfter+slack)
+		})
+	}
+}
+
+func TestDrippingHeadOutlastsTheFirstByteTimeout(t *testing.T) {
+	for _, a := range endlessHeads() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			p := keylessRequest()
+			p.FirstByteTimeout = abandonAfter
+			start := time.Now()
+			is.True(isLost(sendAndDiscard(&sender, e.address(), p, testTimeout)))
+			is.True(time.Since(start) >= abandonAfter)
+			e.checkClosed(t, abandonAfter+slack)
+		})
+	}
+}
+
+func TestDrippingAnswerThatMayNotMoveIsNotAwaited(t *testing.T) {
+	for _, a := range append(endlessHeads(), endlessChunkFraming()...) {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			var waits []time.Duration
+			p := movableRequest()
+			p.OnInactive = func(s attempt.Inactivity) bool {
+				waits = append(waits, s.Duration)
+				return false
+			}
+			start := time.Now()
+			err := sendAndDiscard(&sender, e.address(), p, deadlineAfter)
+			is.True(errors.Is(err, net.ErrClosed))
+			is.True(time.Since(start) >= deadlineAfter)
+			e.checkClosed(t, deadlineAfter+slack)
+			is.True(len(waits) > 2) // the owner is told that no data arrives
+			is.True(waits[len(waits)-1] > abandonAfter)
+		})
+	}
+}
+
+func TestDrippingHeadMakesItsEndpointLookAlive(t *testing.T) {
+	is := is.New(t)
+	e := startEndless(t, endlessHeads()[4], true)
+	var sender attempt.Sender
+	var attempts sync.WaitGroup
+	attempts.Go(func() { _ = sendAndDiscard(&sender, e.address(), keylessRequest(), deadlineAfter) })
+	alive := false
+	p := movableRequest()
+	p.Target = mutePath
+	p.OnInactive = func(s attempt.Inactivity) bool {
+		alive = alive || s.EndpointAlive
+		return s.Duration >= abandonAfter
+	}
+	is.True(isLost(sendAndDiscard(&sender, e.address(), p, testTimeout)))
+	attempts.Wait()
+	is.True(!alive)
+}
+
+// monitoredRequest is a request whose OnInactive refers to the returned value.
+func monitoredRequest() (attempt.Request, weak.Pointer[[1 << 10]byte]) {
+	monitor := new([1 << 10]byte)
+	p := movableRequest()
+	p.OnInactive = func(attempt.Inactivity) bool { return monitor[0] == 1 }
+	return p, weak.Make(monitor)
+}
+
+func TestIdleConnectionKeepsItsLastRequestInMemory(t *testing.T) {
+	is := is.New(t)
+	s := startEndpoint(t, okAnswer("a", "one"), okAnswer("b", "two"))
+	var sender attempt.Sender
+	p, monitor := monitoredRequest()
+	_, err := sendAndRead(t, &sender, s, p)
+	is.NoErr(err)
+	p = requestOf("b")
+	runtime.GC()
+	is.True(monitor.Value() == nil)
+	_, err = sendAndRead(t, &sender, s, p)
+	is.NoErr(err)
+	is.Equal(s.connections(), 1) // the connection was idle
+}
+
 func TestChunkFramingWithoutEndFillsTheHeap(t *testing.T) {
 	for _, a := range endlessChunkFraming() {
 		t.Run(a.name, func(t *testing.T) {
 			is := is.New(t)
-			e := startEndless(t, a)
+			e := startEndless(t, a, false)
 			var sender attempt.Sender
 			var err error
 			checkAllocated(t, maxAllocatedBytes, func() {
-				err = sendAndDiscard(&sender, e.address(), keylessRequest())
+				err = sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
 			})
 			e.checkClosed(t, slack)
 			is.True(err != nil)
@@ -262,15 +388,48 @@
 	}
 }
 
+func TestDrippingChunkFramingHoldsARequestThatMayMove(t *testing.T) {
+	for _, a := range endlessChunkFraming() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			start := time.Now()
+			err := sendAndDiscard(&sender, e.address(), movableRequest(), testTimeout)
+			is.True(time.Since(start) >= abandonAfter)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), "no data within the time limit"))
+			e.checkClosed(t, abandonAfter+slack)
+		})
+	}
+}
+
+func TestDrippingChunkFramingOutlastsTheGapTimeout(t *testing.T) {
+	for _, a := range endlessChunkFraming() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			p := keylessRequest()
+			p.GapTimeout = abandonAfter
+			start := time.Now()
+			is.True(sendAndDiscard(&sender, e.address(), p, testTimeout) != nil)
+			is.True(time.Since(start) >= abandonAfter)
+			e.checkClosed(t, abandonAfter+slack)
+		})
+	}
+}
+
 func TestCrossedAnswersWithoutEndFillTheHeap(t *testing.T) {
 	is := is.New(t)
-	e := startEndless(t, endlessAnswer{"crossed", "", repeat(okAnswer("other", "no"))})
+	e := startEndless(t, endlessAnswer{"crossed", "", repeat(okAnswer("other", "no"))}, false)
 	var sender attempt.Sender
 	var err error
 	checkAllocated(t, maxAllocatedBytes, func() {
-		err = sendAndDiscard(&sender, e.address(), keylessRequest())
+		err = sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
 	})
 	e.checkClosed(t, slack)
-	var crossed *attempt.CrossedError
-	is.True(errors.As(err, &crossed))
+	is.True(errors.HasType(err, (*attempt.CrossedError)(nil)))
 }
