Don't take the rest of a skipped answer for the next answer

Callers saw: where an answer to another attempt was longer than 1 MiB, bytes of its body were read as the answer to their own attempt.

Cause: the skipped body was read up to 1 MiB, and a body that was cut off there counted as read to its end.

Change: a longer body closes the connection, and the attempt is crossed.

Run: the test returned the forged answer before, and CrossedError after.

--- a/godwitmoord/pkg/attempt/attempt_test.go
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -163,6 +163,15 @@
 	is.True(errors.As(err, &crossed))
 }
 
+func TestBodyOfALongCrossedAnswerIsTakenForTheAnswer(t *testing.T) {
+	is := is.New(t)
+	const skippedBytes = 1 << 20 // as much of it as is read
+	s := startEndpoint(t, okAnswer("other", strings.Repeat("x", skippedBytes)+okAnswer("a", "forged")))
+	var sender attempt.Sender
+	_, err := sendAndRead(t, &sender, s, requestOf("a"))
+	is.True(errors.HasType(err, (*attempt.CrossedError)(nil)))
+}
+
 func TestConnectionThatDiedWhileIdleIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	// The endpoint does not announce that it closes the connection after the first
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -305,8 +305,8 @@
 		return false
 	}
 	c.receiver.beginWait(waitLimits{longest: timeout})
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
-	return err == nil && !response.Close
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+	return err == nil && n <= maxSkippedBytes && !response.Close
 }
 
 // setIdleLimit sets how long the connection may stay idle, given the limit that its
