Bound the time to read what only frees a connection

Callers saw: the body of a rejection, or of an answer to another attempt, that dripped held their request until its deadline, although the outcome was known from the head.

Cause: such a body was bounded in bytes, but its time only by GapTimeout for each part, or by FirstByteTimeout, which are zero for keyless requests.

Change: both are read within 200 ms in all, and not at all if the endpoint closes the connection after them. Where that is not enough, the connection is closed; the result is the same.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -156,14 +156,11 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header}
-	body := &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: answerHead.IdleLimit}
-	answer.Body = body
+	body := t.newBody(response, answerHead)
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
 	answer.close = func() { t.finish(body.complete) }
 	if answerHead.NotRun {
-		// The body is not needed, but it must be read before the connection can be
-		// reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes))
+		body.drain(maxRefusalBytes)
 		answer.Close()
 		return nil, &NotSentError{Address: t.connection.address, Cause: errors.New("the endpoint refused the request"), Refused: true}
 	}
@@ -187,7 +184,8 @@
 			return response, head, nil
 		}
 		crossed = &CrossedError{Sent: t.request.EndpointRequest.Attempt, Got: head.Attempt}
-		if !t.connection.discardAnswer(response, t.request.FirstByteTimeout) {
+		body := t.newBody(response, head)
+		if body.drain(maxSkippedBytes); !body.complete {
 			break
 		}
 	}
@@ -241,11 +239,35 @@
 	idleLimit time.Duration
 	// complete is set once the body of a reusable connection was read to its end.
 	complete bool
+	// totalLimited is set while one wait covers all of the body that is left.
+	totalLimited bool
+}
+
+func (t *roundTrip) newBody(response *http.Response, head exchange.EndpointResponse) *bodyReader {
+	return &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: head.IdleLimit}
+}
+
+// limitTotal bounds the time to read all of the body that is left.
+func (r *bodyReader) limitTotal(timeout time.Duration) {
+	r.totalLimited = true
+	r.roundTrip.connection.receiver.beginWait(waitLimits{longest: timeout})
+}
+
+// drain reads a body that nobody needs, up to a length of limit bytes, so that the
+// connection can be reused.
+func (r *bodyReader) drain(limit int64) {
+	if !r.reusable {
+		return
+	}
+	r.limitTotal(drainTimeout)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
 }
 
 func (r *bodyReader) Read(into []byte) (int, error) {
 	c := r.roundTrip.connection
-	c.receiver.beginWait(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
+	if !r.totalLimited {
+		c.receiver.beginWait(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
+	}
 	n, err := r.body.Read(into)
 	if n > 0 {
 		c.sender.recordData(c.address)
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -35,9 +35,13 @@
 	// maxInlineBytes is the size up to which a request is written before its answer
 	// is read. A longer one is written while the answer is read, because the
 	// endpoint may answer before it has received the whole request.
-	maxInlineBytes  = 4 << 10
+	maxInlineBytes = 4 << 10
+	// maxRefusalBytes and maxSkippedBytes bound what is read of a rejection and of an
+	// answer to another attempt before the connection is reused, drainTimeout how
+	// long that takes. A new connection costs less than a longer wait.
 	maxRefusalBytes = 64 << 10
 	maxSkippedBytes = 1 << 20
+	drainTimeout    = 200 * time.Millisecond
 	// tcpUserTimeout is the number of the Linux socket option TCP_USER_TIMEOUT.
 	tcpUserTimeout = 18
 )
@@ -298,17 +302,6 @@
 	return err
 }
 
-// discardAnswer reads an answer to another attempt to its end and reports whether
-// the connection can still be used.
-func (c *connection) discardAnswer(response *http.Response, timeout time.Duration) bool {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return false
-	}
-	c.receiver.beginWait(waitLimits{longest: timeout})
-	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
-	return err == nil && n <= maxSkippedBytes && !response.Close
-}
-
 // setIdleLimit sets how long the connection may stay idle, given the limit that its
 // endpoint stated; zero if it stated none.
 func (c *connection) setIdleLimit(stated time.Duration) {
--- a/godwitmoord/pkg/attempt/endless_test.go
+++ b/godwitmoord/pkg/attempt/endless_test.go
@@ -422,6 +422,82 @@
 	}
 }
 
+// drainTime is how long an attempt may read what it needs only to reuse its
+// connection.
+const drainTime = 300 * time.Millisecond
+
+func rejectionsWithoutEnd() []endlessAnswer {
+	return endlessBodies("HTTP/1.1 503 Service Unavailable\r\nNot-Run: true\r\n")
+}
+
+func crossedAnswersWithoutEnd() []endlessAnswer {
+	return endlessBodies("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n")
+}
+
+func isRejection(err error) bool {
+	var notSent *attempt.NotSentError
+	return errors.As(err, &notSent) && notSent.Refused
+}
+
+func TestRejectionWithoutEndFillsTheHeap(t *testing.T) {
+	for _, a := range rejectionsWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			is := is.New(t)
+			e := startEndless(t, a, false)
+			var sender attempt.Sender
+			var err error
+			checkAllocated(t, maxAllocatedBytes, func() {
+				err = sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
+			})
+			e.checkClosed(t, drainTime+slack)
+			is.True(isRejection(err))
+		})
+	}
+}
+
+func TestDrippingRejectionHoldsTheRequest(t *testing.T) {
+	for _, a := range rejectionsWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			is.True(isRejection(sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)))
+			e.checkClosed(t, drainTime+slack)
+		})
+	}
+}
+
+func TestCrossedAnswerWithoutEndFillsTheHeap(t *testing.T) {
+	for _, a := range crossedAnswersWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			is := is.New(t)
+			e := startEndless(t, a, false)
+			var sender attempt.Sender
+			var err error
+			checkAllocated(t, maxAllocatedBytes, func() {
+				err = sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
+			})
+			e.checkClosed(t, drainTime+slack)
+			is.True(errors.HasType(err, (*attempt.CrossedError)(nil)))
+		})
+	}
+}
+
+func TestDrippingCrossedAnswerHoldsTheRequest(t *testing.T) {
+	for _, a := range crossedAnswersWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			err := sendAndDiscard(&sender, e.address(), keylessRequest(), testTimeout)
+			is.True(errors.HasType(err, (*attempt.CrossedError)(nil)))
+			e.checkClosed(t, drainTime+slack)
+		})
+	}
+}
+
 func TestCrossedAnswersWithoutEndFillTheHeap(t *testing.T) {
 	is := is.New(t)
 	e := startEndless(t, endlessAnswer{"crossed", "", repeat(okAnswer("other", "no"))}, false)
