Bound the time to read an error answer

Callers saw: an endpoint that answered 5xx with a body that went on slowly held a request until its deadline, although another endpoint could have run it. The error that was returned then did not say that an error answer had come.

Cause: storeErrorAnswer bounded the body in bytes only, and its error was the secondary one of a pair, which errors.Is does not see.

Change: Answer.ReadWhole reads a body within a byte limit and a total time, and fails with a BodyLimitError. Error answers are read within 64 KiB and 300 ms. After that the attempt is lost as before, its error is an errEndpointFailed that names the status, and the next endpoint is tried.

Not covered: the error answer of the last run that is allowed is forwarded as it comes, until the deadline.

--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -197,6 +197,17 @@
 	s.is.Equal(len(s.runs("desk")), before+2) // two more runs: the attempts that the route allows
 }
 
+func TestErrorBodyWithoutEndHoldsALookupThatAnotherWorkerCouldServe(t *testing.T) {
+	s := startPlatformDeployment(t)
+	s.workers["desk-1"].SetFaults(platformtest.WorkerFaults{ErrorBodyDrips: true})
+	for range 4 {
+		start := time.Now()
+		s.is.Equal(s.send("/lookup/7", "good-key").Status, http.StatusOK)
+		s.is.True(time.Since(start) < time.Second)
+	}
+	s.is.True(len(s.workers["desk-1"].Runs()) > 0)
+}
+
 func TestCutStreamResumesAtAnotherWorkerWithoutGapOrRepeat(t *testing.T) {
 	s := startPlatformDeployment(t)
 	uninterrupted := s.send("/chat/7", "good-key")
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -102,18 +102,45 @@
 	return fmt.Sprintf("attempt %s was sent, but the endpoint answered attempt %q; the answer was discarded", e.Sent, e.Got)
 }
 
+// BodyLimitError reports that a body which was to be read whole did not end within
+// its limits.
+type BodyLimitError struct {
+	Address string
+	Limit   int
+	Timeout time.Duration
+}
+
+func (e *BodyLimitError) Error() string {
+	return fmt.Sprintf("the body of an answer from %s did not end within %d bytes and %v; check why the endpoint sends so much or so slowly", e.Address, e.Limit, e.Timeout)
+}
+
 // Answer is an endpoint's answer whose body is still to be read. The caller must
 // close it.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   io.Reader
-	close  func()
+	// body is what Body reads, in an answer of Send.
+	body *bodyReader
 }
 
 // Close ends the attempt. If the answer was not read to its end, the connection is
 // closed, which cancels the request at the endpoint.
-func (a *Answer) Close() { a.close() }
+func (a *Answer) Close() { a.body.roundTrip.finish(a.body.complete) }
+
+// ReadWhole reads the whole body of an answer of Send. A body of more than limit
+// bytes, or one that does not end within timeout, is a *BodyLimitError.
+func (a *Answer) ReadWhole(limit int, timeout time.Duration) ([]byte, error) {
+	a.body.limitTotal(timeout)
+	body, err := io.ReadAll(io.LimitReader(a.body, int64(limit)+1))
+	if len(body) > limit || errors.Is(err, errUnresponsive) {
+		return nil, &BodyLimitError{Address: a.body.roundTrip.connection.address, Limit: limit, Timeout: timeout}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
 
 // Send sends p and waits for the answer's head. Errors are
 // *NotSentError, *LostError and *CrossedError. When ctx ends, the connection is
@@ -157,8 +184,7 @@
 		return nil, err
 	}
 	body := t.newBody(response, answerHead)
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
-	answer.close = func() { t.finish(body.complete) }
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Body: body, body: body}
 	if answerHead.NotRun {
 		body.drain(maxRefusalBytes)
 		answer.Close()
--- a/godwitmoord/pkg/attempt/endless_test.go
+++ b/godwitmoord/pkg/attempt/endless_test.go
@@ -509,3 +509,74 @@
 	e.checkClosed(t, slack)
 	is.True(errors.HasType(err, (*attempt.CrossedError)(nil)))
 }
+
+func errorAnswersWithoutEnd() []endlessAnswer {
+	return endlessBodies("HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a\r\n")
+}
+
+// errorBodyLimit and errorBodyTimeout are the limits of an error answer's body.
+const (
+	errorBodyLimit   = 64 << 10
+	errorBodyTimeout = 150 * time.Millisecond
+)
+
+// sendAndReadWhole sends p and reads the whole body of its error answer.
+func sendAndReadWhole(sender *attempt.Sender, address string, p attempt.Request) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	answer, err := sender.Send(ctx, address, p)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	return answer.ReadWhole(errorBodyLimit, errorBodyTimeout)
+}
+
+func TestErrorBodyWithoutEndFillsTheHeap(t *testing.T) {
+	for _, a := range errorAnswersWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			is := is.New(t)
+			e := startEndless(t, a, false)
+			var sender attempt.Sender
+			var err error
+			checkAllocated(t, maxAllocatedBytes, func() {
+				_, err = sendAndReadWhole(&sender, e.address(), keylessRequest())
+			})
+			e.checkClosed(t, errorBodyTimeout+slack)
+			is.True(err != nil)
+			is.True(!errors.Is(err, net.ErrClosed)) // it failed before the deadline
+		})
+	}
+}
+
+func TestDrippingErrorBodyHoldsTheRequest(t *testing.T) {
+	for _, a := range errorAnswersWithoutEnd() {
+		t.Run(a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := startEndless(t, a, true)
+			var sender attempt.Sender
+			_, err := sendAndReadWhole(&sender, e.address(), keylessRequest())
+			e.checkClosed(t, errorBodyTimeout+slack)
+			var tooSlow *attempt.BodyLimitError
+			is.True(errors.As(err, &tooSlow))
+			is.Equal(*tooSlow, attempt.BodyLimitError{Address: e.address(), Limit: errorBodyLimit, Timeout: errorBodyTimeout})
+		})
+	}
+}
+
+func TestErrorBodyWithinTheLimitIsLost(t *testing.T) {
+	is := is.New(t)
+	fits, tooLong := strings.Repeat("e", errorBodyLimit), strings.Repeat("e", errorBodyLimit+1)
+	s := startEndpoint(t, okAnswer("a", fits), okAnswer("a", ""), okAnswer("a", tooLong))
+	var sender attempt.Sender
+	body, err := sendAndReadWhole(&sender, s.listener.Addr().String(), requestOf("a"))
+	is.NoErr(err)
+	is.Equal(string(body), fits)
+	body, err = sendAndReadWhole(&sender, s.listener.Addr().String(), requestOf("a"))
+	is.NoErr(err)
+	is.Equal(len(body), 0)
+	is.Equal(s.connections(), 1) // the connection was reused
+	_, err = sendAndReadWhole(&sender, s.listener.Addr().String(), requestOf("a"))
+	is.True(errors.HasType(err, (*attempt.BodyLimitError)(nil)))
+}
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -21,6 +21,9 @@
 	// maxErrorAnswerBytes bounds the size of an error answer that is stored while
 	// another endpoint is tried.
 	maxErrorAnswerBytes = 64 << 10
+	// errorBodyTimeout bounds the time to read the body of an error answer, in which
+	// another endpoint could already run the request.
+	errorBodyTimeout = 300 * time.Millisecond
 )
 
 // serveWithoutClaim serves a request that needs no claim. When an attempt fails,
@@ -119,13 +122,13 @@
 var errEndpointFailed = errors.New("the endpoint returned an error answer")
 
 // storeErrorAnswer stores the error answer to a request that may still run at
-// another endpoint, unless it cannot be read or is too large. It always returns
-// an error.
+// another endpoint, unless it cannot be read whole within its limits. It always
+// returns an errEndpointFailed.
 func (r *requestRun) storeErrorAnswer(answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxErrorAnswerBytes+1))
-	if err != nil || len(body) > maxErrorAnswerBytes {
+	body, err := answer.ReadWhole(maxErrorAnswerBytes, errorBodyTimeout)
+	if err != nil {
 		grant.Failed(permit.Lost)
-		return errors.CombineErrors(err, errEndpointFailed)
+		return fmt.Errorf("%w with status %d: %w", errEndpointFailed, answer.Status, err)
 	}
 	r.errorAnswer = &errorAnswer{status: answer.Status, header: answer.Header, body: body}
 	// The endpoint ran the request in the usual time. The request failed, not the
