--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -45,13 +45,13 @@
 	MayReuseConnection bool
 	// EchoesAttempt says that the endpoint returns the attempt's id.
 	EchoesAttempt bool
-	// FirstByteTimeout bounds the wait for the answer's first byte, GapTimeout
-	// the wait for each further part. Zero means no limit.
+	// FirstByteTimeout bounds the wait for the answer's whole head, GapTimeout the
+	// wait for each further part. Zero means no limit.
 	FirstByteTimeout time.Duration
 	GapTimeout       time.Duration
 	// OnInactive is called each time the endpoint has sent no data for another
 	// InactivityInterval, and reports whether to abandon the attempt; nil never
-	// abandons it.
+	// abandons it. Only a whole head and parts of the body are data.
 	InactivityInterval time.Duration
 	OnInactive         func(Inactivity) bool
 }
@@ -102,6 +102,18 @@
 	return fmt.Sprintf("attempt %s was sent, but the endpoint answered attempt %q; the answer was discarded", e.Sent, e.Got)
 }
 
+// BodyLimitError reports that a body which was to be read whole did not end within
+// its limits.
+type BodyLimitError struct {
+	Address string
+	Limit   int
+	Timeout time.Duration
+}
+
+func (e *BodyLimitError) Error() string {
+	return fmt.Sprintf("the body of an answer from %s did not end within %d bytes and %v; check why the endpoint sends so much or so slowly", e.Address, e.Limit, e.Timeout)
+}
+
 // Answer is an endpoint's answer whose body is still to be read. The caller must
 // close it.
 type Answer struct {
@@ -111,12 +123,27 @@
 	// has them; zero if the endpoint stated none.
 	Offset int
 	Body   io.Reader
-	close  func()
+	// body is what Body reads, in an answer of Send.
+	body *bodyReader
 }
 
 // Close ends the attempt. If the answer was not read to its end, the connection is
 // closed, which cancels the request at the endpoint.
-func (a *Answer) Close() { a.close() }
+func (a *Answer) Close() { a.body.roundTrip.finish(a.body.complete) }
+
+// ReadWhole reads the whole body of an answer of Send. A body of more than limit
+// bytes, or one that does not end within timeout, is a *BodyLimitError.
+func (a *Answer) ReadWhole(limit int, timeout time.Duration) ([]byte, error) {
+	a.body.limitTotal(timeout)
+	body, err := io.ReadAll(io.LimitReader(a.body, int64(limit)+1))
+	if len(body) > limit || errors.Is(err, errUnresponsive) {
+		return nil, &BodyLimitError{Address: a.body.roundTrip.connection.address, Limit: limit, Timeout: timeout}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
 
 // Send sends p and waits for the answer's head. Errors are
 // *NotSentError, *LostError and *CrossedError. When ctx ends, the connection is
@@ -159,14 +186,10 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset}
-	body := &bodyReader{roundTrip: t, body: response.Body, remaining: response.ContentLength, reusable: !response.Close, idleLimit: answerHead.IdleLimit}
-	answer.Body = body
-	answer.close = func() { t.finish(body.complete) }
+	body := t.newBody(response, answerHead)
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset, Body: body, body: body}
 	if answerHead.NotRun {
-		// The body is not needed, but it must be read before the connection can be
-		// reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes))
+		body.drain(maxRefusalBytes)
 		answer.Close()
 		return nil, &NotSentError{Address: t.connection.address, Cause: errors.New("the endpoint refused the request"), Refused: true}
 	}
@@ -190,27 +213,14 @@
 			return response, head, nil
 		}
 		crossed = &CrossedError{Sent: t.request.EndpointRequest.Attempt, Got: head.Attempt}
-		if !t.connection.discardAnswer(response, t.request.FirstByteTimeout) {
+		body := t.newBody(response, head)
+		if body.drain(maxSkippedBytes); !body.complete {
 			break
 		}
 	}
 	return nil, exchange.EndpointResponse{}, crossed
 }
 
-// awaitPart waits for the next part of the body, if any is left. A regular end of
-// the connection is no error here: the body's reader decides whether it is
-// complete.
-func (r *bodyReader) awaitPart() error {
-	if r.remaining == 0 {
-		return nil
-	}
-	err := r.roundTrip.connection.awaitData(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	return err
-}
-
 // limits returns the limits of one wait for data, which lasts no longer than
 // longest.
 func (t *roundTrip) limits(longest time.Duration) waitLimits {
@@ -226,6 +236,7 @@
 	t.finished = true
 	active := t.stopWatching()
 	if reusable && active && t.connection.isReusable() {
+		t.connection.receiver.release()
 		t.sender.putIdle(t.connection)
 		return
 	}
@@ -251,26 +262,50 @@
 type bodyReader struct {
 	roundTrip *roundTrip
 	body      io.Reader
-	// remaining is the number of bytes still to read; negative if it is not known.
-	remaining int64
 	// reusable is set if the endpoint keeps the connection open after the answer,
 	// for as long as idle; an idle of zero means that it did not state a limit.
 	reusable  bool
 	idleLimit time.Duration
 	// complete is set once the body of a reusable connection was read to its end.
 	complete bool
+	// totalLimited is set while one wait covers all of the body that is left.
+	totalLimited bool
+}
+
+func (t *roundTrip) newBody(response *http.Response, head exchange.EndpointResponse) *bodyReader {
+	return &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: head.IdleLimit}
+}
+
+// limitTotal bounds the time to read all of the body that is left.
+func (r *bodyReader) limitTotal(timeout time.Duration) {
+	r.totalLimited = true
+	r.roundTrip.connection.receiver.beginWait(waitLimits{longest: timeout})
+}
+
+// drain reads a body that nobody needs, up to a length of limit bytes, so that the
+// connection can be reused.
+func (r *bodyReader) drain(limit int64) {
+	if !r.reusable {
+		return
+	}
+	r.limitTotal(drainTimeout)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
 }
 
 func (r *bodyReader) Read(into []byte) (int, error) {
-	if err := r.awaitPart(); err != nil {
-		return 0, err
+	c := r.roundTrip.connection
+	if !r.totalLimited {
+		c.receiver.beginWait(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
 	}
 	n, err := r.body.Read(into)
-	if r.remaining > 0 {
-		r.remaining -= int64(n)
+	if n > 0 {
+		c.sender.recordData(c.address)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return n, c.receiver.cause(err)
 	}
-	if errors.Is(err, io.EOF) && r.reusable {
-		r.roundTrip.connection.setIdleLimit(r.idleLimit)
+	if err != nil && r.reusable {
+		c.setIdleLimit(r.idleLimit)
 		r.complete = true
 	}
 	return n, err
