Share the set-up of two tests of faults in permit

Both tests failed request a at an engine and then asked for b; newPoolAfterFault does that. The tests of coordination pass with the race detector.

--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -304,23 +304,27 @@
 	p.is.Equal(p.grantedTo["long"], "fast")
 }
 
-// An endpoint that rejects a request for lack of a slot has not failed: it gets work
-// again sooner than after a failure.
-func TestFullEndpointIsSkippedOnlyBriefly(t *testing.T) {
+// newPoolAfterFault returns a pool whose engine failed request a, and which was then
+// asked for b.
+func newPoolAfterFault(t *testing.T, fault permit.Fault) *enginePool {
 	p := newEnginePool(t, engine(5))
 	p.askWithGoal("a", 400*time.Millisecond)
-	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.Rejected})
+	p.step(permit.Failed{At: p.now, ID: "a", Fault: fault})
 	p.askWithGoal("b", 400*time.Millisecond)
+	return p
+}
+
+// An endpoint that rejects a request for lack of a slot has not failed: it gets work
+// again sooner than after a failure.
+func TestFullEndpointIsSkippedOnlyBriefly(t *testing.T) {
+	p := newPoolAfterFault(t, permit.Rejected)
 	p.is.Equal(p.grantedTo["b"], "")
 	p.advance(200 * time.Millisecond)
 	p.is.Equal(p.grantedTo["b"], "i-1")
 }
 
 func TestOneLostAnswerDoesNotCloseAnEndpoint(t *testing.T) {
-	p := newEnginePool(t, engine(5))
-	p.askWithGoal("a", 400*time.Millisecond)
-	p.step(permit.Failed{At: p.now, ID: "a", Fault: permit.Lost})
-	p.askWithGoal("b", 400*time.Millisecond)
+	p := newPoolAfterFault(t, permit.Lost)
 	p.is.Equal(p.grantedTo["b"], "i-1")
 	for i := range 8 { // from here on every answer is lost
 		id := fmt.Sprint("lost-", i)
