Share the set-up of the tests of membership

Ten tests started a fleet and checked that all its hosts see each other as ready, each within its own time; readyFleet does both and keeps the times. without stands for a slice of hosts but one, written out twice. The tests of membership pass with the race detector.

--- a/godwitmoord/pkg/membership/membership_test.go
+++ b/godwitmoord/pkg/membership/membership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -99,6 +100,19 @@
 	return hosts
 }
 
+// readyFleet starts n hosts, and checks that each knows all as ready within d.
+func (net *network) readyFleet(ctx context.Context, is *is.I, n int, d time.Duration) []*Service {
+	is.Helper()
+	hosts := net.fleet(ctx, n)
+	is.True(eventually(d, func() bool { return allSeeReady(hosts, n) }))
+	return hosts
+}
+
+// without returns the hosts but the one at the index.
+func without(hosts []*Service, index int) []*Service {
+	return slices.Delete(slices.Clone(hosts), index, index+1)
+}
+
 // addListed adds hosts to the host list of this one.
 func (s *Service) addListed(names ...string) {
 	s.mu.Lock()
@@ -151,10 +165,9 @@
 func TestKilledHostIsLostByAllAndTheOthersAreNot(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 9)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 9) }))
+		hosts := net.readyFleet(ctx, is, 9, 10*time.Second)
 		net.set(func() { delete(net.hosts, "entry-5") })
-		rest := append(append([]*Service{}, hosts[:5]...), hosts[6:]...)
+		rest := without(hosts, 5)
 		is.True(eventually(8*time.Second, func() bool { return allSeeReady(rest, 8) })) // the killed host has lost its role
 		is.True(eventually(8*time.Second, func() bool { return hosts[3].IncarnationEnded(hosts[5].common.Self) }))
 		time.Sleep(30 * time.Second)
@@ -165,8 +178,7 @@
 func TestCutLinkBetweenTwoHostsCostsNoRole(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 6)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 6) }))
+		hosts := net.readyFleet(ctx, is, 6, 10*time.Second)
 		net.set(func() { net.cut[[2]string{"entry-1", "entry-2"}] = true })
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
@@ -178,10 +190,9 @@
 func TestPausedHostRefutesItsDeathAndReturns(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 6)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 6) }))
+		hosts := net.readyFleet(ctx, is, 6, 10*time.Second)
 		net.set(func() { net.paused["entry-2"] = true })
-		others := append(append([]*Service{}, hosts[:2]...), hosts[3:]...)
+		others := without(hosts, 2)
 		is.True(eventually(8*time.Second, func() bool { return allSeeReady(others, 5) }))
 		is.True(eventually(10*time.Second, func() bool { return hosts[0].IncarnationEnded(hosts[2].common.Self) }))
 		net.set(func() { delete(net.paused, "entry-2") })
@@ -192,8 +203,7 @@
 func TestRestartedHostEndsItsEarlierIncarnation(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 5)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 5) }))
+		hosts := net.readyFleet(ctx, is, 5, 10*time.Second)
 		earlier := hosts[4].common.Self
 		restarted := net.start(ctx, "entry-4", 2)
 		restarted.addListed("entry-0")
@@ -233,8 +243,7 @@
 func TestVersionReachesAllHosts(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 30)
-		is.True(eventually(20*time.Second, func() bool { return allSeeReady(hosts, 30) }))
+		hosts := net.readyFleet(ctx, is, 30, 20*time.Second)
 		hosts[7].SetVersion(12)
 		is.True(eventually(5*time.Second, func() bool {
 			for _, h := range hosts {
@@ -258,8 +267,7 @@
 	for _, n := range []int{9, 60} {
 		runSynctest(t, func(is *is.I, ctx context.Context) {
 			var net network
-			hosts := net.fleet(ctx, n)
-			is.True(eventually(time.Minute, func() bool { return allSeeReady(hosts, n) }))
+			net.readyFleet(ctx, is, n, time.Minute)
 			time.Sleep(time.Minute)
 			net.set(func() { net.bytes = 0 })
 			time.Sleep(time.Minute)
@@ -275,8 +283,7 @@
 func TestMalformedRowsChangeNothing(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		var net network
-		hosts := net.fleet(ctx, 2)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 2) }))
+		hosts := net.readyFleet(ctx, is, 2, 10*time.Second)
 		before := hosts[0].Members()
 		for _, body := range [][]byte{nil, []byte("GET /"), {0xa1, 0x03, 0x81, 0xa0}} {
 			_, err := hosts[0].handle(host.Identity{Name: "entry-9", Incarnation: 1}, body)
--- a/godwitmoord/pkg/membership/share_test.go
+++ b/godwitmoord/pkg/membership/share_test.go
@@ -16,8 +16,7 @@
 func TestHostThatWasCutOffLowersTheShareForTheQuotaWindow(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		net := network{platform: onPlatform}
-		hosts := net.fleet(ctx, 6)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 6) }))
+		hosts := net.readyFleet(ctx, is, 6, 10*time.Second)
 		is.Equal(hosts[0].ReachableShare(), 1.0)
 		net.set(func() { net.paused["entry-2"] = true })
 		is.True(eventually(8*time.Second, func() bool { return hosts[0].ReachableShare() < 1 }))
@@ -32,8 +31,7 @@
 func TestRestartedHostDoesNotLowerTheShare(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		net := network{platform: onPlatform}
-		hosts := net.fleet(ctx, 5)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 5) }))
+		hosts := net.readyFleet(ctx, is, 5, 10*time.Second)
 		time.Sleep(2 * newProcessAge) // so that the earlier process no longer counts as just started
 		restarted := net.start(ctx, "entry-4", 2)
 		restarted.addListed("entry-0")
@@ -45,8 +43,7 @@
 func TestHostsThatStartTogetherAgreeBeforeAnyIsReady(t *testing.T) {
 	runSynctest(t, func(is *is.I, ctx context.Context) {
 		net := network{starting: true}
-		hosts := net.fleet(ctx, 4)
-		is.True(eventually(10*time.Second, func() bool { return allSeeReady(hosts, 4) }))
+		hosts := net.readyFleet(ctx, is, 4, 10*time.Second)
 		for _, h := range hosts {
 			is.Equal(h.ReadyNames(), hosts[0].ReadyNames())
 		}
