Find the events of a stream whatever its line ends

Server-sent events may end their lines with LF, CRLF or CR.

Lines are now cut at each of the three ends. What was searched for the end of an event is not searched again when more of a long event arrives.

TestEventsAreFoundWhateverTheirLineEnds failed before, for CR and for mixed ends.

--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -38,8 +38,9 @@
 func parseEvents(part []byte) iter.Seq[event] {
 	return func(yield func(event) bool) {
 		var current event
-		for line := range bytes.Lines(part) {
-			line = withoutLineEnd(line)
+		for len(part) > 0 {
+			var line []byte
+			line, part = cutLine(part)
 			if len(line) > 0 {
 				current = current.withLine(line)
 				continue
@@ -52,23 +53,40 @@
 	}
 }
 
-func withoutLineEnd(line []byte) []byte {
-	line = bytes.TrimSuffix(line, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r"))
+// cutLine returns the first line of data without its end, which is LF, CRLF or CR,
+// and the data behind it.
+func cutLine(data []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(data, []byte("\n"))
+	at := bytes.IndexByte(line, '\r')
+	switch {
+	case at < 0:
+		return line, rest
+	case at == len(line)-1:
+		return line[:at], rest
+	default:
+		return line[:at], data[at+1:]
+	}
 }
 
+// eventEnds are the line ends that make up the empty line after an event.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// maxEventEnd is the length of the longest of eventEnds, in bytes.
+const maxEventEnd = 3
+
 // lastEventEnd returns the index behind the last whole event of data; zero if data
-// holds none.
-func lastEventEnd(data []byte) int {
+// holds none. The first searched bytes are known to hold none.
+func lastEventEnd(data []byte, searched int) int {
+	from := max(0, searched-maxEventEnd+1)
+	hasCR := bytes.IndexByte(data[from:], '\r') >= 0
 	end := 0
-	if at := bytes.LastIndex(data, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
-	}
-	if bytes.IndexByte(data, '\r') < 0 {
-		return end
-	}
-	if at := bytes.LastIndex(data, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+len("\r\n\r\n"))
+	for _, eventEnd := range eventEnds {
+		if eventEnd[len(eventEnd)-2] == '\r' && !hasCR {
+			continue
+		}
+		if at := bytes.LastIndex(data[from:], eventEnd); at >= 0 {
+			end = max(end, from+at+len(eventEnd))
+		}
 	}
 	return end
 }
@@ -76,8 +94,9 @@
 // endsInsideEvent reports whether rest, which follows the last whole event of a
 // stream, is the beginning of another event. Empty lines and comments are not.
 func endsInsideEvent(rest []byte) bool {
-	for line := range bytes.Lines(rest) {
-		line = withoutLineEnd(line)
+	for len(rest) > 0 {
+		var line []byte
+		line, rest = cutLine(rest)
 		if len(line) > 0 && line[0] != ':' {
 			return true
 		}
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -209,7 +209,7 @@
 		partial = slices.Grow(partial, readBufferSize/2)
 		n, err := body.Read(partial[len(partial):cap(partial)])
 		partial = partial[:len(partial)+n]
-		if end := lastEventEnd(partial); end > 0 {
+		if end := lastEventEnd(partial, len(partial)-n); end > 0 {
 			if err := r.forwardWhole(partial[:end]); err != nil {
 				return err
 			}
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -134,6 +135,33 @@
 	}
 }
 
+func TestCommentsOfAFirstAnswerAreForwarded(t *testing.T) {
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true, resumesByID: true}
+	text := ": one\n\n: two\n\nid: 1\ndata: a\n\n: three\n\n"
+	is.NoErr(r.forward(streamAnswer(iotest.OneByteReader(strings.NewReader(text)))))
+	is.Equal(caller.got.String(), text)
+}
+
+func TestEventsAreFoundWhateverTheirLineEnds(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, resumesByID: true}
+		text := strings.ReplaceAll(": hello\n\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n", "\n", lineEnd)
+		err := r.forward(streamAnswer(iotest.OneByteReader(truncatedBody{strings.NewReader(text + "id: 3" + lineEnd)})))
+		is.True(err != nil)
+		is.Equal(strings.TrimRight(caller.got.String(), "\r\n"), strings.TrimRight(text, "\r\n"))
+		is.Equal(r.position, streamPosition{events: 2, lastEvent: "2"})
+	}
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true}
+	is.NoErr(r.forward(streamAnswer(strings.NewReader("id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\n")))) // mixed ends
+	is.Equal(r.position, streamPosition{events: 2, lastEvent: "2"})
+}
+
 func TestStreamIsContinuedAfterTheCallersOwnLastEvent(t *testing.T) {
 	is := is.New(t)
 	var caller recordingCaller
