Let each event of a continuing answer follow the last one

A stream that broke off still ended as complete when the next answer was a stream without any event, a repeat of a stream whose ids are no numbers was joined, an answer that went back after its first event was joined, and comments of an answer that was refused were sent.

Cause: only the first event of a further answer was checked, if one came, and ids that could not be compared were taken for increasing.

Change: where endpoints resume by ids, each event of a further answer must have a number as id that is higher than the one before; an answer without an event is not taken for the end, and nothing of it is sent before its first event. Streams whose ids are no numbers are broken off instead of resumed.

TestContinuedStreamGoesNoFurtherThanItsIDsIncrease, TestStreamWithIDsThatAreNoNumbersIsNotResumedByThem and the cases "no event", "comments only" and "id that is no number" failed before.

--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -118,14 +118,10 @@
 	return streamPosition{events: p.events + 1, lastEvent: string(e.id)}
 }
 
-// precedes reports whether an event with an id can be the next one after the
-// position. Ids that are numbers increase along a stream. Of other ids, only a
-// repetition of the last one is certain to be wrong.
-func (p streamPosition) precedes(id string) bool {
-	next, err := strconv.ParseUint(id, 10, 64)
+// precedes reports whether the event with an id can come after the position: ids
+// are numbers that increase along a stream.
+func (p streamPosition) precedes(id []byte) bool {
+	next, err := strconv.ParseUint(string(id), 10, 64)
 	last, lastErr := strconv.ParseUint(p.lastEvent, 10, 64)
-	if err != nil || lastErr != nil {
-		return id != "" && id != p.lastEvent
-	}
-	return next > last
+	return err == nil && lastErr == nil && next > last
 }
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -34,18 +34,17 @@
 
 // errStreamIncomplete reports that a stream of events ended before its final event,
 // or inside an event.
-var errStreamIncomplete = errors.New("the stream ended before its final event")
+var errStreamIncomplete = errors.New("the stream ended inside an event or before its final event")
 
 // NotContinuedError reports that an attempt's answer does not go on where the
 // stream broke off that the caller already receives.
 type NotContinuedError struct {
-	// Position says where the stream broke off, Got where or with what the answer
-	// begins.
+	// Position says where the stream broke off, Got with what the answer went on.
 	Position, Got string
 }
 
 func (e *NotContinuedError) Error() string {
-	return fmt.Sprintf("the answer begins with %s and does not continue the stream after %s; check that the endpoint can resume streams", e.Got, e.Position)
+	return fmt.Sprintf("an answer with %s does not continue the stream after %s; check that the endpoint can resume streams", e.Got, e.Position)
 }
 
 // relay forwards the answer of one request to its caller. A stream of events may
@@ -74,9 +73,13 @@
 	// position is the point up to which the caller has the stream. It begins with
 	// the event that the caller itself resumes after.
 	position streamPosition
-	// continued is set once the current attempt's first event was found to follow
-	// the position; firstEvent is its id, empty if it has none.
-	continued  bool
+	// resumed is set while the current attempt must continue what the caller has.
+	resumed bool
+	// continues is set while the events of the current attempt must follow the
+	// position by their ids. begun is set once it returned an event, and firstEvent
+	// is the id of that event, empty if it has none.
+	continues  bool
+	begun      bool
 	firstEvent string
 	// end says why the answer was taken as complete; empty until then.
 	end string
@@ -98,7 +101,7 @@
 // beginAttempt forgets what was recorded of the attempt before; onFirstByte is for
 // the next one.
 func (r *relay) beginAttempt(onFirstByte func()) {
-	r.firstByteAt, r.firstEvent, r.continued = time.Time{}, "", false
+	r.firstByteAt, r.begun, r.firstEvent = time.Time{}, false, ""
 	r.onFirstByte = onFirstByte
 }
 
@@ -106,11 +109,12 @@
 // errCallerDisconnected means that the answer is incomplete, or, if it is a
 // *NotContinuedError, that nothing of it was sent.
 func (r *relay) forward(a *attempt.Answer) error {
-	r.answer = a
+	r.answer, r.resumed = a, r.headSent
 	if err := r.checkContinues(a); err != nil {
 		return err
 	}
 	if r.isStream(a) {
+		r.continues = r.resumesByID && r.position.lastEvent != ""
 		return r.forwardEvents(a.Body)
 	}
 	return r.forwardBytes(a.Body)
@@ -130,10 +134,10 @@
 }
 
 // checkContinues checks the head of an answer that must continue what the caller
-// already has. Where events have ids, checkFirstEvent completes the check.
+// already has. Where events have ids, checkEvent completes the check.
 func (r *relay) checkContinues(a *attempt.Answer) error {
 	switch {
-	case !r.headSent:
+	case !r.resumed:
 		return nil
 	case !r.canContinue() || !r.isStream(a):
 		return r.notContinued(fmt.Sprintf("status %d and content type %q", a.Status, a.Header.Get("Content-Type")))
@@ -144,17 +148,15 @@
 	}
 }
 
-// checkFirstEvent checks that the first event of an attempt follows the last one
-// that the caller has.
-func (r *relay) checkFirstEvent(e event) error {
-	if r.continued {
-		return nil
+// checkEvent checks that an event of the current attempt follows position, if it
+// must.
+func (r *relay) checkEvent(position streamPosition, e event) error {
+	if !r.begun {
+		r.begun, r.firstEvent = true, string(e.id)
 	}
-	r.firstEvent = string(e.id)
-	if r.resumesByID && r.position.lastEvent != "" && !r.position.precedes(r.firstEvent) {
-		return r.notContinued(fmt.Sprintf("event %q", r.firstEvent))
+	if r.continues && !position.precedes(e.id) {
+		return r.notContinued(fmt.Sprintf("event %q", e.id))
 	}
-	r.continued = true
 	return nil
 }
 
@@ -232,12 +234,17 @@
 func (r *relay) forwardWhole(part []byte) error {
 	position, isFinal := r.position, false
 	for e := range parseEvents(part) {
-		if err := r.checkFirstEvent(e); err != nil {
+		if err := r.checkEvent(position, e); err != nil {
 			return err
 		}
 		position = position.withEvent(e)
 		isFinal = isFinal || (r.hasFinalEvent && e.isFinal)
 	}
+	if r.resumed && !r.begun {
+		// Comments before the first event of an answer that may not continue the
+		// stream.
+		return nil
+	}
 	if err := r.writePart(part); err != nil {
 		return err
 	}
@@ -254,6 +261,9 @@
 	if r.hasFinalEvent || endsInsideEvent(rest) {
 		return errStreamIncomplete
 	}
+	if r.resumed && r.continues && !r.begun {
+		return r.notContinued("no event")
+	}
 	r.end = endOfBody
 	if len(rest) > 0 {
 		return r.writePart(rest)
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -113,7 +113,10 @@
 		"first event again":        {true, attempt.Answer{Status: 200, Header: events}, "id: 1\ndata: a\n\n"},
 		"last event again":         {true, attempt.Answer{Status: 200, Header: events}, ": hello\n\nid: 2\ndata: b\n\n"},
 		"event without id":         {true, attempt.Answer{Status: 200, Header: events}, "data: c\n\n"},
-		"id that is no number":     {true, attempt.Answer{Status: 200, Header: events}, "id:\ndata: c\n\n"},
+		"empty id":                 {true, attempt.Answer{Status: 200, Header: events}, "id:\ndata: c\n\n"},
+		"id that is no number":     {true, attempt.Answer{Status: 200, Header: events}, "id: c\ndata: c\n\n"},
+		"no event":                 {true, attempt.Answer{Status: 200, Header: events}, ""},
+		"comments only":            {true, attempt.Answer{Status: 200, Header: events}, ": hello\n\n: bye\n"},
 		"no offset":                {false, attempt.Answer{Status: 200, Header: events}, "data: c\n\ndata: [DONE]\n\n"},
 		"another offset":           {false, attempt.Answer{Status: 200, Header: events, Offset: 1}, "data: c\n\ndata: [DONE]\n\n"},
 		"error that states offset": {false, attempt.Answer{Status: 503, Header: events, Offset: 2}, "data: [DONE]\n\n"},
@@ -129,12 +132,39 @@
 			err := r.forward(&test.answer)
 			var notContinued *NotContinuedError
 			is.True(errors.As(err, &notContinued))
-			got, _ := strings.CutSuffix(caller.got.String(), ": hello\n\n")
-			is.Equal(got, begun)
+			is.Equal(caller.got.String(), begun)
 		})
 	}
 }
 
+func TestContinuedStreamGoesNoFurtherThanItsIDsIncrease(t *testing.T) {
+	for _, next := range []string{"id: 1\ndata: a\n\n", "id: 3\ndata: c\n\n", "data: c\n\n", "id: x\ndata: x\n\n"} {
+		for _, pause := range []int{1, 64} {
+			is := is.New(t)
+			var caller recordingCaller
+			r := relay{caller: &caller, streams: true, resumesByID: true}
+			begun := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+			is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader(begun)})) != nil)
+			r.beginAttempt(nil)
+			rest := strings.NewReader("id: 3\ndata: c\n\n" + next)
+			err := r.forward(streamAnswer(io.MultiReader(io.LimitReader(rest, int64(pause)), rest)))
+			is.True(errors.HasType(err, (*NotContinuedError)(nil)))
+			is.True(caller.got.String() == begun || caller.got.String() == begun+"id: 3\ndata: c\n\n")
+		}
+	}
+}
+
+func TestStreamWithIDsThatAreNoNumbersIsNotResumedByThem(t *testing.T) {
+	is := is.New(t)
+	var caller recordingCaller
+	r := relay{caller: &caller, streams: true, resumesByID: true}
+	begun := "id: e1\ndata: a\n\nid: e2\ndata: b\n\n"
+	is.True(r.forward(streamAnswer(truncatedBody{strings.NewReader(begun)})) != nil)
+	r.beginAttempt(nil)
+	is.True(r.forward(streamAnswer(strings.NewReader("id: e1\ndata: a\n\nid: e2\ndata: b\n\n"))) != nil)
+	is.Equal(caller.got.String(), begun)
+}
+
 func TestCommentsOfAFirstAnswerAreForwarded(t *testing.T) {
 	is := is.New(t)
 	var caller recordingCaller
