Report no fault of an endpoint whose answer does not continue a stream

One caller that resumed after an event which the endpoints do not know (they began at 1) made sound endpoints rest: five such requests, and the next plain caller waited 1.0 to 1.6 s.

Cause: an answer that does not continue what the caller has was reported to the owner as a lost one, although the endpoint had answered as it always does.

Change: it is reported as done, as an error answer is that another attempt may better; the log still says "attempt failed".

--- a/godwitmoord/pkg/app/platform_stream_test.go
+++ b/godwitmoord/pkg/app/platform_stream_test.go
@@ -1,8 +1,11 @@
 package app_test
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
+	"github.com/google/uuid"
 	"godwitmoor.example/platform/platformtest"
 )
 
@@ -64,3 +67,30 @@
 	s.is.True(r.Err != nil)
 	s.is.Equal(r.Body, cutBody)
 }
+
+func TestCallerThatResumesAfterAnUnknownEventDoesNotMakeItsEndpointsRest(t *testing.T) {
+	// endpointRest is how long an endpoint that failed rests at least.
+	const endpointRest = time.Second
+	s := startPlatformDeployment(t)
+	s.injectFaults("pool", platformtest.WorkerFaults{Continuation: platformtest.ContinueFromStart})
+	for range 5 {
+		r := platformtest.CallAfterEvent(s.frontAddress, "shop.example", "/chat/7", "good-key", uuid.NewString(), "7")
+		s.is.Equal(r.Status, http.StatusBadGateway)
+	}
+	start := time.Now()
+	r := s.send("/chat/7", "good-key")
+	s.is.NoErr(r.Err)
+	s.is.Equal(r.Status, http.StatusOK)
+	s.is.True(time.Since(start) < endpointRest)
+}
+
+func TestCallerThatResumesGetsTheRestOnce(t *testing.T) {
+	s := startPlatformDeployment(t)
+	uninterrupted := s.send("/chat/7", "good-key")
+	s.workers["pool-1"].SetFaults(platformtest.WorkerFaults{CutAfter: 4})
+	for range 4 {
+		r := platformtest.CallAfterEvent(s.frontAddress, "shop.example", "/chat/7", "good-key", uuid.NewString(), "2")
+		s.is.NoErr(r.Err)
+		s.is.Equal(cutBody+r.Body, uninterrupted.Body)
+	}
+}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -215,6 +215,12 @@
 		grant.Unused()
 		return err
 	}
+	if errors.HasType(err, (*NotContinuedError)(nil)) {
+		// The endpoint answered, so no fault of it is reported.
+		r.logFailed(err)
+		grant.Done(permit.Usage{Total: time.Since(start)})
+		return err
+	}
 	if err != nil {
 		r.returnFailed(ctx, grant, err)
 		return err
@@ -261,10 +267,14 @@
 		grant.Unused()
 		return
 	}
+	r.logFailed(err)
+	grant.Failed(classifyFault(err))
+}
+
+func (r *requestRun) logFailed(err error) {
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
 		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.position.events),
 		zap.String("last-event", r.relay.position.lastEvent), zap.Error(err))
-	grant.Failed(classifyFault(err))
 }
 
 // classifyFault classifies a failed attempt for the owner, which rates the
