Cancel a suspended attempt without a data race

Answer.Cancel is for other goroutines and never keeps the connection; an attempt is finished once. TestCancelBesideTheReaderIsNoRaceAndEndsTheAttemptOnce, with Close in its place, reports a data race on the code before.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -131,6 +132,11 @@
 // closed, which cancels the request at the endpoint.
 func (a *Answer) Close() { a.body.roundTrip.finish(a.body.complete) }
 
+// Cancel closes the connection of an answer of Send that was not closed before, so
+// that reading its body fails. Other than Close, it may be called while another
+// goroutine reads the body.
+func (a *Answer) Cancel() { a.body.roundTrip.finish(false) }
+
 // ReadWhole reads the whole body of an answer of Send. A body of more than limit
 // bytes, or one that does not end within timeout, is a *BodyLimitError.
 func (a *Answer) ReadWhole(limit int, timeout time.Duration) ([]byte, error) {
@@ -169,7 +175,7 @@
 	connection   *connection
 	request      Request
 	stopWatching func() bool
-	finished     bool
+	finishOnce   sync.Once
 }
 
 // send writes the request and reads the head of its answer.
@@ -230,17 +236,15 @@
 // finish returns the connection to the sender if it can carry another request, and
 // closes it otherwise. Calls after the first have no effect.
 func (t *roundTrip) finish(reusable bool) {
-	if t.finished {
-		return
-	}
-	t.finished = true
-	active := t.stopWatching()
-	if reusable && active && t.connection.isReusable() {
-		t.connection.receiver.release()
-		t.sender.putIdle(t.connection)
-		return
-	}
-	t.connection.close()
+	t.finishOnce.Do(func() {
+		active := t.stopWatching()
+		if reusable && active && t.connection.isReusable() {
+			t.connection.receiver.release()
+			t.sender.putIdle(t.connection)
+			return
+		}
+		t.connection.close()
+	})
 }
 
 // encodeHead returns the request line and the headers.
--- a/godwitmoord/pkg/attempt/attempt_test.go
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -310,3 +310,22 @@
 	is.True(err != nil)
 	is.Equal(<-closed, io.EOF)
 }
+
+func TestCancelBesideTheReaderIsNoRaceAndEndsTheAttemptOnce(t *testing.T) {
+	is := is.New(t)
+	s := startEndpoint(t, okAnswer("a", "whole"), okAnswer("b", "whole"))
+	var sender attempt.Sender
+	answer, err := sender.Send(context.Background(), s.listener.Addr().String(), requestOf("a"))
+	is.NoErr(err)
+	cancelled := make(chan struct{})
+	go func() {
+		answer.Cancel()
+		close(cancelled)
+	}()
+	_, _ = io.ReadAll(answer.Body) // whole, or cancelled
+	answer.Close()
+	<-cancelled
+	body, err := sendAndRead(t, &sender, s, requestOf("b"))
+	is.NoErr(err)
+	is.Equal(body, "whole")
+}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -197,7 +197,7 @@
 	var suspended atomic.Bool
 	grant.OnSuspended(func() {
 		suspended.Store(true)
-		answer.Close()
+		answer.Cancel()
 	})
 	if !r.relay.headSent && r.mayRunAgain() && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
 		return r.storeErrorAnswer(answer, grant, start)
