Don't run a suspended request again whose answer can't go on

A plain answer that was suspended in its middle was broken off, and its request ran once more in vain: a suspended attempt was followed by another without the question whether that can continue what the caller has.

TestSecondPlainBodyIsNotJoinedToABrokenOne/suspended counts the runs now: two before, one after.

--- a/godwitmoord/pkg/app/resume_test.go
+++ b/godwitmoord/pkg/app/resume_test.go
@@ -267,6 +267,7 @@
 			if r.err == nil {
 				d.is.Equal(r.body, whole)
 			}
+			d.is.Equal(answers.Load(), int32(1)) // a second run would be in vain
 		})
 	}
 }
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -41,6 +41,8 @@
 		switch {
 		case err == nil:
 			return Delivered{}
+		case errors.Is(err, errSuspended) && r.relay.headSent && !r.canResume():
+			return Broken{Reason: text.Displaced}
 		case errors.Is(err, errSuspended):
 			r.suspensions++
 			sends--
