Take a grant for an earlier incarnation without a configuration

A host that had just started and had no configuration yet ended by itself when an owner's grant for an ask of its earlier incarnation arrived: the entry looked for the service that lists the endpoint, in a configuration that was not there.

TestGrantToAnEarlierIncarnationDoesNotEndAHostWithoutAConfiguration panicked before.

--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -280,8 +280,13 @@
 	}
 }
 
+// serviceOf returns the service that lists an endpoint, and false if none does or
+// this host has no configuration yet.
 func (e *Entry) serviceOf(endpoint string) (string, bool) {
 	current := e.localOwner.release.Current()
+	if current == nil {
+		return "", false
+	}
 	for _, s := range current.Configuration.Services {
 		if _, listed := s.Endpoint(endpoint); listed {
 			return s.Name, true
