Send a request on a new connection to an endpoint that already had it

An order could run twice.

Cause: where no other endpoint is open, a rejected request is sent to the same one again, with the caller's attempt id, perhaps on the same connection. An endpoint may repeat an answer; its rejection of the first attempt, repeated while the second ran, was taken for the second one's, and the order was sent a third time.

Change: an endpoint that already had the request gets it on a new connection, where no answer to an earlier attempt can arrive.

--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -245,6 +246,11 @@
 	message := r.request.attemptRequest(grant.Permit.ID, grant.Permit.Endpoint)
 	message.EndpointRequest.Offset = r.relay.position.events
 	message.EndpointRequest.LastEvent = r.relay.position.lastEvent
+	if slices.Contains(r.avoid, grant.Permit.Endpoint) {
+		// The endpoint may still repeat its answer to the attempt before, which can
+		// have the same id.
+		message.MayReuseConnection = false
+	}
 	message.FirstByteTimeout = r.dataTimeout(message.FirstByteTimeout, grant.Estimate)
 	message.GapTimeout = r.dataTimeout(message.GapTimeout, grant.Estimate)
 	if r.request.Keyless {
