Log each failed attempt once, error answers included

An endpoint's error answer that was held back for another attempt left no line, nor did a status that suggests that the request did not run, while the failure of a keyed request was logged twice. Each is one "attempt failed" now, with the status. An error answer that can't be read because the caller has gone is no longer reported as a fault of its endpoint. The line "resumed attempt ended" calls what it counts added-events, as events is a total in the other lines.

--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -78,7 +78,7 @@
 		zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID), zap.String("endpoint", r.endpoint),
 		zap.Int("status", answer.Status), zap.String("content-type", answer.Header.Get("Content-Type")),
 		zap.String("after-event", afterEvent), zap.Int("after-events", previousEvents), zap.String("first-event", r.relay.firstEvent),
-		zap.Int("events", r.relay.position.events-previousEvents), zap.String("end", r.relay.end), zap.Error(err))
+		zap.Int("added-events", r.relay.position.events-previousEvents), zap.String("end", r.relay.end), zap.Error(err))
 }
 
 // firstPartMilliseconds returns the time from the request's arrival to the first
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -162,8 +162,10 @@
 func (r *requestRun) sendAttempt(ctx context.Context, grant *dispatch.Grant) error {
 	address, known := r.endpointAddress(grant)
 	if !known {
+		err := &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("the endpoint is no longer in the configuration")}
+		r.logFailed(err)
 		grant.Unused()
-		return &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("the endpoint is no longer in the configuration")}
+		return err
 	}
 	start := time.Now()
 	message := r.attemptRequest(ctx, grant)
@@ -201,11 +203,13 @@
 		answer.Cancel()
 	})
 	if !r.relay.headSent && r.mayRunAgain() && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
-		return r.storeErrorAnswer(answer, grant, start)
+		return r.storeErrorAnswer(ctx, answer, grant, start)
 	}
 	if r.impliesNotRun(answer.Status) {
+		err := &attempt.LostError{Address: grant.Permit.Endpoint, Cause: errors.Wrapf(errEndpointFailed, "status %d", answer.Status)}
+		r.logFailed(err)
 		grant.Done(permit.Usage{Total: time.Since(start)})
-		return &attempt.LostError{Address: grant.Permit.Endpoint, Cause: errEndpointFailed}
+		return err
 	}
 	err := r.relay.forward(answer)
 	if err != nil && suspended.Load() {
--- a/godwitmoord/pkg/serving/with_claim.go
+++ b/godwitmoord/pkg/serving/with_claim.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
-	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
@@ -160,8 +159,6 @@
 			r.service.claims.CompleteLater(holding, r.storedAnswer())
 			return Delivered{}
 		}
-		r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID),
-			zap.String("endpoint", r.endpoint), zap.Error(err))
 		if r.mayHaveRun {
 			r.service.claims.MarkLostLater(holding)
 			return r.lostResult(err)
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -127,18 +126,21 @@
 // storeErrorAnswer stores the error answer to a request that may still run at
 // another endpoint, unless it cannot be read whole within its limits. It always
 // returns an errEndpointFailed.
-func (r *requestRun) storeErrorAnswer(answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
+func (r *requestRun) storeErrorAnswer(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
+	failed := errors.Wrapf(errEndpointFailed, "status %d", answer.Status)
 	body, err := answer.ReadWhole(maxErrorAnswerBytes, errorBodyTimeout)
 	if err != nil {
-		grant.Failed(permit.Lost)
-		return fmt.Errorf("%w with status %d: %w", errEndpointFailed, answer.Status, err)
+		failed = errors.CombineErrors(failed, err)
+		r.returnFailed(ctx, grant, failed)
+		return failed
 	}
+	r.logFailed(failed)
 	r.errorAnswer = &errorAnswer{status: answer.Status, header: answer.Header, body: body}
 	// The endpoint ran the request in the usual time. The request failed, not the
 	// endpoint, so no fault is reported.
 	took := time.Since(start)
 	grant.Done(permit.Usage{FirstByte: took, Total: took})
-	return errEndpointFailed
+	return failed
 }
 
 // impliesNotRun reports whether a caller would take an answer's status to mean that
