Reset the connection of an HTTP/1.0 caller whose answer breaks off

An HTTP/1.0 caller took an answer that broke off for a whole one: the answer has no chunks, so its body ends where the connection is closed in order, and that is how it was closed when the front aborted a broken answer or the server closed its last connections at the bound of a stop. Proxies that speak HTTP/1.0 to this host pass such an answer on as complete.

The front now keeps the connection in the requests' context and sets its linger time to zero while an HTTP/1.0 caller's answer is not finished, so that however the connection is closed until then, it ends with a reset.

Before, TestBrokenAnswerIsNotWholeForAnHTTP10Caller fails (the caller reads the end of the body without an error), and so does TestAnswerCutOffByAServerThatClosesIsNotWholeForAnHTTP10Caller if resetUnfinished does nothing; both pass now (the second 20 times of 20 under the race detector). TestBodyShorterThanItsContentLengthIsNotWhole passes before and after: a stated length already tells callers of both versions.

--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -83,6 +83,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       withConnection,
 	}
 	go s.run(listener)
 	return nil
@@ -153,6 +154,7 @@
 		return
 	}
 	writer := &answerWriter{writer: w, control: http.NewResponseController(w), request: request.ID, host: s.common.Self.Name}
+	finished := resetUnfinished(r)
 	switch result := s.serving.Serve(r.Context(), request, writer).(type) {
 	case serving.Refused:
 		s.refuse(w, request.ID, statusOf(result), result)
@@ -162,6 +164,7 @@
 		panic(http.ErrAbortHandler)
 	case serving.Delivered:
 	}
+	finished()
 }
 
 // readRequest converts an HTTP request: with platform settings by the routes of the
