Test that an answer without a body ends with its head

A caller that sends HEAD gets no answer before the service's timeouts, and then a 502 of this system (5.3 s in the test): the attempt waits for a body whose length the head states, or does not state, although an answer to HEAD has none. A 204 with the type of an event stream is refused in the same way, as a stream without its final event.

The test checks HEAD with and without a Content-Length and of a stream, 204 with and without that type, and 304 with a Content-Length.

--- a/godwitmoord/pkg/app/answer_end_test.go
+++ b/godwitmoord/pkg/app/answer_end_test.go
@@ -9,10 +9,16 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 )
 
+// headTimeout bounds the wait for an answer without a body. It is below the service's
+// gap timeout, so that a wait for a body that cannot come is noticed.
+const headTimeout = 800 * time.Millisecond
+
 // sendHTTP10 sends a request as an HTTP/1.0 caller. For such a caller the end of the
 // connection is the end of a body without Content-Length.
 func (d *deployment) sendHTTP10(h *entryHost, toSend callerRequest) reply {
@@ -67,3 +73,35 @@
 		d.is.True(r.err != nil)
 	}
 }
+
+func TestAnswerWithoutABodyEndsWithItsHead(t *testing.T) {
+	cases := []struct {
+		name, method, contentType, length string
+		status                            int
+	}{
+		{"HEAD", "HEAD", "text/plain", "", http.StatusOK},
+		{"HEAD with a length", "HEAD", "text/plain", "100", http.StatusOK},
+		{"HEAD of a stream", "HEAD", "text/event-stream", "", http.StatusOK},
+		{"204", "GET", "", "", http.StatusNoContent},
+		{"204 of a stream", "GET", "text/event-stream", "", http.StatusNoContent},
+		{"304 with a length", "GET", "text/plain", "100", http.StatusNotModified},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := deployFlawed(t, &flawedModel{first: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", c.contentType)
+				if c.length != "" {
+					w.Header().Set("Content-Length", c.length)
+				}
+				w.WriteHeader(c.status)
+			}}, 2)
+			start := time.Now()
+			r := d.send(d.hosts[0], callerRequest{method: c.method, path: "/atelier/v1/completions"})
+			is.NoErr(r.err)
+			is.Equal(r.status, c.status)
+			is.Equal(r.body, "")
+			is.True(time.Since(start) < headTimeout)
+		})
+	}
+}
