Test that an answer that is not stored is not replayed without its body

With stored-answer-limit 0, which the configuration allows, a repeated key gets status 200, the mark of a replay and an empty body instead of "unknown, answer-not-kept": package serving stores no body then, but does not mark the stored answer as left out.

--- a/godwitmoord/pkg/app/stored_answer_test.go
+++ b/godwitmoord/pkg/app/stored_answer_test.go
@@ -37,8 +37,9 @@
 	f.answer(w, r)
 }
 
-// deployDesk starts a deployment with one host.
-func deployDesk(t *testing.T, desk *flawedDesk) *deployment {
+// deployDesk starts a deployment with one host, which stores answers up to limit
+// bytes.
+func deployDesk(t *testing.T, desk *flawedDesk, limit int) *deployment {
 	t.Helper()
 	d := newDeployment(t)
 	d.desk = d.serve(desk)
@@ -49,7 +50,7 @@
 			Endpoints: []configuration.Endpoint{{Name: "planner", Address: strings.TrimPrefix(d.desk.URL, "http://"), DataCentre: "lorient", InFlightLimit: 4}},
 		}, "").
 		WithRule(configuration.Rule{Service: "plans", Tier: "bench"}, "").
-		WithClaims(claimRetention, answerLimit)
+		WithClaims(claimRetention, limit)
 	d.startHosts(1)
 	return d
 }
@@ -85,7 +86,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			desk := &flawedDesk{answer: c.answer}
-			d := deployDesk(t, desk)
+			d := deployDesk(t, desk, answerLimit)
 			toSend := callerRequest{method: "POST", path: c.path, body: "one oak pattern", key: newKey()}
 			first := d.send(d.hosts[0], toSend)
 			d.is.True(first.err != nil)
@@ -97,6 +98,26 @@
 	}
 }
 
+func TestAnswerThatIsNotStoredIsNotReplayedWithoutItsBody(t *testing.T) {
+	for _, limit := range []int{0, 1, len(plainPart)} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			desk := &flawedDesk{answer: func(w http.ResponseWriter, _ *http.Request) {
+				writeFlushed(w, plainPart)
+				writeFlushed(w, plainPart)
+			}}
+			d := deployDesk(t, desk, limit)
+			toSend := orderRequest(newKey())
+			first := d.send(d.hosts[0], toSend)
+			d.is.NoErr(first.err)
+			d.is.Equal(first.body, plainPart+plainPart)
+			second := d.send(d.hosts[0], toSend)
+			d.is.Equal(second.outcome, "unknown")
+			d.is.Equal(second.reason, "answer-not-kept")
+			d.is.Equal(desk.runs.Load(), int32(1))
+		})
+	}
+}
+
 func TestAnswerWhoseCallerDisconnectsIsStoredOnlyIfItIsWhole(t *testing.T) {
 	for name, cut := range map[string]bool{"whole": false, "cut": true} {
 		t.Run(name, func(t *testing.T) {
@@ -113,7 +134,7 @@
 					panic(http.ErrAbortHandler)
 				}
 			}}
-			d := deployDesk(t, desk)
+			d := deployDesk(t, desk, answerLimit)
 			toSend := orderRequest(newKey())
 			ctx, disconnect := context.WithCancel(t.Context())
 			defer disconnect()
