Test that a stored answer is readable where its body is compressed

A caller that accepts gzip gets a compressed answer with its Content-Encoding the first time, and the same bytes without Content-Encoding when it repeats the key: it reads compressed bytes as the answer. The stored answer keeps only the status, the content type and the body.

--- a/godwitmoord/pkg/app/stored_answer_test.go
+++ b/godwitmoord/pkg/app/stored_answer_test.go
@@ -1,6 +1,8 @@
 package app_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
@@ -162,3 +164,25 @@
 		})
 	}
 }
+
+func TestStoredAnswerIsReadableWhereItsBodyIsCompressed(t *testing.T) {
+	var compressed bytes.Buffer
+	w := gzip.NewWriter(&compressed)
+	fmt.Fprint(w, plainPart)
+	is := is.New(t)
+	is.NoErr(w.Close())
+	d := deployDesk(t, &flawedDesk{answer: func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Accept-Encoding") == "" {
+			fmt.Fprint(w, plainPart)
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = w.Write(compressed.Bytes())
+	}}, answerLimit)
+	toSend := orderRequest(newKey())
+	for range 2 {
+		r := d.send(d.hosts[0], toSend) // Go's client asks for gzip and decompresses it
+		is.NoErr(r.err)
+		is.Equal(r.body, plainPart)
+	}
+}
