Judge a stream that ends as complete and is not whole

The audit's promise 3, "every answer is whole and its caller's own", could not fail for most answers that this promise is about. The callers recorded a stream that ended regularly without its final event as "broken-off", which is judged nowhere, as if its caller had seen an error; they skipped every line that is no data line, such as the text of an error joined to the stream; and they read nothing after the final event into the result.

A stream now counts as answered if its body ends regularly, and as correct only if it holds exactly the answer's tokens in order, one final event, nothing after that, and no line that is not part of an event stream. Only a body that ends with an error of the HTTP client before its final event is broken off. The check is in a type of its own, eventStream.

TestAnswerThatEndsAsCompleteAndIsNotWholeBreaksThePromise runs 15 such answers through the callers and the audit.

--- a/replay/pkg/caller/caller.go
+++ b/replay/pkg/caller/caller.go
@@ -4,7 +4,6 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,14 +16,12 @@
 
 	"github.com/cockroachdb/errors"
 	"godwitmoor.example/replay/pkg/trace"
-	"godwitmoor.example/standin/pkg/answer"
 	"godwitmoor.example/standin/pkg/application"
 )
 
 const (
 	healthCheckInterval = 250 * time.Millisecond
 	healthCheckTimeout  = 500 * time.Millisecond
-	maxEventLine        = 1 << 20
 	maxIdleConnsPerHost = 256
 	// maxRetries is how often a caller retries a keyed request whose result is
 	// uncertain.
@@ -312,45 +309,6 @@
 	return nil
 }
 
-type tokenEvent struct {
-	Index int    `json:"index"`
-	Text  string `json:"text"`
-}
-
-// readEvents reads an event stream and compares it, token by token, with the
-// answer that the stand-in engine derives from the prompt.
-func (c *call) readEvents(body io.Reader, o *Outcome) error {
-	o.Result = "broken-off"
-	digest := answer.Digest(c.request.Prompt)
-	next, matches := 0, true
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(nil, maxEventLine)
-	for scanner.Scan() {
-		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
-		if !isData {
-			continue
-		}
-		if o.FirstAt.IsZero() {
-			o.FirstAt = time.Now()
-		}
-		if data == "[DONE]" {
-			o.Result = "answered"
-			o.Correct = matches && next == c.request.Answer
-			if !o.Correct {
-				o.Reason = fmt.Sprintf("%d of %d tokens, right: %v", next, c.request.Answer, matches)
-			}
-			continue
-		}
-		var event tokenEvent
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return errors.Wrap(err, "read an event")
-		}
-		matches = matches && event.Index == next && event.Text == answer.Token(digest, next)
-		next++
-	}
-	return scanner.Err()
-}
-
 type receipt struct {
 	Digest string `json:"digest"`
 }
