Store the content coding of an answer with it

A caller that accepts gzip got a compressed answer with its Content-Encoding, and the same bytes without it when it repeated the key: it read compressed bytes as the answer. The stored answer kept the status, the content type and the body only. The field is new and optional, so hosts of both builds read each other's claims.

--- a/coordination/pkg/claim/claim.go
+++ b/coordination/pkg/claim/claim.go
@@ -123,7 +123,9 @@
 type Answer struct {
 	Status      int    `json:"status"`
 	ContentType string `json:"content-type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	// ContentEncoding is the coding of the body, such as gzip; empty if it has none.
+	ContentEncoding string `json:"content-encoding,omitempty"`
+	Body            []byte `json:"body,omitempty"`
 	// Omitted is set when the answer was too large to store.
 	Omitted bool `json:"omitted,omitempty"`
 }
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -65,11 +65,12 @@
 	hasFinalEvent bool
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent bool
-	// status and contentType are those of the first answer; streaming is set if
-	// that is a stream of events.
-	status      int
-	contentType string
-	streaming   bool
+	// status, contentType and contentEncoding are those of the first answer;
+	// streaming is set if that is a stream of events.
+	status          int
+	contentType     string
+	contentEncoding string
+	streaming       bool
 	// position is the point up to which the caller has the stream. It begins with
 	// the event that the caller itself resumes after.
 	position streamPosition
@@ -177,7 +178,8 @@
 	}
 	a := r.answer
 	header := exchange.EndToEnd(a.Header)
-	r.status, r.contentType, r.streaming = a.Status, a.Header.Get("Content-Type"), r.isStream(a)
+	r.status, r.streaming = a.Status, r.isStream(a)
+	r.contentType, r.contentEncoding = a.Header.Get("Content-Type"), a.Header.Get("Content-Encoding")
 	r.caller.WriteHead(a.Status, header)
 	r.headSent = true
 }
--- a/godwitmoord/pkg/serving/with_claim.go
+++ b/godwitmoord/pkg/serving/with_claim.go
@@ -194,7 +194,9 @@
 // storedAnswer returns the answer to store with the claim, without its body if that
 // exceeds the limit.
 func (r *requestRun) storedAnswer() claim.Answer {
-	stored := claim.Answer{Status: r.relay.status, ContentType: r.relay.contentType, Omitted: r.relay.exceedsLimit}
+	stored := claim.Answer{
+		Status: r.relay.status, ContentType: r.relay.contentType, ContentEncoding: r.relay.contentEncoding, Omitted: r.relay.exceedsLimit,
+	}
 	if !stored.Omitted {
 		stored.Body = r.relay.storedBody.Bytes()
 	}
@@ -260,6 +262,9 @@
 	if a.ContentType != "" {
 		header.Set("Content-Type", a.ContentType)
 	}
+	if a.ContentEncoding != "" {
+		header.Set("Content-Encoding", a.ContentEncoding)
+	}
 	header.Set(replayHeader, "true")
 	r.relay.caller.WriteHead(a.Status, header)
 	if err := r.relay.caller.WritePart(a.Body); err != nil {
