Mark an answer as not stored where the limit is zero

With a stored-answer-limit of 0, which the configuration allows, a repeated key got status 200, the mark of a replay and an empty body: an answer that is not whole, told as one. Nothing was stored then, but the claim did not say that the answer was left out.

TestAnswerThatIsNotStoredIsNotReplayedWithoutItsBody/0 failed before; the caller now gets unknown, answer-not-kept.

--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -284,7 +284,7 @@
 			r.onFirstByte()
 		}
 	}
-	if r.storeLimit > 0 && !r.exceedsLimit {
+	if !r.exceedsLimit {
 		r.exceedsLimit = r.storedBody.Len()+len(data) > r.storeLimit
 		if !r.exceedsLimit {
 			r.storedBody.Write(data)
