Take an answer without a body for no stream

A HEAD request to a model service, whose answer has the head of a stream and no body, was tried four times and refused: the stream lacked its final event. TestAnswerWithoutABodyEndsWithItsHead/HEAD_of_a_stream failed before.

--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,7 +91,7 @@
 // result still has to be sent by the function that called Serve.
 func (s *Service) Serve(ctx context.Context, r Request, c Caller) Result {
 	run := &requestRun{service: s, request: r}
-	run.relay = relay{caller: c, streams: r.Streams, resumesByID: r.Resumable, hasFinalEvent: !r.Keyless}
+	run.relay = relay{caller: c, streams: r.Streams && r.Method != http.MethodHead, resumesByID: r.Resumable, hasFinalEvent: !r.Keyless}
 	run.relay.position.lastEvent = r.LastEvent
 	var result Result
 	switch {
