Read an error answer whole before it is sent to a caller

The error answer of the last run allowed was forwarded as it came, so an error body without end flowed to the caller until its deadline and ended as a broken 500.

It is now read whole within the limits of a stored error answer, as are the error answers before it; one that does not end gives the caller a refusal that says so. Requests that may run only once keep what their endpoint sends as it comes.

--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -193,8 +193,8 @@
 	return err
 }
 
-// receive forwards the answer of an attempt to the caller, or keeps it if another
-// attempt may return a better one, and returns the permit.
+// receive forwards the answer of an attempt to the caller, or stores it if it is an
+// error that another attempt may better, and returns the permit.
 func (r *requestRun) receive(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
 	eventsBefore := r.relay.position.events
 	var suspended atomic.Bool
@@ -202,7 +202,7 @@
 		suspended.Store(true)
 		answer.Cancel()
 	})
-	if !r.relay.headSent && r.mayRunAgain() && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
+	if !r.relay.headSent && r.request.Idempotent && answer.Status >= http.StatusInternalServerError && r.request.Keyless {
 		return r.storeErrorAnswer(ctx, answer, grant, start)
 	}
 	if r.impliesNotRun(answer.Status) {
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -123,8 +123,9 @@
 // errEndpointFailed reports that the endpoint returned an error answer.
 var errEndpointFailed = errors.New("the endpoint returned an error answer")
 
-// storeErrorAnswer stores the error answer to a request that may still run at
-// another endpoint, unless it cannot be read whole within its limits. It always
+// storeErrorAnswer stores the error answer to a request that may run more than once,
+// unless it cannot be read whole within its limits. The caller receives the last one
+// stored if no attempt returns a better answer. storeErrorAnswer always
 // returns an errEndpointFailed.
 func (r *requestRun) storeErrorAnswer(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
 	failed := errors.Wrapf(errEndpointFailed, "status %d", answer.Status)
