--- a/coordination/pkg/keyvalue/store.go
+++ b/coordination/pkg/keyvalue/store.go
@@ -93,6 +93,14 @@
 
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
+// IncompleteReplyError reports a reply that can be decoded but is not the whole
+// reply to the call. It is the cause of an *UnreachableError.
+type IncompleteReplyError struct{ Problem string }
+
+func (e *IncompleteReplyError) Error() string {
+	return fmt.Sprintf("incomplete reply: %s; check that the address is that of the key-value service", e.Problem)
+}
+
 // LeaseExpiredError reports a write whose lease had already expired.
 type LeaseExpiredError struct{ Lease Lease }
 
