Bound the response header of the key-value service's client

What hosts and the operators' command saw: a response header without an end was read up to 10 MiB a call, and one without a line end allocated 73 MB a call.

Cause: keyvalue.Client used http.DefaultClient, with Go's bound of 10 MiB.

Change: its default client has a transport of its own that reads at most 64 KiB of header, from the new reply.NewTransport.

--- a/coordination/pkg/keyvalue/client.go
+++ b/coordination/pkg/keyvalue/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -19,13 +20,16 @@
 	maxReplyBytes      = 4 << 20
 )
 
+// defaultHTTP is shared so that clients without one of their own reuse connections.
+var defaultHTTP = &http.Client{Transport: reply.NewTransport()}
+
 // Client calls one key-value service over HTTP. Only URL must be set.
 type Client struct {
 	// URL is the service's base URL, for instance http://127.0.0.1:2379.
 	URL string
 	// CallTimeout bounds each call; zero means 2 s.
 	CallTimeout time.Duration
-	// HTTP is the HTTP client; nil means http.DefaultClient.
+	// HTTP is the HTTP client; nil means one that bounds the response header.
 	HTTP *http.Client
 
 	reads  atomic.Int64
@@ -164,7 +168,7 @@
 	return Lease(reply.ID), err
 }
 
-func (c *Client) call(ctx context.Context, operation, path string, request, reply any) error {
+func (c *Client) call(ctx context.Context, operation, path string, request, into any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return errors.Wrapf(err, "encode %s", operation)
@@ -182,17 +186,17 @@
 	httpRequest.Header.Set("Content-Type", "application/json")
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultHTTP
 	}
 	response, err := client.Do(httpRequest)
 	if err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
 	defer response.Body.Close()
-	return decodeReply(operation, response, reply)
+	return decodeReply(operation, response, into)
 }
 
-func decodeReply(operation string, response *http.Response, reply any) error {
+func decodeReply(operation string, response *http.Response, into any) error {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
@@ -204,7 +208,7 @@
 		_ = json.Unmarshal(data, &problem)
 		return &UnreachableError{Operation: operation, Cause: fmt.Errorf("status %d: %s", response.StatusCode, problem.Message)}
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
+	if err := json.Unmarshal(data, into); err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
 	return nil
--- /dev/null
+++ b/coordination/pkg/keyvalue/client_test.go
@@ -0,0 +1,71 @@
+package keyvalue_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/coordination/pkg/reply/replytest"
+)
+
+const (
+	absentEntry = `{"header":{"revision":"7"}}`
+	callsAtOnce = 8
+	callTimeout = 500 * time.Millisecond
+	// maxAllocatedForHeader is what a call may allocate for a response header of
+	// 64 KiB.
+	maxAllocatedForHeader = 1 << 20
+)
+
+// readAtOnce makes several reads at the same time and returns their errors.
+func readAtOnce(t *testing.T, client *keyvalue.Client) []error {
+	errs := make([]error, callsAtOnce)
+	var w sync.WaitGroup
+	for i := range errs {
+		w.Go(func() { _, errs[i] = client.Read(t.Context(), "claims/a") })
+	}
+	w.Wait()
+	return errs
+}
+
+func isUnreachable(err error) bool { return errors.HasType(err, (*keyvalue.UnreachableError)(nil)) }
+
+func TestHeaderWithoutEndFillsTheMemory(t *testing.T) {
+	for _, r := range replytest.Endless(absentEntry) {
+		if !r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			var errs []error
+			allocated := replytest.Allocated(func() { errs = readAtOnce(t, &keyvalue.Client{URL: server.URL}) })
+			t.Logf("%d bytes allocated a call", allocated/callsAtOnce)
+			is.True(allocated < callsAtOnce*maxAllocatedForHeader)
+			for _, err := range errs {
+				is.True(isUnreachable(err))
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
+
+func TestSlowReplyWithoutEndHoldsTheCaller(t *testing.T) {
+	for _, r := range replytest.Endless(absentEntry) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := r.Start(t, 20*time.Millisecond)
+			started := time.Now()
+			errs := readAtOnce(t, &keyvalue.Client{URL: server.URL, CallTimeout: callTimeout})
+			is.True(time.Since(started) < 4*callTimeout)
+			for _, err := range errs {
+				is.True(isUnreachable(err))
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
--- a/coordination/pkg/reply/reply.go
+++ b/coordination/pkg/reply/reply.go
@@ -3,12 +3,16 @@
 //
 // # Usage
 //
+//	client := &http.Client{Transport: reply.NewTransport(), Timeout: timeout}
+//	response, err := client.Do(request)
+//	…
 //	data, err := reply.Read(response.Body, maxReplyBytes)
 package reply
 
 import (
 	"fmt"
 	"io"
+	"net/http"
 )
 
 // MaxHeaderBytes bounds the header of a response, interim responses included. The
@@ -23,6 +27,14 @@
 	return fmt.Sprintf("reply exceeds the limit of %d bytes; check that the address is that of the intended service", e.Limit)
 }
 
+// NewTransport returns a transport with the settings of http.DefaultTransport that
+// reads at most MaxHeaderBytes of response header.
+func NewTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = MaxHeaderBytes
+	return transport
+}
+
 // Read reads a body to its end. A body of more than limit bytes is a
 // *TooLargeError, because its first part may look like a complete reply.
 func Read(body io.Reader, limit int) ([]byte, error) {
