Refuse replies to the key-value service's client that exceed the limit

What callers saw: a reply that began with a complete one and went on without an end was cut at 4 MiB and taken as complete; an entry that is absent in its first part makes a claimed key look vacant.

Cause: the body was read through a limit that cuts silently.

Change: reply.Read; the cause of the *UnreachableError is a *reply.TooLargeError that names the limit, which stays 4 MiB.

Result: TestReplyWithoutEndIsTakenAsComplete failed for body and chunks before and passes; chunk extension and trailer passed before, too. go test -race of coordination passed.

--- a/coordination/pkg/keyvalue/client.go
+++ b/coordination/pkg/keyvalue/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -197,7 +196,7 @@
 }
 
 func decodeReply(operation string, response *http.Response, into any) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	data, err := reply.Read(response.Body, maxReplyBytes)
 	if err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
--- a/coordination/pkg/keyvalue/client_test.go
+++ b/coordination/pkg/keyvalue/client_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 )
 
@@ -53,6 +54,25 @@
 	}
 }
 
+func TestReplyWithoutEndIsTakenAsComplete(t *testing.T) {
+	for _, r := range replytest.Endless(absentEntry) {
+		if r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			for _, err := range readAtOnce(t, &keyvalue.Client{URL: server.URL}) {
+				is.True(isUnreachable(err))
+				if r.Name == "body" || r.Name == "chunks" {
+					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
+				}
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
+
 func TestSlowReplyWithoutEndHoldsTheCaller(t *testing.T) {
 	for _, r := range replytest.Endless(absentEntry) {
 		t.Run(r.Name, func(t *testing.T) {
