Refuse replies to the key-value service's client that are no reply to the call

What callers saw: null, {}, the JSON of an error or another key's entry, with status 200, made a claimed key look vacant in Read, made Swap report that a claim no longer exists and Create that its session had expired. A lease grant without an ID returned lease 0, with which claims and sessions never expire.

Cause: fields that a reply lacks decode to zero, and keys were not compared.

Change: a reply to range or txn must have its header, a transaction that did not apply the entry that it read, an entry its own key and a revision, and a grant a lease ID; otherwise the call returns an *UnreachableError with an *IncompleteReplyError. A host then repeats the same call, as without a reply.

--- a/coordination/pkg/keyvalue/client.go
+++ b/coordination/pkg/keyvalue/client.go
@@ -49,7 +49,9 @@
 	rangeRequest struct {
 		Key []byte `json:"key"`
 	}
+	// rangeReply has a header unless it is part of a transaction's reply.
 	rangeReply struct {
+		Header  *headerWire `json:"header"`
 		Entries []entryWire `json:"kvs"`
 	}
 	putRequest struct {
@@ -77,8 +79,8 @@
 		Revision int64 `json:"revision,string"`
 	}
 	transactionReply struct {
-		Header    headerWire `json:"header"`
-		Succeeded bool       `json:"succeeded"`
+		Header    *headerWire `json:"header"`
+		Succeeded bool        `json:"succeeded"`
 		Responses []struct {
 			Range *rangeReply `json:"response_range"`
 		} `json:"responses"`
@@ -104,7 +106,10 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	return firstEntry(&reply), nil
+	if reply.Header == nil {
+		return Entry{}, incomplete("range", key, "there is no header")
+	}
+	return reply.entry("range", key)
 }
 
 // Create writes a key only if it does not exist.
@@ -120,7 +125,7 @@
 		guard := []byte(creation.Guard)
 		txn.Compare = append(txn.Compare, compareWire{Key: guard, Target: "CREATE", Result: "GREATER", CreateRevision: &zero})
 	}
-	outcome, err := c.transact(ctx, txn, creation.Lease)
+	outcome, err := c.transact(ctx, txn, creation.Key, creation.Lease)
 	if err == nil && !outcome.Applied && !outcome.Current.Found() {
 		outcome.GuardLost = true
 	}
@@ -135,10 +140,11 @@
 		Success: []operationWire{{Put: &putRequest{Key: keyBytes, Value: value, Lease: int64(lease)}}},
 		Failure: []operationWire{{Range: &rangeRequest{Key: keyBytes}}},
 	}
-	return c.transact(ctx, txn, lease)
+	return c.transact(ctx, txn, key, lease)
 }
 
-func (c *Client) transact(ctx context.Context, txn transactionRequest, lease Lease) (Outcome, error) {
+// transact makes a transaction that writes key, or else reads it.
+func (c *Client) transact(ctx context.Context, txn transactionRequest, key string, lease Lease) (Outcome, error) {
 	c.writes.Add(1)
 	var reply transactionReply
 	err := c.call(ctx, "txn", "/v3/kv/txn", txn, &reply)
@@ -148,14 +154,16 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	if reply.Succeeded {
+	switch {
+	case reply.Header == nil:
+		return Outcome{}, incomplete("txn", key, "there is no header")
+	case reply.Succeeded:
 		return Outcome{Applied: true, Revision: reply.Header.Revision}, nil
+	case len(reply.Responses) == 0 || reply.Responses[0].Range == nil:
+		return Outcome{}, incomplete("txn", key, "the entry that prevented the write was not read")
 	}
-	var outcome Outcome
-	if len(reply.Responses) > 0 && reply.Responses[0].Range != nil {
-		outcome.Current = firstEntry(reply.Responses[0].Range)
-	}
-	return outcome, nil
+	current, err := reply.Responses[0].Range.entry("txn", key)
+	return Outcome{Current: current}, err
 }
 
 // Grant creates a lease that expires after life, rounded up to whole seconds.
@@ -164,7 +172,13 @@
 	seconds := int64((life + time.Second - 1) / time.Second)
 	var reply leaseReply
 	err := c.call(ctx, "lease grant", "/v3/lease/grant", leaseRequest{TTL: seconds}, &reply)
-	return Lease(reply.ID), err
+	if err != nil {
+		return 0, err
+	}
+	if reply.ID == 0 {
+		return 0, &UnreachableError{Operation: "lease grant", Cause: &IncompleteReplyError{Problem: "there is no lease ID"}}
+	}
+	return Lease(reply.ID), nil
 }
 
 func (c *Client) call(ctx context.Context, operation, path string, request, into any) error {
@@ -217,10 +231,22 @@
 	return err != nil && strings.Contains(err.Error(), "requested lease not found")
 }
 
-func firstEntry(reply *rangeReply) Entry {
-	if len(reply.Entries) == 0 {
-		return Entry{}
+// entry returns the entry of key, or the zero Entry if the reply has no entry. The
+// reply must have no other.
+func (r *rangeReply) entry(operation, key string) (Entry, error) {
+	if len(r.Entries) == 0 {
+		return Entry{}, nil
+	}
+	e := r.Entries[0]
+	if string(e.Key) != key || e.Revision == 0 {
+		return Entry{}, incomplete(operation, key, fmt.Sprintf("there is key %q at revision %d", e.Key, e.Revision))
 	}
-	e := reply.Entries[0]
-	return Entry{Key: string(e.Key), Value: e.Value, Revision: e.Revision}
+	return Entry{Key: key, Value: e.Value, Revision: e.Revision}, nil
+}
+
+// incomplete returns the error of a call on key whose reply arrived but is not the
+// whole reply.
+func incomplete(operation, key, problem string) error {
+	cause := &IncompleteReplyError{Problem: fmt.Sprintf("for key %q %s", key, problem)}
+	return &UnreachableError{Operation: operation, Cause: cause}
 }
