Bound the response header of the host list and of endpoints' load reports

What hosts saw: a response header without an end from the host list or from an endpoint's /load was read up to 10 MiB a call, one without a line end allocated 73 MB. All endpoints of a host's services are polled at once.

Cause: both clients used http.DefaultTransport, with Go's bound of 10 MiB.

Change: both use reply.NewTransport, which reads at most 64 KiB of header.

--- a/godwitmoord/pkg/dispatch/poller.go
+++ b/godwitmoord/pkg/dispatch/poller.go
@@ -12,6 +12,7 @@
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -42,7 +43,9 @@
 	Leaving bool `json:"leaving"`
 }
 
-func newLoadClient() *http.Client { return &http.Client{Timeout: pollTimeout} }
+func newLoadClient() *http.Client {
+	return &http.Client{Transport: reply.NewTransport(), Timeout: pollTimeout}
+}
 
 func (p *poller) run(ctx context.Context) {
 	for {
--- /dev/null
+++ b/godwitmoord/pkg/membership/lister_test.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/reply/replytest"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/settings"
+)
+
+const (
+	oneHost = `[{"name":"entry-1","address":"10.0.0.1:80","role":"entry","state":"live"}]`
+	// listsAtOnce is how many reads a test makes at the same time.
+	listsAtOnce = 8
+	// maxAllocatedForHeader is what a read may allocate for a response header of
+	// 64 KiB.
+	maxAllocatedForHeader = 1 << 20
+)
+
+func listerOf(url string) *lister {
+	return &lister{service: New(&common.Common{
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Settings: settings.Settings{HostListURL: url},
+	})}
+}
+
+// readAtOnce makes several reads at the same time and returns their errors.
+func readAtOnce(t *testing.T, l *lister) []error {
+	errs := make([]error, listsAtOnce)
+	var w sync.WaitGroup
+	for i := range errs {
+		w.Go(func() { _, errs[i] = l.read(t.Context()) })
+	}
+	w.Wait()
+	return errs
+}
+
+func TestHostListHeaderWithoutEndFillsTheMemory(t *testing.T) {
+	for _, r := range replytest.Endless(oneHost) {
+		if !r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			var errs []error
+			allocated := replytest.Allocated(func() { errs = readAtOnce(t, listerOf(server.URL)) })
+			t.Logf("%d bytes allocated a read", allocated/listsAtOnce)
+			is.True(allocated < listsAtOnce*maxAllocatedForHeader)
+			for _, err := range errs {
+				is.True(err != nil)
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/peer"
@@ -107,7 +108,7 @@
 func New(c *common.Common) *Service {
 	return &Service{
 		common: c,
-		client: &http.Client{Timeout: listTimeout},
+		client: &http.Client{Transport: reply.NewTransport(), Timeout: listTimeout},
 		table:  map[string]*tableRow{},
 		self: tableRow{row: row{
 			Name:        c.Self.Name,
