Read the host list and endpoints' load reports to their end

What hosts saw: a host list or a load report followed by anything, also without an end, was taken as complete. So was one in which the list was followed by another.

Cause: a json.Decoder reads one value and nothing after it, and the limit below it cuts silently.

Change: reply.Read, which fails beyond the limit with a *reply.TooLargeError that names it, and json.Unmarshal, which fails on trailing bytes.

--- a/godwitmoord/pkg/dispatch/poller.go
+++ b/godwitmoord/pkg/dispatch/poller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -114,8 +113,11 @@
 		return report, err
 	}
 	defer response.Body.Close()
-	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report)
-	return report, err
+	data, err := reply.Read(response.Body, maxLoadBytes)
+	if err != nil {
+		return report, err
+	}
+	return report, json.Unmarshal(data, &report)
 }
 
 // closeReason returns the reason why an endpoint must get no new requests, empty if it
--- a/godwitmoord/pkg/dispatch/poller_test.go
+++ b/godwitmoord/pkg/dispatch/poller_test.go
@@ -3,9 +3,12 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 )
 
@@ -51,3 +54,38 @@
 		})
 	}
 }
+
+func TestLoadReportWithoutEndIsTakenAsComplete(t *testing.T) {
+	for _, r := range replytest.Endless(idleEndpoint) {
+		if r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			for _, err := range pollAtOnce(t, pollOf(server.Address)) {
+				is.True(err != nil)
+				if r.Name == "body" || r.Name == "chunks" {
+					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
+				}
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
+
+func TestSlowLoadReportWithoutEndHoldsThePoll(t *testing.T) {
+	for _, r := range replytest.Endless(idleEndpoint) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := r.Start(t, 100*time.Millisecond)
+			started := time.Now()
+			for _, err := range pollAtOnce(t, pollOf(server.Address)) {
+				is.True(err != nil)
+			}
+			is.True(time.Since(started) < 2*pollTimeout)
+			server.AwaitClosed(t)
+		})
+	}
+}
--- a/godwitmoord/pkg/membership/lister.go
+++ b/godwitmoord/pkg/membership/lister.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -81,8 +81,12 @@
 		return nil, errors.Wrap(err, "request the host list")
 	}
 	defer response.Body.Close()
+	data, err := reply.Read(response.Body, maxListBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the host list")
+	}
 	var listed []hostListItem
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&listed)
+	err = json.Unmarshal(data, &listed)
 	return listed, errors.Wrap(err, "decode the host list")
 }
 
--- a/godwitmoord/pkg/membership/lister_test.go
+++ b/godwitmoord/pkg/membership/lister_test.go
@@ -3,10 +3,13 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/settings"
@@ -57,3 +60,38 @@
 		})
 	}
 }
+
+func TestHostListWithoutEndIsTakenAsComplete(t *testing.T) {
+	for _, r := range replytest.Endless(oneHost) {
+		if r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			for _, err := range readAtOnce(t, listerOf(server.URL)) {
+				is.True(err != nil)
+				if r.Name == "body" || r.Name == "chunks" {
+					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
+				}
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
+
+func TestSlowHostListWithoutEndHoldsTheReader(t *testing.T) {
+	for _, r := range replytest.Endless(oneHost) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := r.Start(t, 50*time.Millisecond)
+			started := time.Now()
+			for _, err := range readAtOnce(t, listerOf(server.URL)) {
+				is.True(err != nil)
+			}
+			is.True(time.Since(started) < 2*listTimeout)
+			server.AwaitClosed(t)
+		})
+	}
+}
