Refuse replies that are no host list or no load report

What hosts saw: null from the host list replaced the list by an empty one, and so did [] with status 503, so that a host may take itself for the only one. A load report that was null, {}, the JSON of an error or sent with status 503 made an endpoint look idle and reachable.

Cause: the status was not read, and fields that a reply lacks decode to zero.

Change: both need status 200, the list an array and the report the field running; otherwise the read fails, as when nothing replies. The stand-in of the host list sends [] instead of null before its first change.

--- a/godwitmoord/pkg/dispatch/poller.go
+++ b/godwitmoord/pkg/dispatch/poller.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
@@ -38,7 +39,8 @@
 }
 
 type loadReport struct {
-	Running int  `json:"running"`
+	// Running is nil in a reply that is no load report.
+	Running *int `json:"running"`
 	Leaving bool `json:"leaving"`
 }
 
@@ -94,7 +96,7 @@
 	reason := p.poller.closeReason(p.endpoint, report, err)
 	now := instantNow()
 	if err == nil {
-		p.service.events.Offer(permit.Reported{At: now, Endpoint: p.endpoint.Name, Running: report.Running})
+		p.service.events.Offer(permit.Reported{At: now, Endpoint: p.endpoint.Name, Running: *report.Running})
 	}
 	if p.poller.updateReason(p.endpoint.Name, reason) {
 		p.poller.owner.common.Log.Info("endpoint marked", zap.String("endpoint", p.endpoint.Name), zap.String("closed-for", reason))
@@ -113,11 +115,20 @@
 		return report, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Newf("endpoint %s returned status %s for its load", p.endpoint.Name, response.Status)
+	}
 	data, err := reply.Read(response.Body, maxLoadBytes)
 	if err != nil {
 		return report, err
 	}
-	return report, json.Unmarshal(data, &report)
+	if err := json.Unmarshal(data, &report); err != nil {
+		return loadReport{}, err
+	}
+	if report.Running == nil {
+		return loadReport{}, errors.Newf("the load report of endpoint %s has no running", p.endpoint.Name)
+	}
+	return report, nil
 }
 
 // closeReason returns the reason why an endpoint must get no new requests, empty if it
--- a/godwitmoord/pkg/dispatch/poller_test.go
+++ b/godwitmoord/pkg/dispatch/poller_test.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -89,3 +93,28 @@
 		})
 	}
 }
+
+func TestReplyThatIsNoLoadReportMakesAnEndpointLookIdle(t *testing.T) {
+	for name, r := range map[string]struct {
+		status int
+		body   string
+	}{
+		"null":           {http.StatusOK, `null`},
+		"empty object":   {http.StatusOK, `{}`},
+		"error":          {http.StatusOK, `{"error":"not ready"}`},
+		"unavailable":    {http.StatusServiceUnavailable, idleEndpoint},
+		"trailing bytes": {http.StatusOK, idleEndpoint + `{"running":7}`},
+		"cut":            {http.StatusOK, idleEndpoint[:len(idleEndpoint)-1]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(r.status)
+				fmt.Fprint(w, r.body)
+			}))
+			defer server.Close()
+			_, err := pollOf(strings.TrimPrefix(server.URL, "http://")).read(t.Context())
+			is.True(err != nil)
+		})
+	}
+}
--- a/godwitmoord/pkg/membership/lister.go
+++ b/godwitmoord/pkg/membership/lister.go
@@ -81,13 +81,21 @@
 		return nil, errors.Wrap(err, "request the host list")
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("the host list returned status %s; check that host-list-url is its URL", response.Status)
+	}
 	data, err := reply.Read(response.Body, maxListBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the host list")
 	}
 	var listed []hostListItem
-	err = json.Unmarshal(data, &listed)
-	return listed, errors.Wrap(err, "decode the host list")
+	if err := json.Unmarshal(data, &listed); err != nil {
+		return nil, errors.Wrap(err, "decode the host list")
+	}
+	if listed == nil {
+		return nil, errors.New("the host list is null; an empty one is []")
+	}
+	return listed, nil
 }
 
 // EndpointHostLeaving reports whether the host list marks the endpoint host at the
--- a/godwitmoord/pkg/membership/lister_test.go
+++ b/godwitmoord/pkg/membership/lister_test.go
@@ -1,6 +1,9 @@
 package membership
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +98,28 @@
 		})
 	}
 }
+
+func TestReplyThatIsNoHostListReplacesTheList(t *testing.T) {
+	for name, r := range map[string]struct {
+		status int
+		body   string
+	}{
+		"null":           {http.StatusOK, `null`},
+		"empty object":   {http.StatusOK, `{}`},
+		"error":          {http.StatusOK, `{"error":"not ready"}`},
+		"unavailable":    {http.StatusServiceUnavailable, `[]`},
+		"trailing bytes": {http.StatusOK, `[]` + oneHost},
+		"cut":            {http.StatusOK, oneHost[:len(oneHost)-1]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(r.status)
+				fmt.Fprint(w, r.body)
+			}))
+			defer server.Close()
+			_, err := listerOf(server.URL).read(t.Context())
+			is.True(err != nil)
+		})
+	}
+}
--- a/standin/pkg/hostlist/hostlist.go
+++ b/standin/pkg/hostlist/hostlist.go
@@ -45,7 +45,7 @@
 
 // New returns an empty list that shows each change after lag.
 func New(lag time.Duration) *List {
-	return &List{lag: lag, hosts: map[string]Host{}}
+	return &List{lag: lag, hosts: map[string]Host{}, shown: []Host{}}
 }
 
 // Handler returns the HTTP handler for GET /hosts, PUT /hosts/{name} and DELETE
