Let the buffer of a frame grow with the bytes that arrive

What hosts saw: four bytes that announce a frame of 1 MiB made a host allocate 1 MiB for the connection, whether or not the frame came. A host has 184 MB.

Cause: readFrame allocated the announced size before it read.

Change: the buffer starts at 4 KiB at most and grows with the frame.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -15,6 +16,9 @@
 const (
 	// maxFrame bounds the frame of one call or reply, in bytes.
 	maxFrame = 1 << 20
+	// initialFrameBytes is the room for a frame before its bytes arrive; most frames
+	// are smaller.
+	initialFrameBytes = 4 << 10
 	// maxOpenCalls bounds the calls of one connection that are handled at once.
 	maxOpenCalls = 32
 )
@@ -60,12 +64,16 @@
 	if n > maxFrame {
 		return errors.WithStack(&FrameTooLargeError{Bytes: n})
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(c.reader, data); err != nil {
+	// The buffer grows with the bytes that arrive, as the size may be wrong.
+	var data bytes.Buffer
+	data.Grow(min(int(n), initialFrameBytes) + bytes.MinRead)
+	if _, err := io.CopyN(&data, c.reader, int64(n)); errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
 		return err
 	}
 	c.lastRead = framePayload{}
-	return errors.Wrap(cbor.Unmarshal(data, &c.lastRead), "decode frame")
+	return errors.Wrap(cbor.Unmarshal(data.Bytes(), &c.lastRead), "decode frame")
 }
 
 func (c *codec) writeFrame(payload framePayload) error {
