Close accepted connections of hosts whose frame or next call does not come

What hosts saw: a connection on which a frame began and never ended, or none ever began, stayed open until the other end closed it, with its goroutine, its buffer and up to 1 MiB of the frame.

Cause: the reads of a connection had no deadline. The calling host closes a connection on which a call timed out, but nothing bounds one whose caller has ended.

Change: a frame must arrive within 2 s of its first byte, as no caller waits longer than that, and the next frame within a minute; callers close theirs after 8 s.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -6,8 +6,10 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -44,18 +46,44 @@
 // map. The gob codec of net/rpc is not used because it starts to decode before the
 // size of the message is known, so the size cannot be bounded.
 type codec struct {
-	conn      io.ReadWriteCloser
+	conn net.Conn
+	// idleTimeout bounds the wait for a frame, and frameTimeout the time that one
+	// takes to arrive. An idleTimeout of zero means no bound.
+	idleTimeout  time.Duration
+	frameTimeout time.Duration
+
 	reader    *bufio.Reader
 	writeMu   sync.Mutex
 	lastRead  framePayload
 	openCalls chan struct{}
 }
 
-func newCodec(conn io.ReadWriteCloser) *codec {
-	return &codec{conn: conn, reader: bufio.NewReader(conn), openCalls: make(chan struct{}, maxOpenCalls)}
+func newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
+	return &codec{
+		conn: conn, frameTimeout: frameTimeout,
+		reader: bufio.NewReader(conn), openCalls: make(chan struct{}, maxOpenCalls),
+	}
+}
+
+// awaitFrame waits for the first byte of a frame and sets the deadline of the rest.
+func (c *codec) awaitFrame() error {
+	var idleDeadline time.Time
+	if c.idleTimeout > 0 {
+		idleDeadline = time.Now().Add(c.idleTimeout)
+	}
+	if err := c.conn.SetReadDeadline(idleDeadline); err != nil {
+		return err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(c.frameTimeout))
 }
 
 func (c *codec) readFrame() error {
+	if err := c.awaitFrame(); err != nil {
+		return err
+	}
 	var size [4]byte
 	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
 		return err
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -19,6 +22,8 @@
 	// maxAllocatedForFrame is what a connection may allocate for a frame of which
 	// nothing but the size has arrived.
 	maxAllocatedForFrame = 64 << 10
+	// closeBound is how long a test waits for a connection to be closed.
+	closeBound = 10 * time.Minute
 )
 
 func newService(t *testing.T) *Service {
@@ -61,3 +66,40 @@
 		is.True(allocated < connsAtOnce*maxAllocatedForFrame)
 	})
 }
+
+// awaitClose sends bytes with a pause before each until the other end closes the
+// connection or closeBound has passed, and returns how long that took.
+func awaitClose(conn net.Conn, pause time.Duration) time.Duration {
+	started := time.Now()
+	for time.Since(started) < closeBound {
+		_ = conn.SetReadDeadline(time.Now().Add(pause))
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if _, err := conn.Write([]byte{0}); err != nil {
+			break
+		}
+	}
+	_ = conn.Close()
+	return time.Since(started)
+}
+
+func TestFrameWithoutEndHoldsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		conn := newService(t).accept()
+		_, err := conn.Write(sizeOf(maxFrame))
+		is.NoErr(err)
+		is.True(awaitClose(conn, 100*time.Millisecond) <= 2*callTimeout)
+		synctest.Wait()
+	})
+}
+
+func TestAcceptedConnectionWithoutCallsStaysOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		conn := newService(t).accept()
+		is.True(awaitClose(conn, closeBound) < closeBound)
+		synctest.Wait()
+	})
+}
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -34,8 +34,11 @@
 	// idleConnTimeout is how long a connection to another host may be unused
 	// before it is closed.
 	idleConnTimeout = 8 * time.Second
-	rpcName         = "Host"
-	rpcMethod       = "Host.Call"
+	// acceptedIdleTimeout is the same for a connection that another host opened and
+	// closes first. It is longer, so that a host that was paused can still use it.
+	acceptedIdleTimeout = time.Minute
+	rpcName             = "Host"
+	rpcMethod           = "Host.Call"
 )
 
 // Handler handles a call from another host and returns the reply.
@@ -190,7 +193,9 @@
 }
 
 func (c *serverConn) run() {
-	c.service.server.ServeCodec(serverCodec{newCodec(c.conn)})
+	codec := newCodec(c.conn, callTimeout)
+	codec.idleTimeout = acceptedIdleTimeout
+	c.service.server.ServeCodec(serverCodec{codec})
 	c.service.mu.Lock()
 	delete(c.service.accepted, c.conn)
 	c.service.mu.Unlock()
@@ -306,7 +311,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &client{Client: rpc.NewClientWithCodec(clientCodec{newCodec(conn)}), used: time.Now()}
+	opened := &client{Client: rpc.NewClientWithCodec(s.clientCodec(conn)), used: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if concurrent := s.clients[address]; concurrent != nil {
@@ -317,6 +322,10 @@
 	return opened, nil
 }
 
+func (s *Service) clientCodec(conn net.Conn) clientCodec {
+	return clientCodec{newCodec(conn, s.timeout())}
+}
+
 // discard closes a connection and keeps later calls from using it.
 func (s *Service) discard(address string, c *client) {
 	s.mu.Lock()
