Bound the time to send a frame to a host that does not read

What callers saw: a call to a host that accepts connections and reads nothing, for instance a frozen one whose buffers are full, did not return at its deadline. On the accepting side, replies to a caller that does not read stayed in memory with their goroutines.

Cause: net/rpc writes a call before it returns it to the caller, and the write had no deadline.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -48,7 +48,7 @@
 type codec struct {
 	conn net.Conn
 	// idleTimeout bounds the wait for a frame, and frameTimeout the time that one
-	// takes to arrive. An idleTimeout of zero means no bound.
+	// takes to arrive or to be sent. An idleTimeout of zero means no bound.
 	idleTimeout  time.Duration
 	frameTimeout time.Duration
 
@@ -116,8 +116,15 @@
 	frame = append(frame, data...)
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	_, err = c.conn.Write(frame)
-	return errors.Wrap(err, "write frame")
+	if err := c.conn.SetWriteDeadline(time.Now().Add(c.frameTimeout)); err != nil {
+		return errors.Wrap(err, "write frame")
+	}
+	if _, err := c.conn.Write(frame); err != nil {
+		// Part of the frame may have been sent, so no other can follow.
+		_ = c.conn.Close()
+		return errors.Wrap(err, "write frame")
+	}
+	return nil
 }
 
 // readBody stores the body of the last frame read in into, which is nil when
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -1,14 +1,18 @@
 package peer
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
+	"net/rpc"
 	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -103,3 +107,52 @@
 		synctest.Wait()
 	})
 }
+
+func TestHostThatDoesNotReadHoldsACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t)
+		near, far := net.Pipe() // a pipe has no buffer, as a connection whose buffers are full
+		defer far.Close()
+		s.clients["entry-2"] = &client{Client: rpc.NewClientWithCodec(s.clientCodec(near)), used: time.Now()}
+		done := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go func() {
+			_, err := s.Call(ctx, "entry-2", "echo", nil)
+			done <- err
+		}()
+		select {
+		case err := <-done:
+			var timeout *TimeoutError
+			is.True(errors.As(err, &timeout))
+			_, err = far.Write([]byte{0})
+			is.True(err != nil) // the connection is closed
+		case <-time.After(2 * callTimeout):
+			_ = near.Close()
+			<-done
+			t.Error("the call did not return")
+		}
+	})
+}
+
+func TestCallerThatDoesNotReadHoldsItsReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t)
+		s.Handle("echo", func(host.Identity, []byte) ([]byte, error) { return []byte("reply"), nil })
+		conn := s.accept()
+		request, err := cbor.Marshal(envelope{Version: protocolVersion, To: "echo", From: "entry-2", Incarnation: 1})
+		is.NoErr(err)
+		frame, err := cbor.Marshal(map[int]any{1: rpcMethod, 2: 0, 4: request})
+		is.NoErr(err)
+		_, err = conn.Write(append(sizeOf(len(frame)), frame...))
+		is.NoErr(err)
+		time.Sleep(2 * callTimeout)
+		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, err = io.ReadAll(conn)
+		is.NoErr(err) // the connection is closed
+		_ = conn.Close()
+		synctest.Wait()
+	})
+}
