Refuse a frame between hosts that is no call or reply

What callers saw: a frame of null or of an empty map counted as the reply to the first call on its connection, with an empty body and no failure.

Cause: a sequence number that is missing decodes to zero, which is the number of the first call.

Change: a frame must have its sequence number, which every host sends. Otherwise the connection fails and the call returns a *TimeoutError.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -36,10 +36,11 @@
 // framePayload is the content of a frame: the net/rpc header of a call or reply
 // and its body.
 type framePayload struct {
-	Method   string `cbor:"1,keyasint,omitempty"`
-	Sequence uint64 `cbor:"2,keyasint"`
-	Failure  string `cbor:"3,keyasint,omitempty"`
-	Body     []byte `cbor:"4,keyasint,omitempty"`
+	Method string `cbor:"1,keyasint,omitempty"`
+	// Sequence is nil in a map that is no call or reply.
+	Sequence *uint64 `cbor:"2,keyasint"`
+	Failure  string  `cbor:"3,keyasint,omitempty"`
+	Body     []byte  `cbor:"4,keyasint,omitempty"`
 }
 
 // codec encodes the calls and replies of net/rpc as frames: a length, then a CBOR
@@ -101,7 +102,13 @@
 		return err
 	}
 	c.lastRead = framePayload{}
-	return errors.Wrap(cbor.Unmarshal(data.Bytes(), &c.lastRead), "decode frame")
+	if err := cbor.Unmarshal(data.Bytes(), &c.lastRead); err != nil {
+		return errors.Wrap(err, "decode frame")
+	}
+	if c.lastRead.Sequence == nil {
+		return errors.New("frame without a sequence number; check that the other end is another godwitmoord")
+	}
+	return nil
 }
 
 func (c *codec) writeFrame(payload framePayload) error {
@@ -167,7 +174,7 @@
 	if err := c.readFrame(); err != nil {
 		return err
 	}
-	r.ServiceMethod, r.Seq = c.lastRead.Method, c.lastRead.Sequence
+	r.ServiceMethod, r.Seq = c.lastRead.Method, *c.lastRead.Sequence
 	return nil
 }
 
@@ -175,20 +182,20 @@
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	<-c.openCalls
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: r.Seq, Failure: r.Error, Body: bodyBytes(body)})
+	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Failure: r.Error, Body: bodyBytes(body)})
 }
 
 func (c serverCodec) Close() error { return c.conn.Close() }
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: r.Seq, Body: bodyBytes(body)})
+	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Body: bodyBytes(body)})
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	if err := c.readFrame(); err != nil {
 		return err
 	}
-	r.ServiceMethod, r.Seq, r.Error = c.lastRead.Method, c.lastRead.Sequence, c.lastRead.Failure
+	r.ServiceMethod, r.Seq, r.Error = c.lastRead.Method, *c.lastRead.Sequence, c.lastRead.Failure
 	return nil
 }
 
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -156,3 +156,30 @@
 		synctest.Wait()
 	})
 }
+
+func TestFrameThatIsNoReplyAnswersTheFirstCall(t *testing.T) {
+	for name, frame := range map[string][]byte{
+		"empty":     {},
+		"null":      {0xf6},
+		"empty map": {0xa0},
+		"cut":       {0xa1, 2},
+		"trailing":  {0xa1, 2, 0, 0xa0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newService(t)
+				near, far := net.Pipe()
+				defer far.Close()
+				s.clients["entry-2"] = &client{Client: rpc.NewClientWithCodec(s.clientCodec(near)), used: time.Now()}
+				go func() {
+					_, _ = newCodec(far, callTimeout).reader.Discard(4)
+					_, _ = far.Write(append(sizeOf(len(frame)), frame...))
+				}()
+				_, err := s.Call(t.Context(), "entry-2", "echo", nil)
+				var timeout *TimeoutError
+				is.True(errors.As(err, &timeout))
+			})
+		})
+	}
+}
