Bound the response header that the operators' command reads from hosts

Cause: statusport used http.DefaultClient, with Go's bound of 10 MiB.

Change: a client of its own with reply.NewTransport, which reads at most 64 KiB of header.

Result, bytes allocated a call with eight at once, before and after: header fields 11.1 MB and 0.09 MB, header line 73.2 MB and 0.41 MB, interim responses 15.9 MB and 0.12 MB; the test failed for all three before. Slow responses without an end ended after 3 s before, too. go test -race of godwitmoor passed.

--- a/godwitmoor/pkg/statusport/statusport.go
+++ b/godwitmoor/pkg/statusport/statusport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -19,6 +20,8 @@
 	stateDead = "dead"
 )
 
+var client = &http.Client{Transport: reply.NewTransport()}
+
 // Host is the state of one host as reported by another.
 type Host struct {
 	Name       string `json:"name"`
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "%q is not a URL", url)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/godwitmoor/pkg/statusport/statusport_test.go
@@ -0,0 +1,68 @@
+package statusport_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/reply/replytest"
+	"godwitmoor.example/godwitmoor/pkg/statusport"
+)
+
+const (
+	view        = `{"host":"entry-1","ready":true,"hosts":[{"name":"entry-1","state":"alive"}]}`
+	callsAtOnce = 8
+	// callBound is longer than any call that a test expects to time out.
+	callBound = 5 * time.Second
+	// maxAllocatedForHeader is what a call may allocate for a response header of
+	// 64 KiB.
+	maxAllocatedForHeader = 1 << 20
+)
+
+// getAtOnce makes several calls at the same time and returns their errors.
+func getAtOnce(t *testing.T, url string) []error {
+	errs := make([]error, callsAtOnce)
+	var w sync.WaitGroup
+	for i := range errs {
+		w.Go(func() { _, errs[i] = statusport.Get(t.Context(), url+"/record") })
+	}
+	w.Wait()
+	return errs
+}
+
+func TestStatusHeaderWithoutEndFillsTheMemory(t *testing.T) {
+	for _, r := range replytest.Endless(view) {
+		if !r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			var errs []error
+			allocated := replytest.Allocated(func() { errs = getAtOnce(t, server.URL) })
+			t.Logf("%d bytes allocated a call", allocated/callsAtOnce)
+			is.True(allocated < callsAtOnce*maxAllocatedForHeader)
+			for _, err := range errs {
+				is.True(err != nil)
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
+
+func TestSlowStatusWithoutEndHoldsTheCommand(t *testing.T) {
+	for _, r := range replytest.Endless(view) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server := r.Start(t, 100*time.Millisecond)
+			started := time.Now()
+			for _, err := range getAtOnce(t, server.URL) {
+				is.True(err != nil)
+			}
+			is.True(time.Since(started) < callBound)
+			server.AwaitClosed(t)
+		})
+	}
+}
