Refuse pages of a status port that exceed the limit

What operators saw: a record of 16 MiB or more was cut there and taken as the whole record, so that explain may report a request as not recorded.

Cause: the page was read through a limit that cuts silently.

Change: reply.Read, which fails with a *reply.TooLargeError that names the limit; explain then lists the host as not reached.

Result: TestRecordOverTheLimitIsTakenAsComplete failed for body and chunks before and passes; chunk extension and trailer passed before, too. go test -race of godwitmoor passed.

--- a/godwitmoor/pkg/statusport/statusport.go
+++ b/godwitmoor/pkg/statusport/statusport.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -95,5 +94,6 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s returned status %s", url, response.Status)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := reply.Read(response.Body, maxResponseBytes)
+	return data, errors.Wrapf(err, "read %s", url)
 }
--- a/godwitmoor/pkg/statusport/statusport_test.go
+++ b/godwitmoor/pkg/statusport/statusport_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 	"godwitmoor.example/godwitmoor/pkg/statusport"
 )
@@ -66,3 +68,22 @@
 		})
 	}
 }
+
+func TestRecordOverTheLimitIsTakenAsComplete(t *testing.T) {
+	for _, r := range replytest.Endless(view) {
+		if r.Header {
+			continue
+		}
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			server := r.Start(t, 0)
+			for _, err := range getAtOnce(t, server.URL) {
+				is.True(err != nil)
+				if r.Name == "body" || r.Name == "chunks" {
+					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
+				}
+			}
+			server.AwaitClosed(t)
+		})
+	}
+}
