Refuse a status that names no hosts

Cause: fields that a reply lacks decode to zero, and nothing looked at them.

Change: a view must name the host that sent it and at least one row, as every host lists itself; otherwise the next host is asked.

Result: four of the six replies of TestReplyThatIsNoStatusIsShownAsAFleetWithoutHosts were taken before; the cut one and the one with trailing bytes were refused before, too.

--- a/godwitmoor/pkg/statusport/statusport.go
+++ b/godwitmoor/pkg/statusport/statusport.go
@@ -66,18 +66,32 @@
 func Any(ctx context.Context, hosts []string) (View, error) {
 	lastErr := errors.New("no --host was given")
 	for _, host := range hosts {
-		data, err := Get(ctx, host+"/status")
+		view, err := read(ctx, host)
 		if err == nil {
-			var view View
-			if err = json.Unmarshal(data, &view); err == nil {
-				return view, nil
-			}
+			return view, nil
 		}
 		lastErr = err
 	}
 	return View{}, &UnreachableError{Cause: lastErr}
 }
 
+// read returns the view of one host. It names the host itself and has at least its
+// row.
+func read(ctx context.Context, host string) (View, error) {
+	data, err := Get(ctx, host+"/status")
+	if err != nil {
+		return View{}, err
+	}
+	var view View
+	if err := json.Unmarshal(data, &view); err != nil {
+		return View{}, errors.Wrapf(err, "decode %s/status", host)
+	}
+	if view.Host == "" || len(view.Hosts) == 0 {
+		return View{}, errors.Newf("%s/status names no hosts; check that it is the status port of a host", host)
+	}
+	return view, nil
+}
+
 // Get fetches one page of a status port.
 func Get(ctx context.Context, url string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/godwitmoor/pkg/statusport/statusport_test.go
+++ b/godwitmoor/pkg/statusport/statusport_test.go
@@ -1,6 +1,9 @@
 package statusport_test
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -87,3 +90,15 @@
 		})
 	}
 }
+
+func TestReplyThatIsNoStatusIsShownAsAFleetWithoutHosts(t *testing.T) {
+	for _, body := range []string{`null`, `{}`, `{"error":"not ready"}`, `{"host":"entry-1","hosts":[]}`, view + `{}`, view[:len(view)-1]} {
+		t.Run(body, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) }))
+			defer server.Close()
+			_, err := statusport.Any(t.Context(), []string{server.URL})
+			is.True(errors.HasType(err, (*statusport.UnreachableError)(nil)))
+		})
+	}
+}
