Say in explain when only a part of a host's record could be read

What operators saw: explain skipped lines of a record that could not be decoded, and stopped at one over 4 MiB, without a word: a request in the rest was reported as not recorded.

Cause: the errors of the lines and of the scanner were dropped.

Change: such a host is listed as "record incomplete", also in *NotRecordedError.

Result: TestCutRecordIsTakenAsTheWholeRecordOfAHost failed for a cut line, a line that is no record and a line that is too long, and passes. go test -race of godwitmoor passed.

--- a/godwitmoor/pkg/commands/commands_test.go
+++ b/godwitmoor/pkg/commands/commands_test.go
@@ -129,3 +129,25 @@
 	_, err = w.run("explain", "--host", entry, "r-2")
 	w.is.True(err != nil)
 }
+
+func TestCutRecordIsTakenAsTheWholeRecordOfAHost(t *testing.T) {
+	const finished = `{"request":{"request":"r-1","host":"entry-1","outcome":"answered"}}` + "\n"
+	for name, record := range map[string]string{
+		"cut line":  finished + `{"request":{"request":"r-2","ho`,
+		"no record": finished + `{"error":"not ready"}`,
+		"long line": finished + strings.Repeat(" ", 5<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorkspace(t)
+			host := httptest.NewServer(http.HandlerFunc(func(response http.ResponseWriter, _ *http.Request) { fmt.Fprint(response, record) }))
+			t.Cleanup(host.Close)
+			out, err := w.run("explain", "--host", host.URL, "r-1")
+			w.is.NoErr(err)
+			w.is.True(strings.Contains(out, "request r-1"))
+			w.is.True(strings.Contains(out, "record incomplete: "+host.URL))
+			_, err = w.run("explain", "--host", host.URL, "r-2")
+			w.is.True(err != nil)
+			w.is.True(strings.Contains(err.Error(), "record incomplete: "+host.URL))
+		})
+	}
+}
--- a/godwitmoor/pkg/commands/explain.go
+++ b/godwitmoor/pkg/commands/explain.go
@@ -23,6 +23,8 @@
 type NotRecordedError struct {
 	ID          string
 	Unreachable []string
+	// Incomplete are the hosts of whose record only a part could be read.
+	Incomplete []string
 }
 
 func (e *NotRecordedError) Error() string {
@@ -30,6 +32,9 @@
 	if len(e.Unreachable) > 0 {
 		text += "; not reached: " + strings.Join(e.Unreachable, ", ")
 	}
+	if len(e.Incomplete) > 0 {
+		text += "; record incomplete: " + strings.Join(e.Incomplete, ", ")
+	}
 	return text
 }
 
@@ -85,6 +90,7 @@
 	requestID   string
 	lines       []recordLine
 	unreachable []string
+	incomplete  []string
 }
 
 func (h *requestHistory) read(ctx context.Context, host string) {
@@ -93,14 +99,26 @@
 		h.unreachable = append(h.unreachable, host)
 		return
 	}
+	if !h.addLines(data) {
+		h.incomplete = append(h.incomplete, host)
+	}
+}
+
+// addLines adds the lines of a record and reports whether all could be decoded.
+func (h *requestHistory) addLines(data []byte) bool {
+	complete := true
 	scanner := bufio.NewScanner(bytes.NewReader(data))
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		var line recordLine
-		if err := json.Unmarshal(scanner.Bytes(), &line); err == nil {
-			h.lines = append(h.lines, line)
+		err := json.Unmarshal(scanner.Bytes(), &line)
+		if err != nil || line.Decision == nil && line.Request == nil {
+			complete = false
+			continue
 		}
+		h.lines = append(h.lines, line)
 	}
+	return complete && scanner.Err() == nil
 }
 
 func (h *requestHistory) print(out io.Writer) error {
@@ -115,11 +133,14 @@
 		fmt.Fprintln(out, r.describe())
 	}
 	if !found {
-		return &NotRecordedError{ID: h.requestID, Unreachable: h.unreachable}
+		return &NotRecordedError{ID: h.requestID, Unreachable: h.unreachable, Incomplete: h.incomplete}
 	}
 	for _, host := range h.unreachable {
 		fmt.Fprintf(out, "not reached: %s\n", host)
 	}
+	for _, host := range h.incomplete {
+		fmt.Fprintf(out, "record incomplete: %s\n", host)
+	}
 	return nil
 }
 
