--- a/coordination/pkg/keyvalue/client.go
+++ b/coordination/pkg/keyvalue/client.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -19,13 +19,16 @@
 	maxReplyBytes      = 4 << 20
 )
 
+// defaultHTTP is shared so that clients without one of their own reuse connections.
+var defaultHTTP = &http.Client{Transport: reply.NewTransport()}
+
 // Client calls one key-value service over HTTP. Only URL must be set.
 type Client struct {
 	// URL is the service's base URL, for instance http://127.0.0.1:2379.
 	URL string
 	// CallTimeout bounds each call; zero means 2 s.
 	CallTimeout time.Duration
-	// HTTP is the HTTP client; nil means http.DefaultClient.
+	// HTTP is the HTTP client; nil means one that bounds the response header.
 	HTTP *http.Client
 
 	reads  atomic.Int64
@@ -46,7 +49,9 @@
 	rangeRequest struct {
 		Key []byte `json:"key"`
 	}
+	// rangeReply has a header unless it is part of a transaction's reply.
 	rangeReply struct {
+		Header  *headerWire `json:"header"`
 		Entries []entryWire `json:"kvs"`
 	}
 	putRequest struct {
@@ -74,8 +79,8 @@
 		Revision int64 `json:"revision,string"`
 	}
 	transactionReply struct {
-		Header    headerWire `json:"header"`
-		Succeeded bool       `json:"succeeded"`
+		Header    *headerWire `json:"header"`
+		Succeeded bool        `json:"succeeded"`
 		Responses []struct {
 			Range *rangeReply `json:"response_range"`
 		} `json:"responses"`
@@ -101,7 +106,10 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	return firstEntry(&reply), nil
+	if reply.Header == nil {
+		return Entry{}, incomplete("range", key, "there is no header")
+	}
+	return reply.entry("range", key)
 }
 
 // Create writes a key only if it does not exist.
@@ -117,7 +125,7 @@
 		guard := []byte(creation.Guard)
 		txn.Compare = append(txn.Compare, compareWire{Key: guard, Target: "CREATE", Result: "GREATER", CreateRevision: &zero})
 	}
-	outcome, err := c.transact(ctx, txn, creation.Lease)
+	outcome, err := c.transact(ctx, txn, creation.Key, creation.Lease)
 	if err == nil && !outcome.Applied && !outcome.Current.Found() {
 		outcome.GuardLost = true
 	}
@@ -132,10 +140,11 @@
 		Success: []operationWire{{Put: &putRequest{Key: keyBytes, Value: value, Lease: int64(lease)}}},
 		Failure: []operationWire{{Range: &rangeRequest{Key: keyBytes}}},
 	}
-	return c.transact(ctx, txn, lease)
+	return c.transact(ctx, txn, key, lease)
 }
 
-func (c *Client) transact(ctx context.Context, txn transactionRequest, lease Lease) (Outcome, error) {
+// transact makes a transaction that writes key, or else reads it.
+func (c *Client) transact(ctx context.Context, txn transactionRequest, key string, lease Lease) (Outcome, error) {
 	c.writes.Add(1)
 	var reply transactionReply
 	err := c.call(ctx, "txn", "/v3/kv/txn", txn, &reply)
@@ -145,14 +154,16 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	if reply.Succeeded {
+	switch {
+	case reply.Header == nil:
+		return Outcome{}, incomplete("txn", key, "there is no header")
+	case reply.Succeeded:
 		return Outcome{Applied: true, Revision: reply.Header.Revision}, nil
+	case len(reply.Responses) == 0 || reply.Responses[0].Range == nil:
+		return Outcome{}, incomplete("txn", key, "the entry that prevented the write was not read")
 	}
-	var outcome Outcome
-	if len(reply.Responses) > 0 && reply.Responses[0].Range != nil {
-		outcome.Current = firstEntry(reply.Responses[0].Range)
-	}
-	return outcome, nil
+	current, err := reply.Responses[0].Range.entry("txn", key)
+	return Outcome{Current: current}, err
 }
 
 // Grant creates a lease that expires after life, rounded up to whole seconds.
@@ -161,10 +172,16 @@
 	seconds := int64((life + time.Second - 1) / time.Second)
 	var reply leaseReply
 	err := c.call(ctx, "lease grant", "/v3/lease/grant", leaseRequest{TTL: seconds}, &reply)
-	return Lease(reply.ID), err
+	if err != nil {
+		return 0, err
+	}
+	if reply.ID == 0 {
+		return 0, &UnreachableError{Operation: "lease grant", Cause: &IncompleteReplyError{Problem: "there is no lease ID"}}
+	}
+	return Lease(reply.ID), nil
 }
 
-func (c *Client) call(ctx context.Context, operation, path string, request, reply any) error {
+func (c *Client) call(ctx context.Context, operation, path string, request, into any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return errors.Wrapf(err, "encode %s", operation)
@@ -182,18 +199,18 @@
 	httpRequest.Header.Set("Content-Type", "application/json")
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultHTTP
 	}
 	response, err := client.Do(httpRequest)
 	if err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
 	defer response.Body.Close()
-	return decodeReply(operation, response, reply)
+	return decodeReply(operation, response, into)
 }
 
-func decodeReply(operation string, response *http.Response, reply any) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+func decodeReply(operation string, response *http.Response, into any) error {
+	data, err := reply.Read(response.Body, maxReplyBytes)
 	if err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
@@ -204,7 +221,7 @@
 		_ = json.Unmarshal(data, &problem)
 		return &UnreachableError{Operation: operation, Cause: fmt.Errorf("status %d: %s", response.StatusCode, problem.Message)}
 	}
-	if err := json.Unmarshal(data, reply); err != nil {
+	if err := json.Unmarshal(data, into); err != nil {
 		return &UnreachableError{Operation: operation, Cause: err}
 	}
 	return nil
@@ -214,10 +231,22 @@
 	return err != nil && strings.Contains(err.Error(), "requested lease not found")
 }
 
-func firstEntry(reply *rangeReply) Entry {
-	if len(reply.Entries) == 0 {
-		return Entry{}
+// entry returns the entry of key, or the zero Entry if the reply has no entry. The
+// reply must have no other.
+func (r *rangeReply) entry(operation, key string) (Entry, error) {
+	if len(r.Entries) == 0 {
+		return Entry{}, nil
+	}
+	e := r.Entries[0]
+	if string(e.Key) != key || e.Revision == 0 {
+		return Entry{}, incomplete(operation, key, fmt.Sprintf("there is key %q at revision %d", e.Key, e.Revision))
 	}
-	e := reply.Entries[0]
-	return Entry{Key: string(e.Key), Value: e.Value, Revision: e.Revision}
+	return Entry{Key: key, Value: e.Value, Revision: e.Revision}, nil
+}
+
+// incomplete returns the error of a call on key whose reply arrived but is not the
+// whole reply.
+func incomplete(operation, key, problem string) error {
+	cause := &IncompleteReplyError{Problem: fmt.Sprintf("for key %q %s", key, problem)}
+	return &UnreachableError{Operation: operation, Cause: cause}
 }
--- a/godwitmoor/pkg/statusport/statusport.go
+++ b/godwitmoor/pkg/statusport/statusport.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/reply"
 )
 
 const (
@@ -19,6 +19,8 @@
 	stateDead = "dead"
 )
 
+var client = &http.Client{Transport: reply.NewTransport()}
+
 // Host is the state of one host as reported by another.
 type Host struct {
 	Name       string `json:"name"`
@@ -64,18 +66,32 @@
 func Any(ctx context.Context, hosts []string) (View, error) {
 	lastErr := errors.New("no --host was given")
 	for _, host := range hosts {
-		data, err := Get(ctx, host+"/status")
+		view, err := read(ctx, host)
 		if err == nil {
-			var view View
-			if err = json.Unmarshal(data, &view); err == nil {
-				return view, nil
-			}
+			return view, nil
 		}
 		lastErr = err
 	}
 	return View{}, &UnreachableError{Cause: lastErr}
 }
 
+// read returns the view of one host. It names the host itself and has at least its
+// row.
+func read(ctx context.Context, host string) (View, error) {
+	data, err := Get(ctx, host+"/status")
+	if err != nil {
+		return View{}, err
+	}
+	var view View
+	if err := json.Unmarshal(data, &view); err != nil {
+		return View{}, errors.Wrapf(err, "decode %s/status", host)
+	}
+	if view.Host == "" || len(view.Hosts) == 0 {
+		return View{}, errors.Newf("%s/status names no hosts; check that it is the status port of a host", host)
+	}
+	return view, nil
+}
+
 // Get fetches one page of a status port.
 func Get(ctx context.Context, url string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -84,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "%q is not a URL", url)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
@@ -92,5 +108,6 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s returned status %s", url, response.Status)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := reply.Read(response.Body, maxResponseBytes)
+	return data, errors.Wrapf(err, "read %s", url)
 }
--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -15,6 +18,9 @@
 const (
 	// maxFrame bounds the frame of one call or reply, in bytes.
 	maxFrame = 1 << 20
+	// initialFrameBytes is the room for a frame before its bytes arrive; most frames
+	// are smaller.
+	initialFrameBytes = 4 << 10
 	// maxOpenCalls bounds the calls of one connection that are handled at once.
 	maxOpenCalls = 32
 )
@@ -30,28 +36,55 @@
 // framePayload is the content of a frame: the net/rpc header of a call or reply
 // and its body.
 type framePayload struct {
-	Method   string `cbor:"1,keyasint,omitempty"`
-	Sequence uint64 `cbor:"2,keyasint"`
-	Failure  string `cbor:"3,keyasint,omitempty"`
-	Body     []byte `cbor:"4,keyasint,omitempty"`
+	Method string `cbor:"1,keyasint,omitempty"`
+	// Sequence is nil in a map that is no call or reply.
+	Sequence *uint64 `cbor:"2,keyasint"`
+	Failure  string  `cbor:"3,keyasint,omitempty"`
+	Body     []byte  `cbor:"4,keyasint,omitempty"`
 }
 
 // codec encodes the calls and replies of net/rpc as frames: a length, then a CBOR
 // map. The gob codec of net/rpc is not used because it starts to decode before the
 // size of the message is known, so the size cannot be bounded.
 type codec struct {
-	conn      io.ReadWriteCloser
+	conn net.Conn
+	// idleTimeout bounds the wait for a frame, and frameTimeout the time that one
+	// takes to arrive or to be sent. An idleTimeout of zero means no bound.
+	idleTimeout  time.Duration
+	frameTimeout time.Duration
+
 	reader    *bufio.Reader
 	writeMu   sync.Mutex
 	lastRead  framePayload
 	openCalls chan struct{}
 }
 
-func newCodec(conn io.ReadWriteCloser) *codec {
-	return &codec{conn: conn, reader: bufio.NewReader(conn), openCalls: make(chan struct{}, maxOpenCalls)}
+func newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
+	return &codec{
+		conn: conn, frameTimeout: frameTimeout,
+		reader: bufio.NewReader(conn), openCalls: make(chan struct{}, maxOpenCalls),
+	}
+}
+
+// awaitFrame waits for the first byte of a frame and sets the deadline of the rest.
+func (c *codec) awaitFrame() error {
+	var idleDeadline time.Time
+	if c.idleTimeout > 0 {
+		idleDeadline = time.Now().Add(c.idleTimeout)
+	}
+	if err := c.conn.SetReadDeadline(idleDeadline); err != nil {
+		return err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	return c.conn.SetReadDeadline(time.Now().Add(c.frameTimeout))
 }
 
 func (c *codec) readFrame() error {
+	if err := c.awaitFrame(); err != nil {
+		return err
+	}
 	var size [4]byte
 	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
 		return err
@@ -60,12 +93,22 @@
 	if n > maxFrame {
 		return errors.WithStack(&FrameTooLargeError{Bytes: n})
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(c.reader, data); err != nil {
+	// The buffer grows with the bytes that arrive, as the size may be wrong.
+	var data bytes.Buffer
+	data.Grow(min(int(n), initialFrameBytes) + bytes.MinRead)
+	if _, err := io.CopyN(&data, c.reader, int64(n)); errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
 		return err
 	}
 	c.lastRead = framePayload{}
-	return errors.Wrap(cbor.Unmarshal(data, &c.lastRead), "decode frame")
+	if err := cbor.Unmarshal(data.Bytes(), &c.lastRead); err != nil {
+		return errors.Wrap(err, "decode frame")
+	}
+	if c.lastRead.Sequence == nil {
+		return errors.New("frame without a sequence number; check that the other end is another godwitmoord")
+	}
+	return nil
 }
 
 func (c *codec) writeFrame(payload framePayload) error {
@@ -80,8 +123,15 @@
 	frame = append(frame, data...)
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	_, err = c.conn.Write(frame)
-	return errors.Wrap(err, "write frame")
+	if err := c.conn.SetWriteDeadline(time.Now().Add(c.frameTimeout)); err != nil {
+		return errors.Wrap(err, "write frame")
+	}
+	if _, err := c.conn.Write(frame); err != nil {
+		// Part of the frame may have been sent, so no other can follow.
+		_ = c.conn.Close()
+		return errors.Wrap(err, "write frame")
+	}
+	return nil
 }
 
 // readBody stores the body of the last frame read in into, which is nil when
@@ -124,7 +174,7 @@
 	if err := c.readFrame(); err != nil {
 		return err
 	}
-	r.ServiceMethod, r.Seq = c.lastRead.Method, c.lastRead.Sequence
+	r.ServiceMethod, r.Seq = c.lastRead.Method, *c.lastRead.Sequence
 	return nil
 }
 
@@ -132,20 +182,20 @@
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	<-c.openCalls
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: r.Seq, Failure: r.Error, Body: bodyBytes(body)})
+	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Failure: r.Error, Body: bodyBytes(body)})
 }
 
 func (c serverCodec) Close() error { return c.conn.Close() }
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: r.Seq, Body: bodyBytes(body)})
+	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Body: bodyBytes(body)})
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	if err := c.readFrame(); err != nil {
 		return err
 	}
-	r.ServiceMethod, r.Seq, r.Error = c.lastRead.Method, c.lastRead.Sequence, c.lastRead.Failure
+	r.ServiceMethod, r.Seq, r.Error = c.lastRead.Method, *c.lastRead.Sequence, c.lastRead.Failure
 	return nil
 }
 
