List again where the changes are too large for one reply

A listing holds the last value of each key only; it is read instead. TestChangesTooLargeForOneReplyAreListedInstead failed before.

--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/godwitmoord/pkg/boottime"
 )
 
@@ -128,6 +129,8 @@
 			f.service.common.Log.Info("store no longer holds the changes after this revision, listing again", zap.String("prefix", f.prefix), zap.Int64("revision", f.revision))
 			f.listed = false
 		case err != nil:
+			// A listing holds less than many changes of the same keys.
+			f.listed = f.listed && !errors.HasType(err, (*reply.TooLargeError)(nil))
 			f.handleFailure(ctx, err)
 		default:
 			upTo := provenUpTo(started, wait, u)
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/godwitmoord/pkg/common"
 )
 
@@ -92,6 +93,17 @@
 	is.Equal(store.lists, 1)
 }
 
+func TestChangesTooLargeForOneReplyAreListedInstead(t *testing.T) {
+	is := is.New(t)
+	store := &scriptedStore{watch: func(int) (keyvalue.Changes, error) {
+		tooLarge := &keyvalue.UnreachableError{Operation: "watch", Cause: &reply.TooLargeError{Limit: 1}}
+		return keyvalue.Changes{}, tooLarge
+	}}
+	updates, _ := runFollower(t, store, 4*time.Second)
+	is.True(store.lists > 1)
+	is.True(len(updates) > 1)
+}
+
 func TestDroppedChangesAreListedAgain(t *testing.T) {
 	is := is.New(t)
 	store := &scriptedStore{watch: func(number int) (keyvalue.Changes, error) {
