--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -74,11 +74,15 @@
 	if errors.HasType(err, (*NotContinuedError)(nil)) {
 		r.service.common.Count("streams.not-continued")
 	}
+	problem := ""
+	if err != nil {
+		problem = err.Error()
+	}
 	r.service.common.Log.Info("resumed attempt ended",
 		zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID), zap.String("endpoint", r.endpoint),
 		zap.Int("status", answer.Status), zap.String("content-type", answer.Header.Get("Content-Type")),
 		zap.String("after-event", afterEvent), zap.Int("after-events", previousEvents), zap.String("first-event", r.relay.firstEvent),
-		zap.Int("added-events", r.relay.position.events-previousEvents), zap.String("end", r.relay.end), zap.Error(err))
+		zap.Int("added-events", r.relay.position.events-previousEvents), zap.String("end", r.relay.end), zap.String("error", problem))
 }
 
 // firstPartMilliseconds returns the time from the request's arrival to the first
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -206,7 +206,7 @@
 		return r.storeErrorAnswer(ctx, answer, grant, start)
 	}
 	if r.impliesNotRun(answer.Status) {
-		err := &attempt.LostError{Address: grant.Permit.Endpoint, Cause: errors.Wrapf(errEndpointFailed, "status %d", answer.Status)}
+		err := &attempt.LostError{Address: grant.Permit.Endpoint, Cause: &ErrorAnswerError{Status: answer.Status}}
 		r.logFailed(err)
 		grant.Done(permit.Usage{Total: time.Since(start)})
 		return err
@@ -281,10 +281,12 @@
 	grant.Failed(classifyFault(err))
 }
 
+// logFailed logs a failed attempt. Of the error it logs only the text, without the
+// stack trace that some errors have.
 func (r *requestRun) logFailed(err error) {
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
 		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.position.events),
-		zap.String("last-event", r.relay.position.lastEvent), zap.Error(err))
+		zap.String("last-event", r.relay.position.lastEvent), zap.String("error", err.Error()))
 }
 
 // classifyFault classifies a failed attempt for the owner, which rates the
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -120,18 +121,31 @@
 	body   []byte
 }
 
-// errEndpointFailed reports that the endpoint returned an error answer.
-var errEndpointFailed = errors.New("the endpoint returned an error answer")
+// ErrorAnswerError reports that the endpoint returned an error answer.
+type ErrorAnswerError struct {
+	Status int
+	// Cause is why the answer could not be read whole; nil if it was.
+	Cause error
+}
+
+func (e *ErrorAnswerError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("the endpoint returned an error answer with status %d, which could not be read: %v", e.Status, e.Cause)
+	}
+	return fmt.Sprintf("the endpoint returned an error answer with status %d; see its log", e.Status)
+}
+
+func (e *ErrorAnswerError) Unwrap() error { return e.Cause }
 
 // storeErrorAnswer stores the error answer to a request that may run more than once,
 // unless it cannot be read whole within its limits. The caller receives the last one
-// stored if no attempt returns a better answer. storeErrorAnswer always
-// returns an errEndpointFailed.
+// stored if no attempt returns a better answer. It always returns an
+// *ErrorAnswerError.
 func (r *requestRun) storeErrorAnswer(ctx context.Context, answer *attempt.Answer, grant *dispatch.Grant, start time.Time) error {
-	failed := errors.Wrapf(errEndpointFailed, "status %d", answer.Status)
+	failed := &ErrorAnswerError{Status: answer.Status}
 	body, err := answer.ReadWhole(maxErrorAnswerBytes, errorBodyTimeout)
 	if err != nil {
-		failed = errors.CombineErrors(failed, err)
+		failed.Cause = err
 		r.returnFailed(ctx, grant, failed)
 		return failed
 	}
