Check clients against replies without an end in one place

The same three tests stood in five packages. replytest.Client now holds their checks; each package says how it calls and how long a call may last. The bounds are the ones from before, and the same kinds of responses are played.

--- a/coordination/pkg/keyvalue/client_test.go
+++ b/coordination/pkg/keyvalue/client_test.go
@@ -4,94 +4,39 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/keyvalue"
-	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 )
 
 const (
 	absentEntry = `{"header":{"revision":"7"}}`
-	callsAtOnce = 8
 	callTimeout = 500 * time.Millisecond
-	// maxAllocatedForHeader is what a call may allocate for a response header of
-	// 64 KiB.
-	maxAllocatedForHeader = 1 << 20
 )
 
-// readAtOnce makes several reads at the same time and returns their errors.
-func readAtOnce(t *testing.T, client *keyvalue.Client) []error {
-	errs := make([]error, callsAtOnce)
-	var w sync.WaitGroup
-	for i := range errs {
-		w.Go(func() { _, errs[i] = client.Read(t.Context(), "claims/a") })
-	}
-	w.Wait()
-	return errs
-}
-
 func isUnreachable(err error) bool { return errors.HasType(err, (*keyvalue.UnreachableError)(nil)) }
 
-func TestHeaderWithoutEndFillsTheMemory(t *testing.T) {
-	for _, r := range replytest.Endless(absentEntry) {
-		if !r.Header {
-			continue
-		}
-		t.Run(r.Name, func(t *testing.T) {
-			is := is.New(t)
-			server := r.Start(t, 0)
-			var errs []error
-			allocated := replytest.Allocated(func() { errs = readAtOnce(t, &keyvalue.Client{URL: server.URL}) })
-			t.Logf("%d bytes allocated a call", allocated/callsAtOnce)
-			is.True(allocated < callsAtOnce*maxAllocatedForHeader)
-			for _, err := range errs {
-				is.True(isUnreachable(err))
-			}
-			server.AwaitClosed(t)
-		})
+// endlessClient is a client whose calls have a timeout; zero means the default.
+func endlessClient(t *testing.T, timeout time.Duration) replytest.Client {
+	return replytest.Client{
+		Reply: absentEntry, Failed: isUnreachable, MaxWait: 4 * callTimeout, Pause: 20 * time.Millisecond,
+		Call: func(server *replytest.Server) error {
+			client := keyvalue.Client{URL: server.URL, CallTimeout: timeout}
+			_, err := client.Read(t.Context(), "claims/a")
+			return err
+		},
 	}
 }
 
-func TestReplyWithoutEndIsTakenAsComplete(t *testing.T) {
-	for _, r := range replytest.Endless(absentEntry) {
-		if r.Header {
-			continue
-		}
-		t.Run(r.Name, func(t *testing.T) {
-			is := is.New(t)
-			server := r.Start(t, 0)
-			for _, err := range readAtOnce(t, &keyvalue.Client{URL: server.URL}) {
-				is.True(isUnreachable(err))
-				if r.Name == "body" || r.Name == "chunks" {
-					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
-				}
-			}
-			server.AwaitClosed(t)
-		})
-	}
-}
+func TestHeaderWithoutEndFillsTheMemory(t *testing.T) { endlessClient(t, 0).CheckHeaders(t) }
 
-func TestSlowReplyWithoutEndHoldsTheCaller(t *testing.T) {
-	for _, r := range replytest.Endless(absentEntry) {
-		t.Run(r.Name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			server := r.Start(t, 20*time.Millisecond)
-			started := time.Now()
-			errs := readAtOnce(t, &keyvalue.Client{URL: server.URL, CallTimeout: callTimeout})
-			is.True(time.Since(started) < 4*callTimeout)
-			for _, err := range errs {
-				is.True(isUnreachable(err))
-			}
-			server.AwaitClosed(t)
-		})
-	}
-}
+func TestReplyWithoutEndIsTakenAsComplete(t *testing.T) { endlessClient(t, 0).CheckBodies(t) }
+
+func TestSlowReplyWithoutEndHoldsTheCaller(t *testing.T) { endlessClient(t, callTimeout).CheckSlow(t) }
 
 // clientOf returns a client of a service that answers every call with the body.
 func clientOf(t *testing.T, body string) *keyvalue.Client {
--- a/godwitmoord/pkg/dispatch/poller_test.go
+++ b/godwitmoord/pkg/dispatch/poller_test.go
@@ -5,94 +5,37 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/configuration"
-	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
 )
 
 const (
 	idleEndpoint = `{"running":0,"leaving":false}`
-	pollsAtOnce  = 8
-	// maxAllocatedForHeader is what a poll may allocate for a response header of
-	// 64 KiB.
-	maxAllocatedForHeader = 1 << 20
 )
 
 func pollOf(address string) *poll {
 	return &poll{poller: &poller{client: newLoadClient()}, endpoint: configuration.Endpoint{Address: address}}
 }
 
-// pollAtOnce makes several polls at the same time and returns their errors.
-func pollAtOnce(t *testing.T, p *poll) []error {
-	errs := make([]error, pollsAtOnce)
-	var w sync.WaitGroup
-	for i := range errs {
-		w.Go(func() { _, errs[i] = p.read(t.Context()) })
+func endlessClient(t *testing.T) replytest.Client {
+	return replytest.Client{
+		Reply: idleEndpoint, MaxWait: 2 * pollTimeout, Pause: 100 * time.Millisecond,
+		Call: func(server *replytest.Server) error {
+			_, err := pollOf(server.Address).read(t.Context())
+			return err
+		},
 	}
-	w.Wait()
-	return errs
 }
 
-func TestLoadHeaderWithoutEndFillsTheMemory(t *testing.T) {
-	for _, r := range replytest.Endless(idleEndpoint) {
-		if !r.Header {
-			continue
-		}
-		t.Run(r.Name, func(t *testing.T) {
-			is := is.New(t)
-			server := r.Start(t, 0)
-			var errs []error
-			allocated := replytest.Allocated(func() { errs = pollAtOnce(t, pollOf(server.Address)) })
-			t.Logf("%d bytes allocated a poll", allocated/pollsAtOnce)
-			is.True(allocated < pollsAtOnce*maxAllocatedForHeader)
-			for _, err := range errs {
-				is.True(err != nil)
-			}
-			server.AwaitClosed(t)
-		})
-	}
-}
+func TestLoadHeaderWithoutEndFillsTheMemory(t *testing.T) { endlessClient(t).CheckHeaders(t) }
 
-func TestLoadReportWithoutEndIsTakenAsComplete(t *testing.T) {
-	for _, r := range replytest.Endless(idleEndpoint) {
-		if r.Header {
-			continue
-		}
-		t.Run(r.Name, func(t *testing.T) {
-			is := is.New(t)
-			server := r.Start(t, 0)
-			for _, err := range pollAtOnce(t, pollOf(server.Address)) {
-				is.True(err != nil)
-				if r.Name == "body" || r.Name == "chunks" {
-					is.True(errors.HasType(err, (*reply.TooLargeError)(nil)))
-				}
-			}
-			server.AwaitClosed(t)
-		})
-	}
-}
+func TestLoadReportWithoutEndIsTakenAsComplete(t *testing.T) { endlessClient(t).CheckBodies(t) }
 
-func TestSlowLoadReportWithoutEndHoldsThePoll(t *testing.T) {
-	for _, r := range replytest.Endless(idleEndpoint) {
-		t.Run(r.Name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			server := r.Start(t, 100*time.Millisecond)
-			started := time.Now()
-			for _, err := range pollAtOnce(t, pollOf(server.Address)) {
-				is.True(err != nil)
-			}
-			is.True(time.Since(started) < 2*pollTimeout)
-			server.AwaitClosed(t)
-		})
-	}
-}
+func TestSlowLoadReportWithoutEndHoldsThePoll(t *testing.T) { endlessClient(t).CheckSlow(t) }
 
 func TestReplyThatIsNoLoadReportMakesAnEndpointLookIdle(t *testing.T) {
 	for name, r := range map[string]struct {
