Forward a compressed stream as it comes

It is forwarded as other bodies are, complete at the end of its body, and not resumed. TestCompressedStreamIsForwardedAsItComes failed before.

--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -121,10 +121,12 @@
 	return r.forwardBytes(a.Body)
 }
 
-// isStream reports whether an answer is a stream of events.
+// isStream reports whether an answer is a stream of events that can be read. A
+// compressed one is forwarded as it comes and cannot be resumed.
 func (r *relay) isStream(a *attempt.Answer) bool {
 	mediaType, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
-	return r.streams && a.Status == http.StatusOK && strings.EqualFold(strings.TrimSpace(mediaType), eventStream)
+	isEvents := strings.EqualFold(strings.TrimSpace(mediaType), eventStream)
+	return r.streams && isEvents && a.Status == http.StatusOK && a.Header.Get("Content-Encoding") == ""
 }
 
 // canContinue reports whether another attempt can continue what the caller already
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -227,6 +227,19 @@
 	is.Equal(r.position, streamPosition{events: 1, lastEvent: "1"})
 }
 
+func TestCompressedStreamIsForwardedAsItComes(t *testing.T) {
+	for _, hasFinalEvent := range []bool{false, true} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, resumesByID: !hasFinalEvent, hasFinalEvent: hasFinalEvent}
+		answer := streamAnswer(strings.NewReader("compressed"))
+		answer.Header.Set("Content-Encoding", "gzip")
+		is.NoErr(r.forward(answer))
+		is.Equal(caller.got.String(), "compressed")
+		is.True(!r.canContinue())
+	}
+}
+
 func TestPlainAnswerThatBrokeOffCannotContinue(t *testing.T) {
 	is := is.New(t)
 	var caller recordingCaller
