--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -98,7 +98,7 @@
 	ReadCallerRequest(header http.Header) (CallerRequest, error)
 	// WriteEndpointRequest sets the headers for an endpoint and removes the caller's headers
 	// that must not reach an endpoint.
-	WriteEndpointRequest(header http.Header, order EndpointRequest)
+	WriteEndpointRequest(header http.Header, request EndpointRequest)
 	// ReadEndpointResponse returns the values of the headers of an endpoint's answer.
 	ReadEndpointResponse(status int, header http.Header) EndpointResponse
 }
--- a/coordination/pkg/exchange/native.go
+++ b/coordination/pkg/exchange/native.go
@@ -44,17 +44,17 @@
 
 // WriteEndpointRequest sets the headers that identify the request to the endpoint, and
 // removes the caller's credentials, idempotency key and timeout.
-func (Native) WriteEndpointRequest(header http.Header, order EndpointRequest) {
+func (Native) WriteEndpointRequest(header http.Header, request EndpointRequest) {
 	for _, name := range []string{authorizationHeader, IdempotencyKeyHeader, "X-Idempotency-Key", TimeoutHeader} {
 		header.Del(name)
 	}
-	setOrDelete(header, RequestHeader, order.Request)
-	setOrDelete(header, AttemptHeader, order.Attempt)
-	setOrDelete(header, KeyHeader, order.Key)
-	setOrDelete(header, TierHeader, order.Tier)
+	setOrDelete(header, RequestHeader, request.Request)
+	setOrDelete(header, AttemptHeader, request.Attempt)
+	setOrDelete(header, KeyHeader, request.Key)
+	setOrDelete(header, TierHeader, request.Tier)
 	offset := ""
-	if order.Offset > 0 {
-		offset = strconv.Itoa(order.Offset)
+	if request.Offset > 0 {
+		offset = strconv.Itoa(request.Offset)
 	}
 	setOrDelete(header, OffsetHeader, offset)
 }
