Let test hosts listen at ports that no other socket is given

A test asked the kernel for a free port, closed it and gave it to a host; until the host listened there, the kernel could give it to any other connection of the machine. The ports are now taken from below the kernel's own range, in one function instead of two. No check is changed.

--- a/godwitmoord/pkg/app/deployment_test.go
+++ b/godwitmoord/pkg/app/deployment_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -34,6 +36,27 @@
 // check depends on its length.
 const waitTimeout = 30 * time.Second
 
+// The ports of hosts lie below those that the kernel gives to other sockets, which
+// could take a free one before its host listens there.
+const (
+	firstHostPort = 12000
+	hostPorts     = 18000
+)
+
+// freeAddress returns an address at which a host can listen.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range hostPorts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstHostPort+rand.IntN(hostPorts))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
 // deployment is a small deployment inside the test process: daemons with real
 // sockets, and stand-ins for the services they use.
 type deployment struct {
@@ -173,12 +196,7 @@
 
 func (d *deployment) startHost(name string) *entryHost {
 	d.t.Helper()
-	addresses := make([]string, 3)
-	for i := range addresses {
-		s := httptest.NewServer(nil)
-		addresses[i] = strings.TrimPrefix(s.URL, "http://")
-		s.Close()
-	}
+	addresses := []string{freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)}
 	text := fmt.Sprintf(`{"name": %q, "data-centre": "lorient", "listen": %q, "peer-listen": %q, "status-listen": %q,
 		"key-value-url": %q, "host-list-url": %q, "heartbeat": "50ms", "stop-notice": "100ms"}`,
 		name, addresses[0], addresses[1], addresses[2], d.keyValue.URL, d.hostList.URL)
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -94,12 +93,12 @@
 func (s *platformDeployment) startHost() {
 	standin := httptest.NewServer(s.store)
 	s.t.Cleanup(standin.Close)
-	s.frontAddress, s.readinessAddress = s.freeAddress(), s.freeAddress()
+	s.frontAddress, s.readinessAddress = freeAddress(s.t), freeAddress(s.t)
 	text := fmt.Sprintf(`{"name": "entry-1", "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
 		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": "10ms",
 		"platform": {"store": "%s", "readiness": "%s", "hosts": [], "key-revocation": "3s", "stop-grace": "5s",
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		s.frontAddress, s.freeAddress(), s.freeAddress(), strings.TrimPrefix(standin.URL, "http://"), s.readinessAddress)
+		s.frontAddress, freeAddress(s.t), freeAddress(s.t), strings.TrimPrefix(standin.URL, "http://"), s.readinessAddress)
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
@@ -108,13 +107,6 @@
 	s.t.Cleanup(func() { _ = daemon.Stop() })
 }
 
-func (s *platformDeployment) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	s.is.NoErr(err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func (s *platformDeployment) readinessStatus() int {
 	response, err := http.Get("http://" + s.readinessAddress + "/readyz")
 	if err != nil {
