--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -65,8 +65,14 @@
 		return decode[Withdrawn](l.Event)
 	case "finished":
 		return decode[Finished](l.Event)
+	case "progressed":
+		return decode[Progressed](l.Event)
 	case "failed":
 		return decode[Failed](l.Event)
+	case "stalled":
+		return decode[Stalled](l.Event)
+	case "regained":
+		return decode[Regained](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
 	case "reported":
@@ -98,8 +104,14 @@
 		return "withdrawn"
 	case Finished:
 		return "finished"
+	case Progressed:
+		return "progressed"
 	case Failed:
 		return "failed"
+	case Stalled:
+		return "stalled"
+	case Regained:
+		return "regained"
 	case Listed:
 		return "listed"
 	case Reported:
--- /dev/null
+++ b/coordination/pkg/permit/record_test.go
@@ -0,0 +1,36 @@
+package permit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/permit"
+)
+
+func TestEveryEventCanBeReadFromItsRecord(t *testing.T) {
+	at := permit.Instant(5)
+	events := []permit.Event{
+		permit.Configured{At: at, Tiers: 2},
+		permit.Regained{At: at, EarlierGrants: permit.EarlierGrants{Unread: true}},
+		permit.Asked{At: at, Ask: permit.Ask{ID: "a"}},
+		permit.Withdrawn{At: at, ID: "a"},
+		permit.Finished{At: at, ID: "a", Usage: permit.Usage{Total: time.Second}},
+		permit.Progressed{At: at, ID: "a", Usage: permit.Usage{FirstByte: time.Second}},
+		permit.Failed{At: at, ID: "a", Fault: permit.Lost},
+		permit.Stalled{At: at, ID: "a"},
+		permit.Listed{At: at, Host: "entry-1"},
+		permit.Reported{At: at, Endpoint: "engine-1", Running: 3},
+		permit.Marked{At: at, Endpoint: "engine-1", Open: true},
+		permit.HostLost{At: at, Host: "entry-1"},
+		permit.Ticked{At: at},
+	}
+	for _, event := range events {
+		is := is.New(t)
+		line, err := permit.Line{}.WithDecision(event, nil)
+		is.NoErr(err)
+		decoded, err := line.Decode()
+		is.NoErr(err)
+		is.Equal(decoded, event)
+	}
+}
