--- a/godwitmoord/pkg/app/deployment_test.go
+++ b/godwitmoord/pkg/app/deployment_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,11 +44,18 @@
 	hostPorts     = 18000
 )
 
-// freeAddress returns an address at which a host can listen.
+// givenPorts counts the ports that were given out, from firstGivenPort on.
+var (
+	firstGivenPort = rand.Int64N(hostPorts)
+	givenPorts     atomic.Int64
+)
+
+// freeAddress returns an address at which a host can listen. It gives out no address
+// twice before all others.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	for range hostPorts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstHostPort+rand.IntN(hostPorts))
+		address := fmt.Sprintf("127.0.0.1:%d", firstHostPort+(firstGivenPort+givenPorts.Add(1))%hostPorts)
 		if listener, err := net.Listen("tcp", address); err == nil {
 			listener.Close()
 			return address
