--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -13,6 +13,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -46,6 +47,29 @@
 	Tokens int
 }
 
+// ParseParts parses a comma-separated list of ID:TOKENS entries.
+func ParseParts(text string) []Part {
+	if text == "" {
+		return nil
+	}
+	var parts []Part
+	for entry := range strings.SplitSeq(text, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(entry), ":")
+		parts = append(parts, Part{ID: id, Tokens: ParseCount(tokens)})
+	}
+	return parts
+}
+
+// ParseCount parses a count. Counts are estimates by the sender, so a value that is
+// not a non-negative integer is no error: it yields 0, as if it had not been sent.
+func ParseCount(text string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // EndpointRequest holds the values that are added to a request when it is sent to
 // an endpoint.
 type EndpointRequest struct {
--- a/coordination/pkg/exchange/native.go
+++ b/coordination/pkg/exchange/native.go
@@ -21,17 +21,23 @@
 const (
 	IdempotencyKeyHeader = "Idempotency-Key"
 	TimeoutHeader        = "Request-Timeout"
-	authorizationHeader  = "Authorization"
-	bearerPrefix         = "Bearer "
+	// PartsHeader lists the parts of the prompt in order, as ID:TOKENS entries. The last
+	// one is the request's own.
+	PartsHeader = "Prompt-Parts"
+
+	authorizationHeader = "Authorization"
+	bearerPrefix        = "Bearer "
 )
 
 // Native is the default dialect, for deployments without one of their own.
 type Native struct{}
 
-// ReadCallerRequest returns the bearer token and the requested timeout.
+// ReadCallerRequest returns the bearer token, the requested timeout and the parts of
+// the prompt.
 func (Native) ReadCallerRequest(header http.Header) (CallerRequest, error) {
 	var call CallerRequest
 	call.Key, _ = strings.CutPrefix(header.Get(authorizationHeader), bearerPrefix)
+	call.Parts = ParseParts(header.Get(PartsHeader))
 	if timeoutText := header.Get(TimeoutHeader); timeoutText != "" {
 		timeout, err := time.ParseDuration(timeoutText)
 		if err != nil {
--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -22,9 +22,13 @@
 	Crowded Reason = "crowded"
 	// NoRepeat means that the retry budget is exhausted.
 	NoRepeat Reason = "no-repeat"
+	// Held means that a part of the request's prompt, or the request itself, crashes
+	// endpoints.
+	Held Reason = "crashes-endpoints"
 )
 
-// Action is a decision of the core. It is one of Granted, Refused and Suspended.
+// Action is a decision of the core. It is one of Granted, Refused, Suspended,
+// CrashFound, PartHeld and PartCleared.
 type Action interface{ action() }
 
 type (
@@ -60,9 +64,30 @@
 		RetryAfter time.Duration `json:"retry-after"`
 		// Waited is the time since the request was asked for.
 		Waited time.Duration `json:"waited"`
+		// Part is what the request is held for; empty for other reasons.
+		Part string `json:"part,omitempty"`
+	}
+	// CrashFound reports that an endpoint crashed with requests that it had not begun
+	// to answer. Other owners have to learn of it.
+	CrashFound struct {
+		Crash Crash `json:"crash"`
+	}
+	// PartHeld reports that requests with a part are refused from now on. All hosts
+	// have to learn of it.
+	PartHeld struct {
+		Held HeldPart `json:"held"`
+	}
+	// PartCleared reports that a part is not held any more, because an endpoint
+	// answered a request with it.
+	PartCleared struct {
+		Part string `json:"part"`
 	}
 )
 
 func (Granted) action()   {}
 func (Refused) action()   {}
 func (Suspended) action() {}
+
+func (CrashFound) action()  {}
+func (PartHeld) action()    {}
+func (PartCleared) action() {}
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -15,6 +15,11 @@
 	a.Goal = c.refusedGoals.originalGoal(a, c.now)
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
+	if part, left := c.quarantine.heldPart(a, c.now); part != "" {
+		c.refuseHeld(w, part, left)
+		return
+	}
+	c.quarantine.tryAgain(a, c.now)
 	c.updateLatestStart(w)
 	if !c.admit(w) {
 		return
--- a/coordination/pkg/permit/ask.go
+++ b/coordination/pkg/permit/ask.go
@@ -15,6 +15,8 @@
 	// Subject identifies what the caller asks for, so that the core recognizes a
 	// request that is sent again after a refusal. Empty means not given.
 	Subject string `json:"subject,omitempty"`
+	// Parts identifies the parts of the prompt that other requests may share.
+	Parts []string `json:"parts,omitempty"`
 	// Host is the entry host of the request.
 	Host string `json:"host"`
 	// Tier is the rank of the request's tier; 0 is the highest.
@@ -48,6 +50,11 @@
 	Repeat bool `json:"repeat,omitempty"`
 }
 
+// Suspect returns what identifies the request if its endpoint crashes.
+func (a Ask) Suspect() Suspect {
+	return Suspect{Request: a.Request, Customer: a.Customer, Subject: a.Subject, Parts: a.Parts}
+}
+
 // WithAvoid returns a copy of the ask with a new ID that also avoids the given
 // endpoint.
 func (a Ask) WithAvoid(id, endpoint string) Ask {
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -78,6 +78,7 @@
 	quotaWindow   time.Duration
 	repeats       repeatBudget
 	refusedGoals  goalMemory
+	quarantine    quarantine
 	freeEndpoints []*endpoint
 	skipped       []*waiter
 	shedBuffer    []*waiter
@@ -103,7 +104,9 @@
 	case Progressed:
 		c.progress(e.ID, e.Usage)
 	case Failed:
-		c.fail(e.ID, e.Fault)
+		c.fail(e)
+	case Warned:
+		c.warn(e)
 	case Stalled:
 		c.stall(e.ID)
 	case Listed:
@@ -143,6 +146,9 @@
 
 func (c *Core) tick() {
 	c.releaseLost()
+	for _, e := range c.endpointOrder {
+		c.concludeCrash(e)
+	}
 	for i := range c.queues {
 		c.expire(&c.queues[i])
 	}
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -79,6 +79,7 @@
 	// prefillUntil is when the endpoint will have processed the prompts sent so
 	// far. Processing a prompt stalls all answers and later prompts of the endpoint.
 	prefillUntil Instant
+	crashWatch   crashWatch
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
@@ -127,7 +128,7 @@
 	case Rejected:
 		e.pausedUntil = now.After(rejectedPause)
 		return
-	case Lost:
+	case Lost, Disconnected:
 		smooth(&e.lossShare, 1)
 		if e.lossShare < maxLossShare {
 			return
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -26,7 +26,7 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Listed, Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -96,6 +96,18 @@
 		At    Instant `json:"at"`
 		ID    string  `json:"id"`
 		Fault Fault   `json:"fault,omitempty"`
+		// Begun is set if the endpoint had begun its answer.
+		Begun bool `json:"begun,omitempty"`
+		// Suspect identifies the request, if its fault is Disconnected and its answer
+		// was not begun; otherwise it is nil.
+		Suspect *Suspect `json:"suspect,omitempty"`
+	}
+	// Warned reports what other owners learned about parts of prompts that crash
+	// endpoints.
+	Warned struct {
+		At      Instant    `json:"at"`
+		Crashes []Crash    `json:"crashes,omitempty"`
+		Held    []HeldPart `json:"held,omitempty"`
 	}
 	// Stalled reports that the endpoint has sent no data for a request for too
 	// long. The permit is still held.
@@ -144,6 +156,7 @@
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
+func (e Warned) at() Instant     { return e.At }
 func (e Progressed) at() Instant { return e.At }
 func (e Stalled) at() Instant    { return e.At }
 func (e Listed) at() Instant     { return e.At }
@@ -163,4 +176,7 @@
 	Lost
 	// Rejected means that the endpoint rejected the request because it was full.
 	Rejected
+	// Disconnected means that the connection ended before the answer did. It is Lost
+	// in all else.
+	Disconnected
 )
--- a/coordination/pkg/permit/goal_memory.go
+++ b/coordination/pkg/permit/goal_memory.go
@@ -23,7 +23,7 @@
 }
 
 // subjectKey returns a key of the requested subject that is unique across customers.
-func (a Ask) subjectKey() string { return a.Customer + "/" + a.Subject }
+func (a Ask) subjectKey() string { return a.Suspect().own() }
 
 // remember stores the goal of a refused request.
 func (m *goalMemory) remember(a Ask, now Instant) {
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -54,9 +54,14 @@
 	}
 	if usage.Total > 0 {
 		h.endpoint.succeed(c.now)
+		h.endpoint.crashWatch.addIntact(c.now)
+	}
+	if usage.Begun {
+		c.clearParts(h.ask)
 	}
 	h.endpoint.learn(h, usage)
 	c.release(id, h)
+	c.concludeCrash(h.endpoint)
 }
 
 // progress updates the learned rates from the first part of an answer that is
@@ -65,14 +70,26 @@
 	if h := c.held[id]; h != nil && !h.learnedFirstPart {
 		h.learnedFirstPart = true
 		h.endpoint.learnFirstPart(h, usage)
+		if usage.Begun {
+			c.clearParts(h.ask)
+		}
 	}
 }
 
-func (c *Core) fail(id string, fault Fault) {
-	if h := c.held[id]; h != nil {
-		h.endpoint.fail(c.now, fault)
-		c.release(id, h)
+func (c *Core) fail(e Failed) {
+	h := c.held[e.ID]
+	if h == nil {
+		return
+	}
+	h.endpoint.fail(c.now, e.Fault)
+	if e.Begun {
+		c.clearParts(h.ask)
+	}
+	if e.Fault == Disconnected {
+		h.endpoint.crashWatch.addBroken(c.now, e.Suspect)
 	}
+	c.release(e.ID, h)
+	c.concludeCrash(h.endpoint)
 }
 
 // stall pauses an endpoint that has sent no data for a running request for too long.
--- a/coordination/pkg/permit/learned_rates.go
+++ b/coordination/pkg/permit/learned_rates.go
@@ -9,6 +9,8 @@
 	AnswerTokens int           `json:"answer-tokens,omitempty"`
 	FirstByte    time.Duration `json:"first-byte,omitempty"`
 	Total        time.Duration `json:"total,omitempty"`
+	// Begun is set if the endpoint began a successful answer.
+	Begun bool `json:"begun,omitempty"`
 }
 
 // LearnedRates holds the costs that an owner has learned for one endpoint. A cost of
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -202,7 +202,7 @@
 		Endpoint:        e.rules.Name,
 		Waited:          c.now.Since(w.since),
 		Estimate:        h.estimate,
-		ReportFirstPart: len(c.weights) > 0 && w.ask.PromptTokens > 0 && e.promptFit.weight < minPromptSamples,
+		ReportFirstPart: c.wantsFirstPart(w.ask, e),
 		Rates:           c.ratesOf(e),
 	})
 	if !e.hasFreeSlot(c.now, c.now < c.settledAt) || !c.acceptsMore(e) {
@@ -210,6 +210,13 @@
 	}
 }
 
+// wantsFirstPart reports whether the owner wants to know at once when the endpoint
+// begins to answer the request: to learn its rates, or to clear a part of the prompt.
+func (c *Core) wantsFirstPart(a Ask, e *endpoint) bool {
+	learns := len(c.weights) > 0 && a.PromptTokens > 0 && e.promptFit.weight < minPromptSamples
+	return learns || c.quarantine.suspects(a)
+}
+
 // ratesOf returns the learned rates that a grant reports to the host.
 func (c *Core) ratesOf(e *endpoint) *LearnedRates {
 	if len(c.weights) == 0 {
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -73,6 +73,8 @@
 		return decode[Stalled](l.Event)
 	case "regained":
 		return decode[Regained](l.Event)
+	case "warned":
+		return decode[Warned](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
 	case "reported":
@@ -112,6 +114,8 @@
 		return "stalled"
 	case Regained:
 		return "regained"
+	case Warned:
+		return "warned"
 	case Listed:
 		return "listed"
 	case Reported:
@@ -135,6 +139,12 @@
 		return "refused"
 	case Suspended:
 		return "suspended"
+	case CrashFound:
+		return "crash-found"
+	case PartHeld:
+		return "part-held"
+	case PartCleared:
+		return "part-cleared"
 	default:
 		return "unknown"
 	}
--- a/godwitmoord/pkg/app/deployment_test.go
+++ b/godwitmoord/pkg/app/deployment_test.go
@@ -253,7 +253,7 @@
 }
 
 type callerRequest struct {
-	method, path, body, key, timeout, tier string
+	method, path, body, key, timeout, tier, parts string
 }
 
 func orderRequest(key string) callerRequest {
@@ -266,7 +266,7 @@
 		return reply{err: err}
 	}
 	request.Header.Set("Authorization", "Bearer secret")
-	for name, value := range map[string]string{"Idempotency-Key": toSend.key, "Request-Timeout": toSend.timeout, "Request-Tier": toSend.tier} {
+	for name, value := range map[string]string{"Idempotency-Key": toSend.key, "Request-Timeout": toSend.timeout, "Request-Tier": toSend.tier, "Prompt-Parts": toSend.parts} {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -27,6 +27,7 @@
 	workers map[string]*platformtest.Worker
 	// workerAddresses holds the address of each worker by its name.
 	workerAddresses  map[string]string
+	daemon           *app.Daemon
 	frontAddress     string
 	readinessAddress string
 	version          int
@@ -64,6 +65,7 @@
 		worker.EventCount = 6
 	}
 	server := httptest.NewServer(worker)
+	worker.Disconnect = server.CloseClientConnections
 	s.t.Cleanup(server.Close)
 	s.workers[name], s.workerAddresses[name] = worker, strings.TrimPrefix(server.URL, "http://")
 }
@@ -105,6 +107,7 @@
 	daemon := app.New(parsed, zap.NewNop())
 	s.is.NoErr(daemon.Start(context.Background()))
 	s.t.Cleanup(func() { _ = daemon.Stop() })
+	s.daemon = daemon
 }
 
 func (s *platformDeployment) readinessStatus() int {
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -166,6 +166,17 @@
 	}
 }
 
+// IsDisconnect reports whether an error of an attempt means that the endpoint ended the
+// connection before its answer was complete.
+func IsDisconnect(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // connection is one connection to an endpoint.
 type connection struct {
 	sender   *Sender
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -49,6 +49,8 @@
 type RefusedError struct {
 	Reason     permit.Reason
 	RetryAfter time.Duration
+	// Part is what the request is held for; empty for other reasons.
+	Part string
 }
 
 func (e *RefusedError) Error() string {
@@ -74,6 +76,8 @@
 	// rates holds the learned rates that owners sent, by service and endpoint. The
 	// entry forwards them to a new owner.
 	rates map[string]map[string]permit.LearnedRates
+	// warnings holds what owners learned about parts of prompts, by service.
+	warnings map[string]*warnings
 }
 
 // pendingAsk is an ask that the owner has not decided yet.
@@ -102,6 +106,7 @@
 		held:      map[string]*Grant{},
 		lastOwner: map[string]string{},
 		rates:     map[string]map[string]permit.LearnedRates{},
+		warnings:  map[string]*warnings{},
 	}
 }
 
@@ -133,6 +138,30 @@
 // ctx ends. The error is a *RefusedError or ctx.Err(); in both cases the request
 // holds no permit.
 func (e *Entry) Acquire(ctx context.Context, service string, ask permit.Ask, times Times) (*Grant, error) {
+	if refused := e.checkHeld(service, ask); refused != nil {
+		return nil, refused
+	}
+	grant, err := e.awaitGrant(ctx, service, ask, times)
+	if err != nil {
+		return nil, err
+	}
+	if refused := e.checkHeld(service, ask); refused != nil {
+		// An owner that does not know yet granted the permit.
+		grant.Unused()
+		return nil, refused
+	}
+	return grant, nil
+}
+
+// checkHeld returns the refusal of a request with a held part, or nil.
+func (e *Entry) checkHeld(service string, ask permit.Ask) *RefusedError {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.warnings[service].check(ask)
+}
+
+// awaitGrant sends the ask and waits for its decision.
+func (e *Entry) awaitGrant(ctx context.Context, service string, ask permit.Ask, times Times) (*Grant, error) {
 	p := &pendingAsk{service: service, ask: ask, times: times, result: make(chan askResult, 1)}
 	e.mu.Lock()
 	e.waiting[ask.ID] = p
@@ -203,8 +232,8 @@
 // receive decodes and handles one decision from an owner on another host.
 func (e *Entry) receive(from host.Identity, message []byte) error {
 	var m ownerMessage
-	if err := cbor.Unmarshal(message, &m); err != nil || m.ID == "" {
-		return &peer.RefusedError{Reason: "decision of an owner is malformed or has no ID"}
+	if err := cbor.Unmarshal(message, &m); err != nil || (m.ID == "" && m.Warning == nil) {
+		return &peer.RefusedError{Reason: "message of an owner is malformed, or has neither an ID nor a warning"}
 	}
 	e.handle(from, m)
 	return nil
@@ -212,6 +241,11 @@
 
 func (e *Entry) handle(from host.Identity, m ownerMessage) {
 	e.mu.Lock()
+	if m.Warning != nil {
+		e.storeWarning(*m.Warning)
+		e.mu.Unlock()
+		return
+	}
 	if m.Suspend {
 		stop := e.markSuspended(m.ID)
 		e.mu.Unlock()
@@ -233,7 +267,7 @@
 		return
 	}
 	delete(e.waiting, m.ID)
-	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter}}
+	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Part: m.Part}}
 	if m.Endpoint != "" {
 		result = askResult{grant: &Grant{
 			Permit:          permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
@@ -242,6 +276,7 @@
 			ReportFirstPart: m.ReportFirstPart,
 			entry:           e,
 			service:         p.service,
+			suspect:         p.ask.Suspect(),
 			owner:           from.Name,
 		}}
 		e.held[m.ID] = result.grant
@@ -306,7 +341,7 @@
 		case <-time.After(ownerCheckInterval):
 		}
 		for _, service := range e.servicesWithNewOwner() {
-			e.sendList(service, e.ratesOf(service))
+			e.sendFullList(service)
 		}
 		for _, p := range e.asksToResend() {
 			e.sendAsk(p, e.ownerOf(p.service))
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -20,6 +20,7 @@
 	ReportFirstPart bool
 	entry           *Entry
 	service         string
+	suspect         permit.Suspect
 	owner           string
 	// stop cancels the attempt when the owner suspends the permit for a request of
 	// a higher tier; suspended is set when the owner has done so.
@@ -54,9 +55,14 @@
 	g.release(entryMessage{Kind: withdrawKind, Service: g.service, ID: g.Permit.ID})
 }
 
-// Failed returns a permit whose endpoint failed the request.
-func (g *Grant) Failed(fault permit.Fault) {
-	g.release(entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID, Fault: fault})
+// Failed returns a permit whose endpoint failed the request. begun says whether the
+// endpoint had begun a successful answer.
+func (g *Grant) Failed(fault permit.Fault, begun bool) {
+	m := entryMessage{Kind: failKind, Service: g.service, ID: g.Permit.ID, Fault: fault, Begun: begun}
+	if fault == permit.Disconnected && !begun {
+		m.Suspect = &g.suspect
+	}
+	g.release(m)
 }
 
 // Progressed reports to the owner how long the first part of the answer took. The
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -59,6 +59,8 @@
 	// Host and Incarnation identify the owner process that made the grants.
 	Host        string `cbor:"4,keyasint"`
 	Incarnation int64  `cbor:"5,keyasint"`
+	// Held are the parts of prompts that the owner holds.
+	Held []permit.HeldPart `cbor:"6,keyasint,omitempty"`
 }
 
 // grantsKey returns the key prefix of the pages of a service.
@@ -147,12 +149,20 @@
 	o.share = share
 }
 
-// readEarlierGrants reads the persisted grants of earlier owners of a service. It
-// also returns separately those written by an earlier incarnation of this host,
-// because this host is about to overwrite that page.
-func (w *grantWriter) readEarlierGrants(service string) (found permit.EarlierGrants, inherited []permit.QuotaUsage) {
+// persisted is what the pages of a service say.
+type persisted struct {
+	grants permit.EarlierGrants
+	// inherited holds the grants of an earlier incarnation of this host, which is
+	// about to overwrite that page.
+	inherited []permit.QuotaUsage
+	// held are the parts of prompts that owners hold.
+	held []permit.HeldPart
+}
+
+// readEarlierGrants reads what earlier owners of a service persisted.
+func (w *grantWriter) readEarlierGrants(service string) persisted {
 	if w.store == nil {
-		return permit.EarlierGrants{}, nil
+		return persisted{}
 	}
 	platform := w.owner.common.Settings.Platform
 	ctx, cancel := context.WithTimeout(w.owner.ctx, readTimeout)
@@ -160,23 +170,37 @@
 	pages, err := w.readPages(ctx, service)
 	if err != nil {
 		w.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
-		return permit.EarlierGrants{Unread: true}, nil
+		return persisted{grants: permit.EarlierGrants{Unread: true}}
 	}
 	if platform.FirstStart && len(pages) == 0 {
 		// Every owner writes a page when it starts, so without pages there was no
 		// earlier owner.
-		return permit.EarlierGrants{NoEarlierOwner: true}, nil
+		return persisted{grants: permit.EarlierGrants{NoEarlierOwner: true}}
 	}
-	found.Assumed = assumedUsedShare
+	found := persisted{grants: permit.EarlierGrants{Assumed: assumedUsedShare}}
 	for _, page := range pages {
 		usage := page.inWindow(platform.QuotaWindow.Std())
-		found.QuotaUsed = append(found.QuotaUsed, usage...)
+		found.grants.QuotaUsed = append(found.grants.QuotaUsed, usage...)
+		found.held = append(found.held, page.heldNow()...)
 		if page.Host == w.owner.common.Self.Name {
-			inherited = append(inherited, usage...)
+			found.inherited = append(found.inherited, usage...)
 		}
 	}
-	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Int("lines", len(found.QuotaUsed)))
-	return found, inherited
+	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)),
+		zap.Int("lines", len(found.grants.QuotaUsed)), zap.Int("held-parts", len(found.held)))
+	return found
+}
+
+// heldNow returns the parts of prompts that the writer of the page still holds.
+func (p grantPage) heldNow() []permit.HeldPart {
+	age := max(0, time.Since(time.Unix(0, p.Written)))
+	var held []permit.HeldPart
+	for _, h := range p.Held {
+		if h.Left -= age; h.Left > 0 {
+			held = append(held, h)
+		}
+	}
+	return held
 }
 
 // inWindow returns the grants of a page that are still inside the quota window.
@@ -251,7 +275,10 @@
 	}
 	self := s.owner.common.Self
 	usage = append(s.inheritedInWindow(), usage...)
-	page := grantPage{Service: s.service, Usage: usage, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation}
+	page := grantPage{
+		Service: s.service, Usage: usage, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation,
+		Held: s.core.HeldParts(),
+	}
 	if !w.pages.Offer(page) {
 		s.owner.common.Count("owner.kept.dropped")
 	}
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -62,7 +62,7 @@
 	}
 	e.mu.Unlock()
 	for service := range services {
-		e.sendList(service, nil)
+		e.sendList(e.heldList(service))
 	}
 }
 
@@ -95,16 +95,38 @@
 	return rates
 }
 
-// sendList sends the owner of a service the permits held here, and the learned
-// rates of the endpoints, which are passed for a new owner only.
-func (e *Entry) sendList(service string, rates []permit.LearnedRates) {
+// storeWarning stores what an owner learned about parts of prompts. The caller holds
+// e.mu.
+func (e *Entry) storeWarning(m warning) {
+	if e.warnings[m.Service] == nil {
+		e.warnings[m.Service] = &warnings{}
+	}
+	e.warnings[m.Service].add(m)
+}
+
+// heldList returns the list of the permits of a service that are held here.
+func (e *Entry) heldList(service string) entryMessage {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	permits := []permit.Permit{}
 	for _, g := range e.held {
 		if g.service == service {
 			permits = append(permits, g.Permit)
 		}
 	}
+	return entryMessage{Kind: listKind, Service: service, Permits: permits}
+}
+
+// sendFullList sends a new owner the permits held here and everything that earlier
+// owners learned.
+func (e *Entry) sendFullList(service string) {
+	m := e.heldList(service)
+	m.Rates = e.ratesOf(service)
+	e.mu.Lock()
+	m.Crashes, m.Held = e.warnings[service].all()
 	e.mu.Unlock()
-	e.send(e.ownerOf(service), entryMessage{Kind: listKind, Service: service, Permits: permits, Rates: rates})
+	e.sendList(m)
 }
+
+// sendList sends a list to the owner of its service.
+func (e *Entry) sendList(m entryMessage) { e.send(e.ownerOf(m.Service), m) }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -100,6 +100,8 @@
 		o.grantWriter.pages = ring.New[grantPage](pageQueueSize)
 		go o.grantWriter.run(ctx)
 		go o.grantWriter.loop(ctx)
+		r := &heldReader{writer: &o.grantWriter}
+		go r.loop(ctx)
 	}
 	go o.run(changes)
 	if o.common.Settings.Platform != nil {
@@ -177,9 +179,10 @@
 		o.common.Count("owner.events.unknown-service")
 		return nil
 	}
-	if !s.events.Offer(event) {
-		o.common.Count("owner.events.dropped")
+	if len(m.Crashes)+len(m.Held) > 0 {
+		s.offer(permit.Warned{At: instantNow(), Crashes: m.Crashes, Held: m.Held})
 	}
+	s.offer(event)
 	return nil
 }
 
@@ -203,7 +206,7 @@
 		}
 		return permit.Finished{At: now, ID: m.ID, Usage: *m.Usage}
 	case failKind:
-		return permit.Failed{At: now, ID: m.ID, Fault: m.Fault}
+		return permit.Failed{At: now, ID: m.ID, Fault: m.Fault, Begun: m.Begun, Suspect: m.Suspect}
 	case progressKind:
 		if m.Usage == nil {
 			return nil
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -46,8 +46,14 @@
 
 // configure queues the rules of the current configuration as an event.
 func (s *serviceOwner) configure() {
-	event, known := s.currentRules()
-	if known && !s.events.Offer(event) {
+	if event, known := s.currentRules(); known {
+		s.offer(event)
+	}
+}
+
+// offer queues an event for the decision core.
+func (s *serviceOwner) offer(event permit.Event) {
+	if !s.events.Offer(event) {
 		s.owner.common.Count("owner.events.dropped")
 	}
 }
@@ -93,15 +99,16 @@
 func (s *serviceOwner) run(ctx context.Context) {
 	s.updateOwnership()
 	s.outdated.Store(false)
-	earlier, inherited := s.owner.grantWriter.readEarlierGrants(s.service)
-	s.setInherited(inherited)
-	if !earlier.NoEarlierOwner {
+	earlier := s.owner.grantWriter.readEarlierGrants(s.service)
+	s.setInherited(earlier.inherited)
+	if !earlier.grants.NoEarlierOwner {
 		s.assumedShare, s.rereadAt = assumedUsedShare, time.Now().Add(ownerChangeTime)
 	}
 	if event, known := s.currentRules(); known {
-		event.EarlierGrants = earlier
+		event.EarlierGrants = earlier.grants
 		s.step(event)
 	}
+	s.adoptHeld(earlier.held)
 	s.queuePage(nil)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -180,12 +187,21 @@
 // rereadEarlierGrants reads the persisted grants of other owners and passes them to
 // the core.
 func (s *serviceOwner) rereadEarlierGrants() {
-	earlier, _ := s.owner.grantWriter.readEarlierGrants(s.service)
-	earlier.Assumed = min(earlier.Assumed, s.assumedShare)
+	earlier := s.owner.grantWriter.readEarlierGrants(s.service)
+	grants := earlier.grants
+	grants.Assumed = min(grants.Assumed, s.assumedShare)
 	// This host has already overwritten the page of its earlier incarnation, so
 	// the store no longer holds those grants.
-	earlier.QuotaUsed = append(earlier.QuotaUsed, s.inheritedInWindow()...)
-	s.step(permit.Regained{At: instantNow(), EarlierGrants: earlier})
+	grants.QuotaUsed = append(grants.QuotaUsed, s.inheritedInWindow()...)
+	s.step(permit.Regained{At: instantNow(), EarlierGrants: grants})
+	s.adoptHeld(earlier.held)
+}
+
+// adoptHeld passes the parts that other owners hold to the core.
+func (s *serviceOwner) adoptHeld(held []permit.HeldPart) {
+	if len(held) > 0 {
+		s.step(permit.Warned{At: instantNow(), Held: held})
+	}
 }
 
 func (s *serviceOwner) step(event permit.Event) {
@@ -211,7 +227,13 @@
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
-		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter})
+		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter, Part: a.Part})
+	case permit.CrashFound:
+		s.reportCrash(a.Crash)
+	case permit.PartHeld:
+		s.reportHeld(a.Held)
+	case permit.PartCleared:
+		s.reportCleared(a.Part)
 	}
 }
 
--- /dev/null
+++ b/godwitmoord/pkg/dispatch/warn.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/permit"
+	"godwitmoor.example/godwitmoord/pkg/membership"
+)
+
+// reportCrash reports a crash of an endpoint to all entries, for the next owner.
+func (s *serviceOwner) reportCrash(crash permit.Crash) {
+	requests := make([]string, len(crash.Suspects))
+	for i, suspect := range crash.Suspects {
+		requests[i] = suspect.Request
+	}
+	s.owner.common.Count("owner.crashes")
+	s.owner.common.Log.Info("endpoint crashed with requests not begun", zap.String("service", s.service),
+		zap.String("endpoint", crash.Endpoint), zap.Strings("requests", requests))
+	s.warn(warning{Service: s.service, Crash: &crash})
+}
+
+// reportHeld reports a part to all entries, and writes it to the store.
+func (s *serviceOwner) reportHeld(held permit.HeldPart) {
+	s.owner.common.Count("owner.parts.held")
+	s.owner.common.Log.Info("part of prompts held", zap.String("service", s.service), zap.String("part", held.Part),
+		zap.Duration("left", held.Left), zap.Duration("hold", held.Hold))
+	s.warn(warning{Service: s.service, Held: &held})
+	s.persistHeld()
+}
+
+// reportCleared reports a part that is no longer held to all entries and to the store.
+func (s *serviceOwner) reportCleared(part string) {
+	s.owner.common.Count("owner.parts.cleared")
+	s.owner.common.Log.Info("part of prompts no longer held", zap.String("service", s.service), zap.String("part", part))
+	s.warn(warning{Service: s.service, Cleared: part})
+	s.persistHeld()
+}
+
+func (s *serviceOwner) persistHeld() { s.queuePage(s.core.QuotaUsed(persistThreshold)) }
+
+// warn sends a warning to all hosts that are not dead.
+func (s *serviceOwner) warn(w warning) {
+	for _, m := range s.owner.members.Members() {
+		if m.State != membership.Dead {
+			s.send(m.Identity.Name, ownerMessage{Warning: &w})
+		}
+	}
+}
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -38,11 +38,20 @@
 	Rates []permit.LearnedRates `cbor:"10,keyasint,omitempty"`
 	// Fault is how the endpoint failed the request.
 	Fault permit.Fault `cbor:"11,keyasint,omitempty"`
+	// Begun is set if the endpoint had begun the answer before it failed. Suspect
+	// identifies the request if its connection ended before that.
+	Begun   bool            `cbor:"12,keyasint,omitempty"`
+	Suspect *permit.Suspect `cbor:"13,keyasint,omitempty"`
+	// Crashes and Held are what earlier owners learned about parts of prompts that
+	// crash endpoints.
+	Crashes []permit.Crash    `cbor:"14,keyasint,omitempty"`
+	Held    []permit.HeldPart `cbor:"15,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
-// a refusal or a suspension.
+// a refusal, a suspension, or a warning to all entries.
 type ownerMessage struct {
+	// ID is empty in a warning only.
 	ID string `cbor:"1,keyasint"`
 	// Endpoint is set for a grant and empty in a refusal or a suspension.
 	Endpoint string `cbor:"2,keyasint,omitempty"`
@@ -59,6 +68,20 @@
 	Rates *permit.LearnedRates `cbor:"8,keyasint,omitempty"`
 	// Suspend requests that the entry stops the attempt and returns its permit.
 	Suspend bool `cbor:"6,keyasint,omitempty"`
+	// Part is what a refused request is held for.
+	Part string `cbor:"10,keyasint,omitempty"`
+	// Warning tells what the owner learned about parts of prompts.
+	Warning *warning `cbor:"11,keyasint,omitempty"`
+}
+
+// warning is one thing that the owner of a service learned about parts of prompts that
+// crash endpoints.
+type warning struct {
+	Service string           `cbor:"1,keyasint"`
+	Crash   *permit.Crash    `cbor:"2,keyasint,omitempty"`
+	Held    *permit.HeldPart `cbor:"3,keyasint,omitempty"`
+	// Cleared is a part that is not held any more.
+	Cleared string `cbor:"4,keyasint,omitempty"`
 }
 
 // processStart is the process's start time. instantNow adds the monotonic time since
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -206,6 +206,11 @@
 		return request, rejected
 	}
 	request.Header = endpointHeader(r)
+	request.Parts = sharedParts(exchange.ParseParts(r.Header.Get(exchange.PartsHeader)))
+	request.Subject = request.Key
+	if request.Key == "" {
+		request.Subject = claim.Fingerprint(r.Method, path, request.Body)
+	}
 	request.Streams = service.Kind == configuration.Model
 	if service.Kind == configuration.Model {
 		request.PromptTokens, request.AnswerTokens = estimateTokens(request.Body)
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -114,7 +114,7 @@
 	request.MaxAttempts = route.MaxAttempts
 	request.Goal, request.GapGoal = route.Goal.Std(), route.GapGoal.Std()
 	request.LastEvent = call.LastEvent
-	request.Subject = subjectOf(call)
+	request.Subject, request.Parts = subjectOf(call), sharedParts(call.Parts)
 	request.PromptTokens = call.PromptTokens
 	allowed := route.Timeout.Std()
 	if call.Timeout > 0 && call.Timeout < allowed {
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -34,7 +34,7 @@
 
 // errStreamIncomplete reports that a stream of events ended before its final event,
 // or inside an event.
-var errStreamIncomplete = errors.New("the stream ended inside an event or before its final event")
+var errStreamIncomplete = errors.Wrap(io.ErrUnexpectedEOF, "the stream ended inside an event or before its final event")
 
 // NotContinuedError reports that an attempt's answer does not go on where the
 // stream broke off that the caller already receives.
@@ -304,6 +304,11 @@
 	return nil
 }
 
+// begunAnswer reports whether the current attempt has begun a successful answer.
+func (r *relay) begunAnswer() bool {
+	return !r.firstByteAt.IsZero() && r.answer.Status >= http.StatusOK && r.answer.Status < http.StatusMultipleChoices
+}
+
 // finalEvents returns the number of events that carry no token: one in a
 // stream that ends with a final event.
 func (r *relay) finalEvents() int {
@@ -319,7 +324,7 @@
 	if r.firstByteAt.IsZero() {
 		return permit.Usage{}
 	}
-	u := permit.Usage{FirstByte: r.firstByteAt.Sub(start), Total: time.Since(start)}
+	u := permit.Usage{FirstByte: r.firstByteAt.Sub(start), Total: time.Since(start), Begun: r.begunAnswer()}
 	if request.Streams {
 		u.PromptTokens = request.PromptTokens
 		u.AnswerTokens = max(r.position.events-previousEvents-r.finalEvents(), 0)
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -29,7 +29,9 @@
 	CallerID string
 	// Subject identifies the same work over several tries of the caller. It is
 	// empty if the caller does not name it.
-	Subject  string
+	Subject string
+	// Parts identifies the parts of the prompt that other requests may share.
+	Parts    []string
 	Customer string
 	Service  configuration.Service
 	Claims   configuration.Claims
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -49,6 +49,9 @@
 	// expected the request to take.
 	owner    string
 	estimate time.Duration
+	// heldPart is the part of the prompt for which the request was refused; empty if
+	// it was not.
+	heldPart string
 }
 
 // newAsk returns the request for one more permit. It counts only the answer tokens
@@ -59,6 +62,7 @@
 		ID:           id,
 		Request:      request.ID,
 		Subject:      request.Subject,
+		Parts:        request.Parts,
 		Tier:         request.Rank,
 		PromptTokens: request.PromptTokens,
 		AnswerTokens: max(request.AnswerTokens-r.relay.position.events, 0),
@@ -116,6 +120,7 @@
 	if errors.As(err, &rejection) {
 		refused.Reason = refusalReason(rejection.Reason)
 		refused.RetryAfter = rejection.RetryAfter
+		r.heldPart = rejection.Part
 	}
 	return nil, refused
 }
@@ -153,6 +158,8 @@
 		return text.QueueFull
 	case permit.Displaced:
 		return text.Displaced
+	case permit.Held:
+		return text.CrashesEndpoints
 	default:
 		return text.Deadline
 	}
@@ -241,7 +248,7 @@
 		return nil
 	}
 	return func() {
-		grant.Progressed(permit.Usage{PromptTokens: r.request.PromptTokens, FirstByte: time.Since(start)})
+		grant.Progressed(permit.Usage{PromptTokens: r.request.PromptTokens, FirstByte: time.Since(start), Begun: r.relay.begunAnswer()})
 	}
 }
 
@@ -278,7 +285,7 @@
 		return
 	}
 	r.logFailed(err)
-	grant.Failed(classifyFault(err))
+	grant.Failed(classifyFault(err), r.relay.begunAnswer())
 }
 
 // logFailed logs a failed attempt. Of the error it logs only the text, without the
@@ -286,7 +293,8 @@
 func (r *requestRun) logFailed(err error) {
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
 		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.position.events),
-		zap.String("last-event", r.relay.position.lastEvent), zap.String("error", err.Error()))
+		zap.String("last-event", r.relay.position.lastEvent), zap.Bool("begun", r.relay.begunAnswer()),
+		zap.Strings("prompt-parts", r.request.Parts), zap.String("error", err.Error()))
 }
 
 // classifyFault classifies a failed attempt for the owner, which rates the
@@ -294,7 +302,9 @@
 func classifyFault(err error) permit.Fault {
 	var notSent *attempt.NotSentError
 	switch {
-	case !errors.As(err, &notSent):
+	case !errors.As(err, &notSent) && attempt.IsDisconnect(err):
+		return permit.Disconnected
+	case notSent == nil:
 		return permit.Lost
 	case notSent.Refused:
 		return permit.Rejected
--- a/godwitmoord/pkg/text/text.go
+++ b/godwitmoord/pkg/text/text.go
@@ -47,6 +47,7 @@
 	OverQuota         Reason = "over-quota"
 	KeysUnconfirmed   Reason = "keys-unconfirmed"
 	BadHeader         Reason = "bad-header"
+	CrashesEndpoints  Reason = "crashes-endpoints"
 )
 
 // Texts returns the texts for each reason. The zero value returns the English ones.
@@ -97,5 +98,6 @@
 	OverQuota:         {"the customer has sent what its quota allows", "send it again after Retry-After"},
 	KeysUnconfirmed:   {"the host cannot find out whether the customer's key still stands", "send it again to another host"},
 	BadHeader:         {"a header of the request cannot be read", "send it in its documented form or leave it out"},
+	CrashesEndpoints:  {"requests with a part of this prompt have crashed endpoints", "leave that part out, or send it again after Retry-After"},
 	Stopped:           {"the host was stopped", "send it again to another host"},
 }
--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	maxBodyBytes  = 16 << 20
 	defaultTokens = 16
 	offsetHeader  = "Resume-Offset"
+	partsHeader   = "Prompt-Parts"
 	// prefillChunk is the maximum number of prompt tokens computed in one step,
 	// over all sequences of the batch.
 	prefillChunk = 2048
@@ -60,6 +62,9 @@
 	// Resume is how the engine answers requests that carry Resume-Offset. Their
 	// streams are not cut.
 	Resume ResumeFault `json:"resume"`
+	// CrashPart is a part of prompts on which the engine crashes when it would begin to
+	// answer: all its connections break. It is back at once.
+	CrashPart string `json:"crash-part"`
 	// Slow multiplies the duration of each step if it is greater than 1.
 	Slow float64 `json:"slow"`
 	// Freeze stops all decoding and keeps the connections open.
@@ -115,6 +120,7 @@
 
 	mu          sync.Mutex
 	faults      Faults
+	crashed     chan struct{}
 	arrived     []*sequence
 	running     int
 	loadHistory []loadSample
@@ -141,7 +147,7 @@
 
 // New returns an engine. It decodes nothing before Start is called.
 func New(config Config, log *runlog.Log) *Engine {
-	return &Engine{config: config, log: log, cache: prefixCache{limit: config.CacheTokens}}
+	return &Engine{config: config, log: log, crashed: make(chan struct{}), cache: prefixCache{limit: config.CacheTokens}}
 }
 
 // Start runs the engine in the background until ctx is cancelled.
@@ -340,6 +346,30 @@
 	return f
 }
 
+// crashesOn reports whether the engine crashes when it begins to answer a request.
+func (f Faults) crashesOn(r *http.Request) bool {
+	for part := range strings.SplitSeq(r.Header.Get(partsHeader), ",") {
+		if id, _, _ := strings.Cut(part, ":"); f.CrashPart != "" && strings.TrimSpace(id) == f.CrashPart {
+			return true
+		}
+	}
+	return false
+}
+
+// nextCrash returns a channel that is closed at the next crash.
+func (e *Engine) nextCrash() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.crashed)
+	e.crashed = make(chan struct{})
+}
+
 // writeText writes a body that is no stream.
 func writeText(w http.ResponseWriter, r *http.Request, status int, text string) {
 	w.Header().Set(runlog.AttemptHeader, r.Header.Get(runlog.AttemptHeader))
@@ -383,11 +413,15 @@
 	_ = control.Flush()
 	arrivedAt := time.Now().UnixNano()
 	generated := 0
+	crashed := e.nextCrash()
 	for {
 		select {
 		case <-r.Context().Done():
 			e.endRun(r, s, runlog.Cancelled, generated)
 			return
+		case <-crashed:
+			e.endRun(r, s, runlog.Cancelled, generated)
+			panic(http.ErrAbortHandler)
 		case index, more := <-s.tokens:
 			if !more {
 				if r.Context().Err() != nil {
@@ -400,6 +434,10 @@
 				}
 				return
 			}
+			if faults.crashesOn(r) {
+				e.crash()
+				continue
+			}
 			generated++
 			data, err := json.Marshal(completionChunk{
 				Index: index, Text: answer.Token(s.digest, index), ArrivedAt: arrivedAt, At: time.Now().UnixNano(),
