--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -124,6 +124,8 @@
 	// has them; zero if the endpoint stated none.
 	Offset int
 	Body   io.Reader
+	// EndsWithConnection is set if only the end of the connection ends the body.
+	EndsWithConnection bool
 	// body is what Body reads, in an answer of Send.
 	body *bodyReader
 }
@@ -193,7 +195,10 @@
 		return nil, err
 	}
 	body := t.newBody(response, answerHead)
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset, Body: body, body: body}
+	answer := &Answer{
+		Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset, Body: body, body: body,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+	}
 	if answerHead.NotRun {
 		body.drain(maxRefusalBytes)
 		answer.Close()
--- a/godwitmoord/pkg/attempt/attempt_test.go
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -329,3 +329,18 @@
 	is.NoErr(err)
 	is.Equal(body, "whole")
 }
+
+func TestAnswerStatesWhetherItEndsWithItsConnection(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConnection: close\r\n\r\none": true,
+		okAnswer("a", "one"): false,
+		"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": false,
+	} {
+		is := is.New(t)
+		var sender attempt.Sender
+		got, err := sender.Send(t.Context(), startEndpoint(t, answer).listener.Addr().String(), requestOf("a"))
+		is.NoErr(err)
+		is.Equal(got.EndsWithConnection, want)
+		got.Close()
+	}
+}
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -33,7 +33,7 @@
 var errCallerDisconnected = errors.New("the caller has disconnected")
 
 // errStreamIncomplete reports that a stream of events ended before its final event,
-// or inside an event.
+// inside an event, or with its connection before any event.
 var errStreamIncomplete = errors.Wrap(io.ErrUnexpectedEOF, "the stream ended inside an event or before its final event")
 
 // NotContinuedError reports that an attempt's answer does not go on where the
@@ -268,6 +268,10 @@
 	if r.resumed && r.continues && !r.begun {
 		return r.notContinued("no event")
 	}
+	if r.answer.EndsWithConnection && !r.begun {
+		// An endpoint that crashes before its first event ends the connection too.
+		return errStreamIncomplete
+	}
 	r.end = endOfBody
 	if len(rest) > 0 {
 		return r.writePart(rest)
--- a/godwitmoord/pkg/serving/relay_test.go
+++ b/godwitmoord/pkg/serving/relay_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+func TestStreamThatEndsWithItsConnectionBeforeAnyEventIsIncomplete(t *testing.T) {
+	for body, events := range map[string]int{"": 0, ": comment\n\n": 0, "id: 1\ndata: a\n\n": 1} {
+		is := is.New(t)
+		var caller recordingCaller
+		r := relay{caller: &caller, streams: true, resumesByID: true}
+		answer := streamAnswer(strings.NewReader(body))
+		answer.EndsWithConnection = true
+		err := r.forward(answer)
+		is.Equal(err == nil, events > 0)
+		is.Equal(errors.Is(err, errStreamIncomplete), events == 0)
+	}
+}
+
 func TestStreamThatEndsWithoutItsFinalEventIsIncomplete(t *testing.T) {
 	is := is.New(t)
 	var caller recordingCaller
