--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -12,6 +12,7 @@
 package exchange
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -110,11 +111,37 @@
 	// the requests that wait, and the number that can run at the same time. Places
 	// is zero if the endpoint did not send its load.
 	Running, Waiting, Places int
+	// Limit is the rate of requests that the endpoint takes.
+	Limit RateLimit
 	// IdleLimit is how long the endpoint keeps an idle connection open; zero if it
 	// did not send a limit.
 	IdleLimit time.Duration
 }
 
+// RateLimit is what an answer says of the rate of requests that its endpoint takes from
+// all hosts together.
+type RateLimit struct {
+	// Named is set if the answer names a limit, PerSecond is that limit in requests per
+	// second.
+	Named     bool
+	PerSecond float64
+	// Unreadable is set if the answer names something that is no limit.
+	Unreadable bool
+}
+
+// ParseRateLimit parses a decimal number of requests per second; an empty text names no
+// limit.
+func ParseRateLimit(text string) RateLimit {
+	if text == "" {
+		return RateLimit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || perSecond < 0 || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
+		return RateLimit{Unreadable: true}
+	}
+	return RateLimit{Named: true, PerSecond: perSecond}
+}
+
 // Dialect reads and writes the headers of one deployment.
 type Dialect interface {
 	// ReadCallerRequest returns the values of the caller's headers. It returns an error if
--- a/coordination/pkg/exchange/native.go
+++ b/coordination/pkg/exchange/native.go
@@ -14,6 +14,7 @@
 	KeyHeader     = "Request-Key"
 	TierHeader    = "Request-Tier"
 	OffsetHeader  = "Resume-Offset"
+	LimitHeader   = "Rate-Limit"
 	notRunHeader  = "Not-Run"
 )
 
@@ -66,11 +67,13 @@
 }
 
 // ReadEndpointResponse returns the attempt that is answered, whether the endpoint refused to
-// run it, the offset at which the answer begins, and the idle limit of the connection.
+// run it, the offset at which the answer begins, the rate of requests that the endpoint
+// takes, and the idle limit of the connection.
 func (Native) ReadEndpointResponse(status int, header http.Header) EndpointResponse {
 	refused := status == http.StatusServiceUnavailable && header.Get(notRunHeader) == "true"
 	return EndpointResponse{
 		Attempt: header.Get(AttemptHeader), NotRun: refused, Offset: readOffset(header), IdleLimit: KeepAliveTimeout(header),
+		Limit: ParseRateLimit(header.Get(LimitHeader)),
 	}
 }
 
--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -28,7 +28,7 @@
 )
 
 // Action is a decision of the core. It is one of Granted, Refused, Suspended,
-// CrashFound, PartHeld and PartCleared.
+// CrashFound, PartHeld, PartCleared and LimitChanged.
 type Action interface{ action() }
 
 type (
@@ -47,6 +47,9 @@
 		// Rates holds the learned rates of the endpoint, or is nil if none are known.
 		// The host passes it on to the next owner.
 		Rates *LearnedRates `json:"pace,omitempty"`
+		// Limit is the limit that the endpoint names, as far as this owner knows; nil if
+		// it names none.
+		Limit *RateLimit `json:"limit,omitempty"`
 	}
 	// Suspended stops a running request to free its slot for a higher tier. The
 	// host cancels the attempt, returns the permit and asks again.
@@ -82,6 +85,10 @@
 	PartCleared struct {
 		Part string `json:"part"`
 	}
+	// LimitChanged reports that an endpoint named another limit, or none any more.
+	LimitChanged struct {
+		Limit RateLimit `json:"limit"`
+	}
 )
 
 func (Granted) action()   {}
@@ -91,3 +98,5 @@
 func (CrashFound) action()  {}
 func (PartHeld) action()    {}
 func (PartCleared) action() {}
+
+func (LimitChanged) action() {}
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -8,7 +8,9 @@
 	}
 	if h := c.held[a.ID]; h != nil {
 		// The grant was lost in transit, or it crossed the repeated ask.
-		c.actions = append(c.actions, Granted{ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate})
+		c.actions = append(c.actions, Granted{
+			ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate, Limit: h.endpoint.pacer.limit,
+		})
 		return
 	}
 	a.Tier = min(max(a.Tier, 0), c.lowestTier())
--- a/coordination/pkg/permit/configure.go
+++ b/coordination/pkg/permit/configure.go
@@ -33,6 +33,7 @@
 			c.endpoints[rules.Name] = existing
 		}
 		existing.rules = rules
+		existing.pacer.setShare(e.RateShare, c.now)
 		c.endpointOrder = append(c.endpointOrder, existing)
 	}
 	for name := range c.endpoints {
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -105,6 +105,8 @@
 		c.progress(e.ID, e.Usage)
 	case Failed:
 		c.fail(e)
+	case Limited:
+		c.limitRate(e.Limit)
 	case Warned:
 		c.warn(e)
 	case Stalled:
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -80,6 +80,7 @@
 	// far. Processing a prompt stalls all answers and later prompts of the endpoint.
 	prefillUntil Instant
 	crashWatch   crashWatch
+	pacer        ratePacer
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
@@ -108,7 +109,7 @@
 	if settling {
 		limit = (limit + 1) / 2
 	}
-	return e.open() && len(e.permits)+e.foreignLoad < limit
+	return e.open() && len(e.permits)+e.foreignLoad < limit && e.pacer.allows(now)
 }
 
 // hasRates reports whether a rate of the endpoint is known, configured or measured.
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -26,7 +26,7 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Listed, Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -55,6 +55,9 @@
 		QuotaWindow   time.Duration   `json:"quota-window,omitempty"`
 		// Partial is set if other owners may grant from the same quotas.
 		Partial bool `json:"partial,omitempty"`
+		// RateShare is the part of the limits that endpoints name which this owner may
+		// use; zero means all of them.
+		RateShare float64 `json:"rate-share,omitempty"`
 		// EarlierGrants describes the grants made before this owner. Only the first
 		// Configured event uses it.
 		EarlierGrants EarlierGrants `json:"before,omitzero"`
@@ -124,6 +127,11 @@
 		// Rates holds what earlier owners learned about endpoints and sent to the host.
 		Rates []LearnedRates `json:"paces,omitempty"`
 	}
+	// Limited reports what an endpoint says of the rate of requests that it takes.
+	Limited struct {
+		At    Instant   `json:"at"`
+		Limit RateLimit `json:"limit"`
+	}
 	// Reported is an endpoint's own report of the number of requests it runs. It
 	// arrives with a delay.
 	Reported struct {
@@ -156,6 +164,7 @@
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
+func (e Limited) at() Instant    { return e.At }
 func (e Warned) at() Instant     { return e.At }
 func (e Progressed) at() Instant { return e.At }
 func (e Stalled) at() Instant    { return e.At }
--- a/coordination/pkg/permit/interrupt.go
+++ b/coordination/pkg/permit/interrupt.go
@@ -63,7 +63,7 @@
 func (c *Core) victims(tier int) []*heldPermit {
 	var victims []*heldPermit
 	for _, e := range c.endpointOrder {
-		if !e.open() {
+		if !e.open() || !e.pacer.allows(c.now) {
 			continue
 		}
 		for _, h := range e.permits {
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -22,6 +22,8 @@
 	// forcedStartLead is how long before its latest start a request may be sent to
 	// an endpoint where it harms other requests.
 	forcedStartLead = 100 * time.Millisecond
+	// smallWorkShare is the share of the mean work below which a request counts as small.
+	smallWorkShare = 0.5
 )
 
 // rankQueues sorts the queues into the order in which they are served. Without weights
@@ -136,13 +138,18 @@
 	var bestScore, fallbackScore time.Duration
 	a := w.ask
 	avoids := c.canAvoid(a)
+	largerWait := c.hasLargerWaiters()
 	for _, e := range c.freeEndpoints {
 		estimate := e.estimate(a, c.now)
 		if !c.inTime(w, e, estimate) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
 			continue
 		}
 		score := e.score(estimate)
-		if e.harmsOthers(a, c.now) {
+		wasteful := c.wastesRate(w, e)
+		if wasteful && largerWait {
+			continue
+		}
+		if wasteful || e.harmsOthers(a, c.now) {
 			if fallback == nil || e.betterThan(fallback, score, fallbackScore) {
 				fallback, fallbackScore = e, score
 			}
@@ -158,6 +165,24 @@
 	return best
 }
 
+// wastesRate reports whether a small request would take the place of a larger one at an
+// endpoint that takes so many requests a second, however large they are.
+func (c *Core) wastesRate(w *waiter, e *endpoint) bool {
+	return w.ask.Goal > 0 && e.pacer.isScarce(c.now) && w.work < smallWorkShare*c.typicalWork()
+}
+
+// hasLargerWaiters reports whether requests of a tier wait whose requests are larger
+// than most.
+func (c *Core) hasLargerWaiters() bool {
+	typical := c.typicalWork()
+	for i, q := range c.queues {
+		if len(q) > 0 && c.meanWorkOf(i/queuesPerTier) >= typical {
+			return true
+		}
+	}
+	return false
+}
+
 // mustStartNow reports whether a request with a goal must start now to meet it.
 func (c *Core) mustStartNow(w *waiter) bool {
 	return w.ask.Goal > 0 && w.latestStart.Since(c.now) < forcedStartLead
@@ -196,6 +221,7 @@
 func (c *Core) grant(w *waiter, e *endpoint) {
 	c.countServed(w)
 	h := c.hold(w.ask, e)
+	e.pacer.take(c.now)
 	c.actions = append(c.actions, Granted{
 		ID:              w.ask.ID,
 		Host:            w.ask.Host,
@@ -204,6 +230,7 @@
 		Estimate:        h.estimate,
 		ReportFirstPart: c.wantsFirstPart(w.ask, e),
 		Rates:           c.ratesOf(e),
+		Limit:           e.pacer.limit,
 	})
 	if !e.hasFreeSlot(c.now, c.now < c.settledAt) || !c.acceptsMore(e) {
 		c.freeEndpoints = slices.DeleteFunc(c.freeEndpoints, func(other *endpoint) bool { return other == e })
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -75,6 +75,8 @@
 		return decode[Regained](l.Event)
 	case "warned":
 		return decode[Warned](l.Event)
+	case "limited":
+		return decode[Limited](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
 	case "reported":
@@ -116,6 +118,8 @@
 		return "regained"
 	case Warned:
 		return "warned"
+	case Limited:
+		return "limited"
 	case Listed:
 		return "listed"
 	case Reported:
@@ -143,6 +147,8 @@
 		return "crash-found"
 	case PartHeld:
 		return "part-held"
+	case LimitChanged:
+		return "limit-changed"
 	case PartCleared:
 		return "part-cleared"
 	default:
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -176,11 +176,12 @@
 // whether the rates of at least half of these endpoints are known.
 func (c *Core) openSlots() (slots float64, ratesKnown bool) {
 	open, unknown := 0, 0
+	typical := c.typicalWork()
 	for _, e := range c.endpointOrder {
 		if !e.open() || c.now < e.pausedUntil {
 			continue
 		}
-		slots += float64(e.rules.Limit)
+		slots += e.pacer.slots(e.rules.Limit, typical)
 		open++
 		if !e.hasRates() {
 			unknown++
--- a/coordination/pkg/permit/work.go
+++ b/coordination/pkg/permit/work.go
@@ -42,6 +42,19 @@
 	return e.expectedTime(a).Seconds() + float64(others)*e.promptTime(a).Seconds()
 }
 
+// typicalWork returns the mean work of the requests of all tiers.
+func (c *Core) typicalWork() float64 {
+	work, asked := 0.0, 0.0
+	for tier := range c.tierCounts {
+		work += c.tierCounts[tier].asked * c.meanWorkOf(tier)
+		asked += c.tierCounts[tier].asked
+	}
+	if asked == 0 {
+		return 0
+	}
+	return work / asked
+}
+
 // meanWorkOf returns the mean work of the requests of a tier.
 func (c *Core) meanWorkOf(tier int) float64 {
 	if work := c.meanWork[tier]; work > 0 {
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -55,6 +55,10 @@
 	// abandons it. Only a whole head and parts of the body are data.
 	InactivityInterval time.Duration
 	OnInactive         func(Inactivity) bool
+	// OnHead, if set, is called with each head that the endpoint sends: those of the
+	// answer, of a rejection, of answers to earlier attempts, and of interim answers
+	// that name a limit.
+	OnHead func(exchange.EndpointResponse)
 }
 
 // Inactivity describes a wait during which an endpoint has sent no data for an
@@ -212,7 +216,7 @@
 func (t *roundTrip) readAnswer() (*http.Response, exchange.EndpointResponse, error) {
 	var crossed error
 	for range maxSkippedAnswers {
-		response, err := t.connection.readAnswer(t.request.Method, t.limits(t.request.FirstByteTimeout))
+		response, err := t.connection.readAnswer(t.request.Method, t.limits(t.request.FirstByteTimeout), t.onInterim)
 		if err != nil && crossed != nil {
 			return nil, exchange.EndpointResponse{}, crossed
 		}
@@ -220,6 +224,7 @@
 			return nil, exchange.EndpointResponse{}, &LostError{Address: t.connection.address, Cause: err}
 		}
 		head := t.sender.dialect().ReadEndpointResponse(response.StatusCode, response.Header)
+		t.onHead(head)
 		if !t.request.EchoesAttempt || head.Attempt == t.request.EndpointRequest.Attempt || (head.NotRun && head.Attempt == "") {
 			return response, head, nil
 		}
@@ -232,6 +237,20 @@
 	return nil, exchange.EndpointResponse{}, crossed
 }
 
+func (t *roundTrip) onHead(head exchange.EndpointResponse) {
+	if t.request.OnHead != nil {
+		t.request.OnHead(head)
+	}
+}
+
+// onInterim reports an interim answer that names a limit. One that names none says
+// nothing about it.
+func (t *roundTrip) onInterim(status int, header http.Header) {
+	if head := t.sender.dialect().ReadEndpointResponse(status, header); head.Limit.Named {
+		t.onHead(head)
+	}
+}
+
 // limits returns the limits of one wait for data, which lasts no longer than
 // longest.
 func (t *roundTrip) limits(longest time.Duration) waitLimits {
--- a/godwitmoord/pkg/attempt/attempt_test.go
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -344,3 +344,24 @@
 		got.Close()
 	}
 }
+
+func TestLimitIsReadFromEveryHead(t *testing.T) {
+	limited := func(head string) string { return strings.Replace(head, "\r\n", "\r\nRate-Limit: 4\r\n", 1) }
+	for name, answer := range map[string]string{
+		"answer":         limited(okAnswer("a", "one")),
+		"error":          limited("HTTP/1.1 500 Oops\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n"),
+		"rejection":      limited("HTTP/1.1 503 Full\r\nAttempt-Id: a\r\nNot-Run: true\r\nContent-Length: 0\r\n\r\n"),
+		"interim answer": limited("HTTP/1.1 103 Early\r\n\r\n") + okAnswer("a", "one"),
+		"late answer":    limited(okAnswer("earlier", "one")) + okAnswer("a", "one"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sender attempt.Sender
+			var limits []float64
+			request := requestOf("a")
+			request.OnHead = func(head exchange.EndpointResponse) { limits = append(limits, head.Limit.PerSecond) }
+			_, _ = sendAndRead(t, &sender, startEndpoint(t, answer), request)
+			is.Equal(limits[0], 4.0)
+		})
+	}
+}
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -286,8 +286,8 @@
 }
 
 // readAnswer returns the next final answer on the connection. It skips interim
-// answers, those with a status below 200.
-func (c *connection) readAnswer(method string, limits waitLimits) (*http.Response, error) {
+// answers, those with a status below 200, and passes them to onInterim.
+func (c *connection) readAnswer(method string, limits waitLimits, onInterim func(status int, header http.Header)) (*http.Response, error) {
 	c.receiver.beginHead(limits)
 	defer c.receiver.endHead()
 	for {
@@ -299,6 +299,7 @@
 			c.sender.recordData(c.address)
 			return response, nil
 		}
+		onInterim(response.StatusCode, response.Header)
 	}
 }
 
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -76,6 +76,8 @@
 	// rates holds the learned rates that owners sent, by service and endpoint. The
 	// entry forwards them to a new owner.
 	rates map[string]map[string]permit.LearnedRates
+	// limits holds the limits that endpoints name, by service and endpoint.
+	limits map[string]map[string]permit.RateLimit
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
 }
@@ -106,6 +108,7 @@
 		held:      map[string]*Grant{},
 		lastOwner: map[string]string{},
 		rates:     map[string]map[string]permit.LearnedRates{},
+		limits:    map[string]map[string]permit.RateLimit{},
 		warnings:  map[string]*warnings{},
 	}
 }
@@ -277,10 +280,14 @@
 			entry:           e,
 			service:         p.service,
 			suspect:         p.ask.Suspect(),
+			limit:           m.Limit,
 			owner:           from.Name,
 		}}
 		e.held[m.ID] = result.grant
 		e.storeRates(p.service, m.Rates)
+		if m.Limit != nil {
+			e.storeLimit(p.service, *m.Limit)
+		}
 	}
 	askedOwner := p.owner
 	e.mu.Unlock()
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -21,7 +21,9 @@
 	entry           *Entry
 	service         string
 	suspect         permit.Suspect
-	owner           string
+	// limit is the limit of the endpoint that the owner knew of at the grant; nil if none.
+	limit *permit.RateLimit
+	owner string
 	// stop cancels the attempt when the owner suspends the permit for a request of
 	// a higher tier; suspended is set when the owner has done so.
 	stop      func()
@@ -71,6 +73,22 @@
 	g.entry.send(g.owner, entryMessage{Kind: progressKind, Service: g.service, ID: g.Permit.ID, Usage: &usage})
 }
 
+// ReportLimit reports to the owner what an answer says of the endpoint's limit, unless the
+// owner knows.
+func (g *Grant) ReportLimit(named bool, perSecond float64) {
+	limit := permit.RateLimit{Endpoint: g.Permit.Endpoint, Named: named, PerSecond: perSecond}
+	e := g.entry
+	e.mu.Lock()
+	e.storeLimit(g.service, limit)
+	known := limit.IsKnown(g.limit)
+	e.mu.Unlock()
+	if known {
+		return
+	}
+	e.common.Count("entry.limits.reported")
+	g.sendToOwners(entryMessage{Kind: limitKind, Service: g.service, Limits: []permit.RateLimit{limit}})
+}
+
 // Stalled reports to the owner that the endpoint has sent no data for longer than
 // expected. The permit is still held.
 func (g *Grant) Stalled() {
@@ -82,10 +100,14 @@
 	e.mu.Lock()
 	delete(e.held, g.Permit.ID)
 	e.mu.Unlock()
-	e.send(g.owner, m)
-	// A new owner may count the permit because a list named it, so it must be
-	// informed as well.
-	if current := e.ownerOf(g.service); current != g.owner {
-		e.send(current, m)
+	g.sendToOwners(m)
+}
+
+// sendToOwners sends a message to the owner that granted the permit, and to a new one:
+// that one may count the permit because a list named it.
+func (g *Grant) sendToOwners(m entryMessage) {
+	g.entry.send(g.owner, m)
+	if current := g.entry.ownerOf(g.service); current != g.owner {
+		g.entry.send(current, m)
 	}
 }
--- a/godwitmoord/pkg/dispatch/limits.go
+++ b/godwitmoord/pkg/dispatch/limits.go
@@ -41,6 +41,7 @@
 		return
 	}
 	event.QueueLimit = defaultQueueLimit
+	event.RateShare = quotaShare
 	event.Weights, event.WorstWeight = p.RankWeights, p.WorstRankWeight
 	event.Repeats = permit.RepeatBound{
 		Ratio:  p.RepeatRatio * repeatShare,
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"godwitmoor.example/coordination/pkg/permit"
@@ -78,21 +80,26 @@
 	e.rates[service][rates.Endpoint] = *rates
 }
 
-// ratesOf returns the stored rates of a service's endpoints, and deletes those of
-// endpoints that no longer belong to the service.
-func (e *Entry) ratesOf(service string) []permit.LearnedRates {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	stored := e.rates[service]
-	var rates []permit.LearnedRates
-	for name := range stored {
-		if serviceName, listed := e.serviceOf(name); !listed || serviceName != service {
-			delete(stored, name)
-			continue
-		}
-		rates = append(rates, stored[name])
+// storeLimit stores what an endpoint says of its limit. The caller holds e.mu.
+func (e *Entry) storeLimit(service string, limit permit.RateLimit) {
+	if !limit.Named {
+		delete(e.limits[service], limit.Endpoint)
+		return
 	}
-	return rates
+	if e.limits[service] == nil {
+		e.limits[service] = map[string]permit.RateLimit{}
+	}
+	e.limits[service][limit.Endpoint] = limit
+}
+
+// storedFor returns what an entry has stored for the endpoints of a service, and deletes
+// what it has for endpoints that no longer belong to the service. The caller holds e.mu.
+func storedFor[T any](e *Entry, service string, stored map[string]T) []T {
+	maps.DeleteFunc(stored, func(endpoint string, _ T) bool {
+		owner, listed := e.serviceOf(endpoint)
+		return !listed || owner != service
+	})
+	return slices.Collect(maps.Values(stored))
 }
 
 // storeWarning stores what an owner learned about parts of prompts. The caller holds
@@ -121,8 +128,9 @@
 // owners learned.
 func (e *Entry) sendFullList(service string) {
 	m := e.heldList(service)
-	m.Rates = e.ratesOf(service)
 	e.mu.Lock()
+	m.Rates = storedFor(e, service, e.rates[service])
+	m.Limits = storedFor(e, service, e.limits[service])
 	m.Crashes, m.Held = e.warnings[service].all()
 	e.mu.Unlock()
 	e.sendList(m)
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -168,8 +168,8 @@
 }
 
 func (o *Owner) handle(from host.Identity, m entryMessage) error {
-	event := m.event(from.Name)
-	if event == nil {
+	events := m.events(from.Name)
+	if len(events) == 0 {
 		return &peer.RefusedError{Reason: "message to an owner has an unknown kind or lacks a field of its kind"}
 	}
 	s := o.getOrCreate(m.Service)
@@ -179,15 +179,31 @@
 		o.common.Count("owner.events.unknown-service")
 		return nil
 	}
-	if len(m.Crashes)+len(m.Held) > 0 {
-		s.offer(permit.Warned{At: instantNow(), Crashes: m.Crashes, Held: m.Held})
+	for _, event := range events {
+		s.offer(event)
 	}
-	s.offer(event)
 	return nil
 }
 
-func (m entryMessage) event(from string) permit.Event {
+// events returns the events of a message; none if its kind is unknown, or if it lacks a
+// field of its kind.
+func (m entryMessage) events(from string) []permit.Event {
 	now := instantNow()
+	var events []permit.Event
+	for _, limit := range m.Limits {
+		events = append(events, permit.Limited{At: now, Limit: limit})
+	}
+	if len(m.Crashes)+len(m.Held) > 0 {
+		events = append(events, permit.Warned{At: now, Crashes: m.Crashes, Held: m.Held})
+	}
+	if event := m.event(from, now); event != nil {
+		events = append(events, event)
+	}
+	return events
+}
+
+// event returns the event of a message's kind, or nil.
+func (m entryMessage) event(from string, now permit.Instant) permit.Event {
 	switch m.Kind {
 	case askKind:
 		if m.Ask == nil || m.Ask.ID == "" {
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -223,11 +223,13 @@
 func (s *serviceOwner) sendDecision(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.addressOf(a.Endpoint), Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates})
+		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.addressOf(a.Endpoint), Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit})
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
 		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter, Part: a.Part})
+	case permit.LimitChanged:
+		s.logLimit(a.Limit)
 	case permit.CrashFound:
 		s.reportCrash(a.Crash)
 	case permit.PartHeld:
--- a/godwitmoord/pkg/dispatch/warn.go
+++ b/godwitmoord/pkg/dispatch/warn.go
@@ -37,6 +37,13 @@
 
 func (s *serviceOwner) persistHeld() { s.queuePage(s.core.QuotaUsed(persistThreshold)) }
 
+// logLimit logs that an endpoint names another limit, or none any more.
+func (s *serviceOwner) logLimit(limit permit.RateLimit) {
+	s.owner.common.Count("owner.limits.changed")
+	s.owner.common.Log.Info("limit of an endpoint changed", zap.String("service", s.service), zap.String("endpoint", limit.Endpoint),
+		zap.Bool("named", limit.Named), zap.Float64("per-second", limit.PerSecond), zap.Float64("share", s.quotaShare()))
+}
+
 // warn sends a warning to all hosts that are not dead.
 func (s *serviceOwner) warn(w warning) {
 	for _, m := range s.owner.members.Members() {
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -17,6 +17,7 @@
 	failKind
 	stallKind
 	progressKind
+	limitKind
 )
 
 // entryMessage is a message from an entry to the owner of a service.
@@ -46,6 +47,8 @@
 	// crash endpoints.
 	Crashes []permit.Crash    `cbor:"14,keyasint,omitempty"`
 	Held    []permit.HeldPart `cbor:"15,keyasint,omitempty"`
+	// Limits holds the limits that endpoints name. A message of limitKind has one.
+	Limits []permit.RateLimit `cbor:"16,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
@@ -70,6 +73,8 @@
 	Suspend bool `cbor:"6,keyasint,omitempty"`
 	// Part is what a refused request is held for.
 	Part string `cbor:"10,keyasint,omitempty"`
+	// Limit is the limit that the granted endpoint names, as far as the owner knows.
+	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
 	// Warning tells what the owner learned about parts of prompts.
 	Warning *warning `cbor:"11,keyasint,omitempty"`
 }
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/dispatch"
@@ -264,6 +265,7 @@
 	}
 	message.FirstByteTimeout = r.dataTimeout(message.FirstByteTimeout, grant.Estimate)
 	message.GapTimeout = r.dataTimeout(message.GapTimeout, grant.Estimate)
+	message.OnHead = func(head exchange.EndpointResponse) { r.reportLimit(grant, head.Limit) }
 	if r.request.Keyless {
 		monitor := &inactivityMonitor{run: r, grant: grant, ctx: ctx}
 		message.InactivityInterval = inactivityInterval
@@ -272,6 +274,15 @@
 	return message
 }
 
+// reportLimit reports what an answer says of the rate of requests that its endpoint takes.
+func (r *requestRun) reportLimit(grant *dispatch.Grant, limit exchange.RateLimit) {
+	if limit.Unreadable {
+		r.service.common.Count("endpoints.limits.unreadable")
+		return
+	}
+	grant.ReportLimit(limit.Named, limit.PerSecond)
+}
+
 // errSuspended ends an attempt that was stopped to free its endpoint for a higher
 // tier.
 var errSuspended = errors.New("the attempt was suspended in favour of a higher tier")
--- a/standin/pkg/engine/engine.go
+++ b/standin/pkg/engine/engine.go
@@ -30,6 +30,7 @@
 	defaultTokens = 16
 	offsetHeader  = "Resume-Offset"
 	partsHeader   = "Prompt-Parts"
+	limitHeader   = "Rate-Limit"
 	// prefillChunk is the maximum number of prompt tokens computed in one step,
 	// over all sequences of the batch.
 	prefillChunk = 2048
@@ -65,6 +66,9 @@
 	// CrashPart is a part of prompts on which the engine crashes when it would begin to
 	// answer: all its connections break. It is back at once.
 	CrashPart string `json:"crash-part"`
+	// RateLimit is the limit that the engine names in its answers, in requests per
+	// second; empty means that it names none.
+	RateLimit string `json:"rate-limit"`
 	// Slow multiplies the duration of each step if it is greater than 1.
 	Slow float64 `json:"slow"`
 	// Freeze stops all decoding and keeps the connections open.
@@ -310,6 +314,9 @@
 		request.MaxTokens = defaultTokens
 	}
 	faults := e.currentFaults().forOffset(offset)
+	if faults.RateLimit != "" {
+		w.Header().Set(limitHeader, faults.RateLimit)
+	}
 	switch {
 	case faults.Refuse:
 		w.Header().Set("Not-Run", "true")
