--- a/coordination/pkg/permit/quarantine.go
+++ b/coordination/pkg/permit/quarantine.go
@@ -29,48 +29,6 @@
 	maxHeld = 256
 )
 
-// Crash describes one crash of an endpoint: the requests that it had not begun to
-// answer, one of which may have caused the crash.
-type Crash struct {
-	// ID is the same in all messages about the crash.
-	ID       string    `json:"id"`
-	Endpoint string    `json:"endpoint"`
-	Suspects []Suspect `json:"suspects"`
-	// Age is the time since the crash.
-	Age time.Duration `json:"age,omitempty"`
-}
-
-// Suspect is a request that an endpoint had not begun to answer when it crashed.
-type Suspect struct {
-	Request  string   `json:"request"`
-	Customer string   `json:"customer,omitempty"`
-	Subject  string   `json:"subject,omitempty"`
-	Parts    []string `json:"parts,omitempty"`
-}
-
-// own returns a key of what only the tries of the request share.
-func (s Suspect) own() string {
-	if s.Subject == "" {
-		return s.Request
-	}
-	return s.Customer + "/" + s.Subject
-}
-
-// Keys returns what may be to blame for a crash: the parts of the prompt, and the
-// request itself.
-func (s Suspect) Keys() []string { return append(slices.Clone(s.Parts), s.own()) }
-
-// HeldPart is a part of prompts that crashes endpoints. Requests with the part are
-// refused.
-type HeldPart struct {
-	Part string `json:"part"`
-	// Left is how long the part is still held before one request with it is tried
-	// again. Zero means that the part is not held any more.
-	Left time.Duration `json:"left"`
-	// Hold is how long the part was held in all, from which the next hold follows.
-	Hold time.Duration `json:"hold,omitempty"`
-}
-
 // quarantine tells from crashes and answers which parts of prompts crash endpoints, and
 // holds back requests with these. A part is to blame if it is in several crashes in a
 // row, with no answer to a request with it in between. What a request shares with its
@@ -82,12 +40,6 @@
 	held    map[string]*hold
 }
 
-type rememberedCrash struct {
-	id       string
-	at       Instant
-	suspects []Suspect
-}
-
 // hold is the time for which a part is held.
 type hold struct {
 	until  Instant
@@ -300,25 +252,6 @@
 	return cleared
 }
 
-// incriminates reports whether a part is in one of the suspects.
-func (c *rememberedCrash) incriminates(part string) bool {
-	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return slices.Contains(s.Parts, part) || s.own() == part })
-}
-
-// clear removes a part from the suspects. The suspects may be shared with messages, so
-// they are copied when they change.
-func (c *rememberedCrash) clear(part string) {
-	for i, s := range c.suspects {
-		if s.own() == part {
-			c.suspects = slices.Delete(slices.Clone(c.suspects), i, i+1)
-			return
-		}
-		if at := slices.Index(s.Parts, part); at >= 0 {
-			c.suspects[i].Parts = slices.Delete(slices.Clone(s.Parts), at, at+1)
-		}
-	}
-}
-
 // heldParts returns all held parts, in the order of their names.
 func (q *quarantine) heldParts(now Instant) []HeldPart {
 	var parts []HeldPart
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -3,35 +3,25 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"godwitmoor.example/coordination/pkg/exchange"
 )
 
 const (
-	dialTimeout = time.Second
-	// maxIdlePerEndpoint bounds the idle connections that are kept open for one
-	// endpoint.
-	maxIdlePerEndpoint = 64
 	// defaultIdleLifetime is how long an idle connection is kept if its endpoint
 	// states no limit of its own. If it states one, the connection is closed
 	// idleMargin before that limit.
 	defaultIdleLifetime = 4 * time.Second
 	idleMargin          = time.Second
 	// writeTimeout bounds the time to write a request to the connection.
-	writeTimeout = 5 * time.Second
-	// unacknowledgedTimeout bounds how long sent bytes may stay
-	// unacknowledged by the endpoint's TCP stack.
-	unacknowledgedTimeout = 3 * time.Second
-	readBufferSize        = 2 << 10
+	writeTimeout   = 5 * time.Second
+	readBufferSize = 2 << 10
 	// maxInlineBytes is the size up to which a request is written before its answer
 	// is read. A longer one is written while the answer is read, because the
 	// endpoint may answer before it has received the whole request.
@@ -42,130 +32,8 @@
 	maxRefusalBytes = 64 << 10
 	maxSkippedBytes = 1 << 20
 	drainTimeout    = 200 * time.Millisecond
-	// tcpUserTimeout is the number of the Linux socket option TCP_USER_TIMEOUT.
-	tcpUserTimeout = 18
 )
 
-// Sender sends attempts and holds the idle connections to endpoints. The zero
-// value uses the product's own dialect. It is safe for concurrent use.
-type Sender struct {
-	// Dialect defines the headers that are exchanged with endpoints; nil means the
-	// product's own.
-	Dialect exchange.Dialect
-
-	mu   sync.Mutex
-	idle map[string][]*connection
-	// lastData is the time of the last data from each address.
-	lastData map[string]time.Time
-}
-
-func (s *Sender) dialect() exchange.Dialect {
-	if s.Dialect == nil {
-		return exchange.Native{}
-	}
-	return s.Dialect
-}
-
-// connect returns a connection to the endpoint: a usable idle one if shared is set,
-// or a new one.
-func (s *Sender) connect(ctx context.Context, address string, shared bool) (*connection, error) {
-	for shared {
-		c := s.takeIdle(address)
-		if c == nil {
-			break
-		}
-		if time.Now().Before(c.usableUntil) && c.isUsable() {
-			return c, nil
-		}
-		c.close()
-	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUnacknowledgedTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	c := &connection{sender: s, address: address, conn: conn, receiver: receiver{sender: s, address: address, conn: conn}}
-	c.reader = bufio.NewReaderSize(&c.receiver, readBufferSize)
-	return c, nil
-}
-
-// setUnacknowledgedTimeout sets how long sent data may stay unacknowledged before
-// the kernel closes the connection.
-func setUnacknowledgedTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, optionErr)
-}
-
-// takeIdle removes the newest idle connection to an address and returns it; nil if
-// there is none.
-func (s *Sender) takeIdle(address string) *connection {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	idle := s.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	// The endpoint is least likely to have closed the newest connection.
-	c := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	s.idle[address] = idle[:len(idle)-1]
-	return c
-}
-
-// putIdle stores an idle connection, or closes it if enough of them are stored for
-// its endpoint.
-func (s *Sender) putIdle(c *connection) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.idle == nil {
-		s.idle = map[string][]*connection{}
-	}
-	idle := s.idle[c.address]
-	if len(idle) >= maxIdlePerEndpoint {
-		c.close()
-		return
-	}
-	s.idle[c.address] = append(idle, c)
-}
-
-// CloseIdle closes the idle connections to an endpoint. It is called when one of
-// its connections stopped responding, because the others may be dead as well.
-func (s *Sender) CloseIdle(address string) {
-	s.mu.Lock()
-	idle := s.idle[address]
-	delete(s.idle, address)
-	s.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
-}
-
-// CloseExpired closes the idle connections that may no longer be used.
-func (s *Sender) CloseExpired() {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for address, idle := range s.idle {
-		unexpired := idle[:0]
-		for _, c := range idle {
-			if now.Before(c.usableUntil) {
-				unexpired = append(unexpired, c)
-				continue
-			}
-			c.close()
-		}
-		clear(idle[len(unexpired):])
-		if len(unexpired) == 0 {
-			delete(s.idle, address)
-			continue
-		}
-		s.idle[address] = unexpired
-	}
-}
-
 // IsDisconnect reports whether an error of an attempt means that the endpoint ended the
 // connection before its answer was complete.
 func IsDisconnect(err error) bool {
@@ -267,24 +135,6 @@
 	return c.reader.Buffered() == 0 && time.Now().Before(c.usableUntil)
 }
 
-// recordData records that an endpoint sent data now.
-func (s *Sender) recordData(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lastData == nil {
-		s.lastData = map[string]time.Time{}
-	}
-	s.lastData[address] = time.Now()
-}
-
-// hasDataSince reports whether an endpoint sent data after start, on any
-// connection.
-func (s *Sender) hasDataSince(address string, start time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastData[address].After(start)
-}
-
 // readAnswer returns the next final answer on the connection. It skips interim
 // answers, those with a status below 200, and passes them to onInterim.
 func (c *connection) readAnswer(method string, limits waitLimits, onInterim func(status int, header http.Header)) (*http.Response, error) {
