--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -28,7 +28,7 @@
 )
 
 // Action is a decision of the core. It is one of Granted, Refused, Suspended,
-// CrashFound, PartHeld, PartCleared and LimitChanged.
+// CrashFound, PartsHeld, PartsCleared and LimitChanged.
 type Action interface{ action() }
 
 type (
@@ -67,23 +67,24 @@
 		RetryAfter time.Duration `json:"retry-after"`
 		// Waited is the time since the request was asked for.
 		Waited time.Duration `json:"waited"`
-		// Part is what the request is held for; empty for other reasons.
-		Part string `json:"part,omitempty"`
+		// Held is the key of the parts for which the request is held; empty for other
+		// reasons.
+		Held string `json:"held,omitempty"`
 	}
 	// CrashFound reports that an endpoint crashed with requests that it had not begun
 	// to answer. Other owners have to learn of it.
 	CrashFound struct {
 		Crash Crash `json:"crash"`
 	}
-	// PartHeld reports that requests with a part are refused from now on. All hosts
-	// have to learn of it.
-	PartHeld struct {
-		Held HeldPart `json:"held"`
+	// PartsHeld reports that requests with certain parts are refused from now on. All
+	// hosts have to learn of it.
+	PartsHeld struct {
+		Held HeldParts `json:"held"`
 	}
-	// PartCleared reports that a part is not held any more, because an endpoint
-	// answered a request with it.
-	PartCleared struct {
-		Part string `json:"part"`
+	// PartsCleared reports that parts are not held any more, because an endpoint
+	// answered a request with them, or with some of them.
+	PartsCleared struct {
+		Key string `json:"key"`
 	}
 	// LimitChanged reports that an endpoint named another limit, or none any more.
 	LimitChanged struct {
@@ -95,8 +96,8 @@
 func (Refused) action()   {}
 func (Suspended) action() {}
 
-func (CrashFound) action()  {}
-func (PartHeld) action()    {}
-func (PartCleared) action() {}
+func (CrashFound) action()   {}
+func (PartsHeld) action()    {}
+func (PartsCleared) action() {}
 
 func (LimitChanged) action() {}
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -17,8 +17,8 @@
 	a.Goal = c.refusedGoals.originalGoal(a, c.now)
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
-	if part, left := c.quarantine.heldPart(a, c.now); part != "" {
-		c.refuseHeld(w, part, left)
+	if key, left := c.quarantine.check(a, c.now); key != "" {
+		c.refuseHeld(w, key, left)
 		return
 	}
 	c.quarantine.tryAgain(a, c.now)
--- a/coordination/pkg/permit/crash.go
+++ b/coordination/pkg/permit/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -36,17 +37,28 @@
 // request itself.
 func (s Suspect) Keys() []string { return append(slices.Clone(s.Parts), s.own()) }
 
-// HeldPart is a part of prompts that crashes endpoints. Requests with the part are
-// refused.
-type HeldPart struct {
-	Part string `json:"part"`
-	// Left is how long the part is still held before one request with it is tried
-	// again. Zero means that the part is not held any more.
+// HeldParts are parts of prompts that crash endpoints. Requests with all of them are
+// refused. Mostly it is one part; there are more while they were always together.
+type HeldParts struct {
+	Parts []string `json:"parts"`
+	// Left is how long the parts are still held before one request with them is tried
+	// again.
 	Left time.Duration `json:"left"`
-	// Hold is how long the part was held in all, from which the next hold follows.
+	// Hold is how long the parts were held in all, from which the next hold follows.
 	Hold time.Duration `json:"hold,omitempty"`
 }
 
+// Key returns a text that identifies the parts.
+func (h HeldParts) Key() string { return strings.Join(h.Parts, " ") }
+
+// Match reports whether a request has all of the parts.
+func (h HeldParts) Match(s Suspect) bool { return s.hasAll(h.Parts) }
+
+func (s Suspect) hasAll(parts []string) bool {
+	keys := s.Keys()
+	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(keys, part) })
+}
+
 type rememberedCrash struct {
 	id       string
 	at       Instant
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -108,9 +108,9 @@
 	// Warned reports what other owners learned about parts of prompts that crash
 	// endpoints.
 	Warned struct {
-		At      Instant    `json:"at"`
-		Crashes []Crash    `json:"crashes,omitempty"`
-		Held    []HeldPart `json:"held,omitempty"`
+		At      Instant     `json:"at"`
+		Crashes []Crash     `json:"crashes,omitempty"`
+		Held    []HeldParts `json:"held,omitempty"`
 	}
 	// Stalled reports that the endpoint has sent no data for a request for too
 	// long. The permit is still held.
--- a/coordination/pkg/permit/quarantine.go
+++ b/coordination/pkg/permit/quarantine.go
@@ -4,15 +4,14 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
 const (
 	// minCrashes is how many crashes in a row must have a part in common before it is
-	// held. If several parts have as many in common, maxCrashes decides, because
-	// another crash may tell them apart.
+	// held.
 	minCrashes = 3
-	maxCrashes = 4
 	// minRequests is how many different requests with a part must have been caught in
 	// crashes. A single request that is repeated does not incriminate its parts, which
 	// other requests share.
@@ -25,52 +24,99 @@
 	initialHold = time.Minute
 	holdGrowth  = 4
 	maxHold     = 24 * time.Hour
-	// maxHeld bounds the held parts.
+	// maxHeld bounds the sets of parts that are held.
 	maxHeld = 256
 )
 
 // quarantine tells from crashes and answers which parts of prompts crash endpoints, and
 // holds back requests with these. A part is to blame if it is in several crashes in a
 // row, with no answer to a request with it in between. What a request shares with its
-// own tries only counts as a part too. The zero value holds nothing.
+// own tries only counts as a part too. Parts that were in the same crashes are held
+// together: requests with all of them are refused, until an answer to a request with
+// some of them clears those. The zero value holds nothing.
 type quarantine struct {
-	// crashes are those that no held part explains, the oldest first. Parts that were
-	// answered since are removed from their suspects.
+	// crashes are those of the last minute, the oldest first. Parts that were answered
+	// since are removed from their suspects.
 	crashes []rememberedCrash
-	held    map[string]*hold
+	// held holds the held parts by their keys, in the order in which they were added.
+	held []*heldSet
 }
 
-// hold is the time for which a part is held.
-type hold struct {
+// heldSet is a set of parts that are held together.
+type heldSet struct {
+	parts  []string
 	until  Instant
 	length time.Duration
-	// tried is set while a request with the part is tried after the hold was over.
+	// tried is set while a request with the parts is tried after the hold was over.
 	tried bool
 	// isOwn is set for what only the tries of one request share.
 	isOwn bool
 }
 
-// evidence is what the remembered crashes say of one part.
+// evidence is what the remembered crashes say of parts that were in the same ones.
 type evidence struct {
-	part     string
-	crashes  int
-	requests map[string]bool
-	isOwn    bool
+	parts    []string
+	crashes  []string
+	requests []string
+	// isOwn is set for what only the tries of one request share.
+	isOwn bool
 }
 
-func (v *evidence) incriminates() bool {
-	return v.crashes >= minCrashes && (v.isOwn || len(v.requests) >= minRequests)
+// add adds a suspect with the parts in a crash.
+func (v *evidence) add(crash string, s Suspect) {
+	if !slices.Contains(v.crashes, crash) {
+		v.crashes = append(v.crashes, crash)
+	}
+	if !slices.Contains(v.requests, s.own()) {
+		v.requests = append(v.requests, s.own())
+	}
 }
 
-// heldPart returns the part for which a request must not be sent, and how long that
-// part is still held; an empty part if the request may be sent.
-func (q *quarantine) heldPart(a Ask, now Instant) (part string, left time.Duration) {
-	if len(q.held) == 0 {
-		return "", 0
+// sign returns a text that is the same for parts that were in the same crashes.
+func (v *evidence) sign() string { return strings.Join(v.crashes, " ") }
+
+// incriminates reports whether enough crashes that nothing else explains speak against
+// the parts.
+func (v *evidence) incriminates(explained map[string]bool) bool {
+	unexplained := 0
+	for _, id := range v.crashes {
+		if !explained[id] {
+			unexplained++
+		}
 	}
-	for _, part := range a.Suspect().Keys() {
-		if h := q.held[part]; h != nil && now < h.until {
-			return part, h.until.Since(now)
+	return unexplained >= minCrashes && (v.isOwn || len(v.requests) >= minRequests)
+}
+
+func (h *heldSet) message(now Instant) HeldParts {
+	return HeldParts{Parts: h.parts, Left: max(h.until.Since(now), 0), Hold: h.length}
+}
+
+// find returns the held parts of a key, or nil.
+func (q *quarantine) find(key string) *heldSet {
+	at := slices.IndexFunc(q.held, func(h *heldSet) bool { return HeldParts{Parts: h.parts}.Key() == key })
+	if at < 0 {
+		return nil
+	}
+	return q.held[at]
+}
+
+// matching returns the held parts that a request has.
+func (q *quarantine) matching(s Suspect) []*heldSet {
+	var matching []*heldSet
+	for _, h := range q.held {
+		if s.hasAll(h.parts) {
+			matching = append(matching, h)
+		}
+	}
+	return matching
+}
+
+// check returns the parts for which a request must not be sent, and how long they are
+// still held; an empty key if the request may be sent.
+func (q *quarantine) check(a Ask, now Instant) (key string, left time.Duration) {
+	for _, h := range q.matching(a.Suspect()) {
+		if now < h.until {
+			return HeldParts{Parts: h.parts}.Key(), h.until.Since(now)
 		}
 	}
 	return "", 0
@@ -82,7 +128,8 @@
 		return false
 	}
 	for _, part := range a.Suspect().Keys() {
-		if q.held[part] != nil || slices.ContainsFunc(q.crashes, func(c rememberedCrash) bool { return c.incriminates(part) }) {
+		isHeld := slices.ContainsFunc(q.held, func(h *heldSet) bool { return slices.Contains(h.parts, part) })
+		if isHeld || slices.ContainsFunc(q.crashes, func(c rememberedCrash) bool { return c.incriminates(part) }) {
 			return true
 		}
 	}
@@ -92,22 +139,17 @@
 // tryAgain holds the parts of a request that is sent although they were held before,
 // until that request is answered or the hold is over once more.
 func (q *quarantine) tryAgain(a Ask, now Instant) {
-	if len(q.held) == 0 {
-		return
-	}
-	for _, part := range a.Suspect().Keys() {
-		if h := q.held[part]; h != nil {
-			h.until, h.tried = now.After(h.length), true
-		}
+	for _, h := range q.matching(a.Suspect()) {
+		h.until, h.tried = now.After(h.length), true
 	}
 }
 
 // addCrash adds a crash, and returns the parts that are held because of it.
-func (q *quarantine) addCrash(now Instant, crash Crash) []HeldPart {
+func (q *quarantine) addCrash(now Instant, crash Crash) []HeldParts {
 	if slices.ContainsFunc(q.crashes, func(c rememberedCrash) bool { return c.id == crash.ID }) {
 		return nil
 	}
-	if extended := q.extend(now, crash.Suspects); len(extended) > 0 {
+	if explained, extended := q.explain(now, crash.Suspects); explained {
 		return extended
 	}
 	q.forgetOld(now)
@@ -115,29 +157,23 @@
 	return q.judge(now)
 }
 
-// extend holds a part longer that has crashed an endpoint again. A held part explains
-// the whole crash, so that no other part is incriminated.
-func (q *quarantine) extend(now Instant, suspects []Suspect) []HeldPart {
-	var extended []HeldPart
-	explained := false
+// explain reports whether held parts explain a crash, so that it speaks against no
+// others. It returns those that are held longer, because the crash was the end of a try.
+func (q *quarantine) explain(now Instant, suspects []Suspect) (explained bool, extended []HeldParts) {
 	for _, suspect := range suspects {
-		for _, part := range suspect.Keys() {
-			h := q.held[part]
-			if h == nil || h.isOwn {
+		for _, h := range q.matching(suspect) {
+			if h.isOwn {
 				continue
 			}
 			explained = true
 			if h.tried {
 				h.length = min(h.length*holdGrowth, maxHold)
 				h.until, h.tried = now.After(h.length), false
+				extended = append(extended, h.message(now))
 			}
-			extended = append(extended, HeldPart{Part: part, Left: h.until.Since(now), Hold: h.length})
 		}
 	}
-	if !explained {
-		return nil
-	}
-	return extended
+	return explained, extended
 }
 
 func (q *quarantine) forgetOld(now Instant) {
@@ -147,117 +183,123 @@
 	}
 }
 
-// judge holds the parts that the remembered crashes incriminate.
-func (q *quarantine) judge(now Instant) []HeldPart {
-	var found []HeldPart
-	var shared []*evidence
+// judge holds the parts that the remembered crashes incriminate. It begins with those
+// that are in most crashes; these crashes speak against no others.
+func (q *quarantine) judge(now Instant) []HeldParts {
+	var found []HeldParts
+	explained := map[string]bool{}
 	for _, v := range q.weigh() {
-		switch {
-		case !v.incriminates():
-		case v.isOwn:
-			if q.held[v.part] == nil {
-				found = append(found, q.hold(now, v.part, true))
+		if !v.incriminates(explained) {
+			continue
+		}
+		if !v.isOwn {
+			for _, id := range v.crashes {
+				explained[id] = true
 			}
-		default:
-			shared = append(shared, v)
 		}
-	}
-	if len(shared) == 0 {
-		return found
-	}
-	most := slices.MaxFunc(shared, func(a, b *evidence) int { return cmp.Compare(a.crashes, b.crashes) }).crashes
-	shared = slices.DeleteFunc(shared, func(v *evidence) bool { return v.crashes < most })
-	if len(shared) > 1 && most < maxCrashes {
-		return found
-	}
-	for _, v := range shared {
-		found = append(found, q.hold(now, v.part, false))
-		q.forgetExplained(v.part)
+		found = append(found, q.hold(now, v.parts, v.isOwn)...)
 	}
 	return found
 }
 
-// weigh returns the evidence on each part that is in the remembered crashes, in the
-// order of the parts.
+// weigh returns the evidence on the parts that are in the remembered crashes, those in
+// most crashes first.
 func (q *quarantine) weigh() []*evidence {
-	found := map[string]*evidence{}
+	byPart := map[string]*evidence{}
 	for _, c := range q.crashes {
-		counted := map[string]bool{}
 		for _, suspect := range c.suspects {
 			for _, part := range suspect.Keys() {
-				v := found[part]
-				if v == nil {
-					v = &evidence{part: part, requests: map[string]bool{}, isOwn: part == suspect.own()}
-					found[part] = v
+				if byPart[part] == nil {
+					byPart[part] = &evidence{parts: []string{part}, isOwn: part == suspect.own()}
 				}
-				v.requests[suspect.own()] = true
-				if !counted[part] {
-					v.crashes++
-				}
-				counted[part] = true
+				byPart[part].add(c.id, suspect)
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Values(found), func(a, b *evidence) int { return cmp.Compare(a.part, b.part) })
-}
-
-// hold begins to hold a part.
-func (q *quarantine) hold(now Instant, part string, isOwn bool) HeldPart {
-	q.adopt(now, HeldPart{Part: part, Left: initialHold, Hold: initialHold})
-	q.held[part].isOwn = isOwn
-	return HeldPart{Part: part, Left: initialHold, Hold: initialHold}
+	var weighed []*evidence
+	bySign := map[string]*evidence{}
+	for _, part := range slices.Sorted(maps.Keys(byPart)) {
+		v := byPart[part]
+		same := bySign[v.sign()]
+		if same != nil && !v.isOwn {
+			same.parts = append(same.parts, part)
+			continue
+		}
+		if !v.isOwn {
+			bySign[v.sign()] = v
+		}
+		weighed = append(weighed, v)
+	}
+	slices.SortStableFunc(weighed, func(a, b *evidence) int { return cmp.Compare(len(b.crashes), len(a.crashes)) })
+	return weighed
 }
 
-// forgetExplained removes the crashes that a part explains.
-func (q *quarantine) forgetExplained(part string) {
-	q.crashes = slices.DeleteFunc(q.crashes, func(c rememberedCrash) bool {
-		return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return slices.Contains(s.Parts, part) })
-	})
+// hold begins to hold parts, unless they are held already.
+func (q *quarantine) hold(now Instant, parts []string, isOwn bool) []HeldParts {
+	held := HeldParts{Parts: parts, Left: initialHold, Hold: initialHold}
+	if q.find(held.Key()) != nil {
+		return nil
+	}
+	q.adopt(now, held)
+	q.find(held.Key()).isOwn = isOwn
+	return []HeldParts{held}
 }
 
-// adopt holds a part that another owner holds, unless it is held longer here. If too
-// many parts are held, the one whose hold ends first is dropped.
-func (q *quarantine) adopt(now Instant, p HeldPart) {
-	if q.held == nil {
-		q.held = map[string]*hold{}
+// adopt holds parts that another owner holds, unless they are held longer here. If too
+// many are held, those whose hold ends first are dropped.
+func (q *quarantine) adopt(now Instant, held HeldParts) {
+	until := now.After(held.Left)
+	if h := q.find(held.Key()); h != nil {
+		h.until, h.length = max(h.until, until), max(h.length, held.Hold)
+		return
 	}
-	until := now.After(p.Left)
-	if h := q.held[p.Part]; h != nil {
-		h.until, h.length = max(h.until, until), max(h.length, p.Hold)
+	if len(held.Parts) == 0 {
 		return
 	}
 	if len(q.held) >= maxHeld {
-		first := slices.MinFunc(slices.Sorted(maps.Keys(q.held)), func(a, b string) int { return cmp.Compare(q.held[a].until, q.held[b].until) })
-		delete(q.held, first)
+		first := slices.MinFunc(q.held, func(a, b *heldSet) int { return cmp.Compare(a.until, b.until) })
+		q.drop(first)
 	}
-	q.held[p.Part] = &hold{until: until, length: p.Hold}
+	q.held = append(q.held, &heldSet{parts: held.Parts, until: until, length: held.Hold})
 }
 
-// clear clears the parts of a request that an endpoint has begun to answer, and
-// returns those that were held.
-func (q *quarantine) clear(a Ask) []string {
+func (q *quarantine) drop(h *heldSet) {
+	q.held = slices.DeleteFunc(q.held, func(other *heldSet) bool { return other == h })
+}
+
+// clear clears the parts of a request that an endpoint has begun to answer. It returns
+// the held parts that were cleared, and what is left of them and held from now on.
+func (q *quarantine) clear(a Ask, now Instant) (cleared, left []HeldParts) {
 	if len(q.crashes) == 0 && len(q.held) == 0 {
-		return nil
+		return nil, nil
 	}
-	var cleared []string
-	for _, part := range a.Suspect().Keys() {
-		if q.held[part] != nil {
-			delete(q.held, part)
-			cleared = append(cleared, part)
-		}
+	keys := a.Suspect().Keys()
+	for _, part := range keys {
 		for i := range q.crashes {
 			q.crashes[i].clear(part)
 		}
 	}
-	return cleared
+	for _, h := range slices.Clone(q.held) {
+		rest := slices.DeleteFunc(slices.Clone(h.parts), func(part string) bool { return slices.Contains(keys, part) })
+		if len(rest) == len(h.parts) {
+			continue
+		}
+		cleared = append(cleared, h.message(now))
+		q.drop(h)
+		if len(rest) > 0 {
+			narrower := HeldParts{Parts: rest, Left: max(h.until.Since(now), 0), Hold: h.length}
+			q.adopt(now, narrower)
+			left = append(left, narrower)
+		}
+	}
+	return cleared, left
 }
 
-// heldParts returns all held parts, in the order of their names.
-func (q *quarantine) heldParts(now Instant) []HeldPart {
-	var parts []HeldPart
-	for _, part := range slices.Sorted(maps.Keys(q.held)) {
-		h := q.held[part]
-		parts = append(parts, HeldPart{Part: part, Left: max(h.until.Since(now), 0), Hold: h.length})
+// all returns all held parts.
+func (q *quarantine) all(now Instant) []HeldParts {
+	var parts []HeldParts
+	for _, h := range q.held {
+		parts = append(parts, h.message(now))
 	}
 	return parts
 }
--- a/coordination/pkg/permit/quarantine_test.go
+++ b/coordination/pkg/permit/quarantine_test.go
@@ -19,7 +19,7 @@
 	endpointOf map[string]string
 	asks       map[string]permit.Ask
 	refused    map[string]permit.Refused
-	held       []permit.HeldPart
+	held       []permit.HeldParts
 	cleared    []string
 	crashes    []permit.Crash
 	count      int
@@ -42,10 +42,10 @@
 			p.endpointOf[a.ID] = a.Endpoint
 		case permit.Refused:
 			p.refused[a.ID] = a
-		case permit.PartHeld:
+		case permit.PartsHeld:
 			p.held = append(p.held, a.Held)
-		case permit.PartCleared:
-			p.cleared = append(p.cleared, a.Part)
+		case permit.PartsCleared:
+			p.cleared = append(p.cleared, a.Key)
 		case permit.CrashFound:
 			p.crashes = append(p.crashes, a.Crash)
 		}
@@ -106,7 +106,7 @@
 func (p *crashingPool) heldNames() []string {
 	names := []string{}
 	for _, h := range p.held {
-		names = append(names, h.Part)
+		names = append(names, h.Key())
 	}
 	return names
 }
@@ -122,7 +122,7 @@
 		p.is.Equal(p.heldNames(), []string{"deadly"})
 		r := p.refused[p.ask("s-3", "system", "deadly")]
 		p.is.Equal(r.Reason, permit.Held)
-		p.is.Equal(r.Part, "deadly")
+		p.is.Equal(r.Held, "deadly")
 		p.is.True(r.RetryAfter > 50*time.Second)
 		p.is.Equal(p.refused[p.ask("s-4", "system", "menu")].Reason, permit.Reason(""))
 	}
@@ -267,3 +267,40 @@
 	p.crash(id)
 	p.is.Equal(len(p.crashes), 0)
 }
+
+func TestPartsThatWereAlwaysTogetherAreHeldOnlyTogether(t *testing.T) {
+	p := newCrashingPool(t, 9)
+	for i := range 3 {
+		p.crashWith(fmt.Sprint("s-", i), "caller", "deadly")
+	}
+	p.is.Equal(p.heldNames(), []string{"caller deadly"})
+	p.is.Equal(p.refused[p.ask("s-4", "caller", "deadly")].Reason, permit.Held)
+	sound := p.ask("s-5", "caller")
+	p.is.Equal(p.refused[sound].Reason, permit.Reason(""))
+	p.finish(sound)
+	p.is.Equal(p.cleared, []string{"caller deadly"})
+	p.is.Equal(p.heldNames(), []string{"caller deadly", "deadly"})
+	p.is.Equal(p.refused[p.ask("s-6", "other", "deadly")].Reason, permit.Held)
+	p.is.Equal(p.refused[p.ask("s-7", "caller")].Reason, permit.Reason(""))
+}
+
+func TestCrashTellsWhichOfTheHeldPartsIsToBlame(t *testing.T) {
+	p := newCrashingPool(t, 9)
+	for i := range 3 {
+		p.crashWith(fmt.Sprint("s-", i), "caller", "deadly")
+	}
+	p.crashWith("s-4", "other", "deadly")
+	p.is.Equal(p.heldNames(), []string{"caller deadly", "deadly"})
+	p.is.Equal(p.refused[p.ask("s-5", "another", "deadly")].Reason, permit.Held)
+	p.is.Equal(p.refused[p.ask("s-6", "caller")].Reason, permit.Reason(""))
+}
+
+func TestPartsOfBystandersAreNotHeldForCrashesOfAHeldPart(t *testing.T) {
+	p := newCrashingPool(t, 9)
+	for i := range 2 {
+		p.crashWith(fmt.Sprint("s-", i), "deadly", "rare")
+	}
+	p.crashWith("s-3", "deadly")
+	p.crashWith("s-4", "rare")
+	p.is.Equal(p.heldNames(), []string{"deadly"})
+}
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -145,12 +145,12 @@
 		return "suspended"
 	case CrashFound:
 		return "crash-found"
-	case PartHeld:
-		return "part-held"
+	case PartsHeld:
+		return "parts-held"
 	case LimitChanged:
 		return "limit-changed"
-	case PartCleared:
-		return "part-cleared"
+	case PartsCleared:
+		return "parts-cleared"
 	default:
 		return "unknown"
 	}
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -19,7 +19,7 @@
 		permit.Progressed{At: at, ID: "a", Usage: permit.Usage{FirstByte: time.Second}},
 		permit.Failed{At: at, ID: "a", Fault: permit.Lost},
 		permit.Stalled{At: at, ID: "a"},
-		permit.Warned{At: at, Held: []permit.HeldPart{{Part: "p", Left: time.Second}}},
+		permit.Warned{At: at, Held: []permit.HeldParts{{Parts: []string{"p"}, Left: time.Second}}},
 		permit.Limited{At: at, Limit: permit.RateLimit{Endpoint: "engine-1", Named: true, PerSecond: 2.5}},
 		permit.Listed{At: at, Host: "entry-1"},
 		permit.Reported{At: at, Endpoint: "engine-1", Running: 3},
--- a/coordination/pkg/permit/suspicion.go
+++ b/coordination/pkg/permit/suspicion.go
@@ -25,7 +25,7 @@
 	for _, held := range e.Held {
 		c.quarantine.adopt(c.now, held)
 	}
-	var found []HeldPart
+	var found []HeldParts
 	for _, crash := range e.Crashes {
 		found = append(found, c.quarantine.addCrash(c.now, crash)...)
 	}
@@ -35,9 +35,9 @@
 
 // holdParts announces parts that are held from now on, and refuses the requests with
 // them that wait.
-func (c *Core) holdParts(parts []HeldPart) {
+func (c *Core) holdParts(parts []HeldParts) {
 	for _, held := range parts {
-		c.actions = append(c.actions, PartHeld{Held: held})
+		c.actions = append(c.actions, PartsHeld{Held: held})
 	}
 	if len(parts) > 0 {
 		c.refuseHeldWaiters()
@@ -51,26 +51,30 @@
 	}
 	slices.SortFunc(waiting, func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })
 	for _, w := range waiting {
-		if part, left := c.quarantine.heldPart(w.ask, c.now); part != "" {
+		if key, left := c.quarantine.check(w.ask, c.now); key != "" {
 			c.dequeue(w)
 			c.refund(w)
-			c.refuseHeld(w, part, left)
+			c.refuseHeld(w, key, left)
 		}
 	}
 }
 
-func (c *Core) refuseHeld(w *waiter, part string, left time.Duration) {
+func (c *Core) refuseHeld(w *waiter, key string, left time.Duration) {
 	c.actions = append(c.actions, Refused{
-		ID: w.ask.ID, Host: w.ask.Host, Reason: Held, RetryAfter: max(left, minRetryAfter), Waited: c.now.Since(w.since), Part: part,
+		ID: w.ask.ID, Host: w.ask.Host, Reason: Held, RetryAfter: max(left, minRetryAfter), Waited: c.now.Since(w.since), Held: key,
 	})
 }
 
 // clearParts clears the parts of a request that its endpoint began to answer.
 func (c *Core) clearParts(a Ask) {
-	for _, part := range c.quarantine.clear(a) {
-		c.actions = append(c.actions, PartCleared{Part: part})
+	cleared, left := c.quarantine.clear(a, c.now)
+	for _, held := range cleared {
+		c.actions = append(c.actions, PartsCleared{Key: held.Key()})
+	}
+	for _, held := range left {
+		c.actions = append(c.actions, PartsHeld{Held: held})
 	}
 }
 
 // HeldParts returns the parts that are held, to store them for other owners.
-func (c *Core) HeldParts() []HeldPart { return c.quarantine.heldParts(c.now) }
+func (c *Core) HeldParts() []HeldParts { return c.quarantine.all(c.now) }
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -49,8 +49,9 @@
 type RefusedError struct {
 	Reason     permit.Reason
 	RetryAfter time.Duration
-	// Part is what the request is held for; empty for other reasons.
-	Part string
+	// Held is the key of the parts for which the request is held; empty for other
+	// reasons.
+	Held string
 }
 
 func (e *RefusedError) Error() string {
@@ -270,7 +271,7 @@
 		return
 	}
 	delete(e.waiting, m.ID)
-	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Part: m.Part}}
+	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Held: m.Held}}
 	if m.Endpoint != "" {
 		result = askResult{grant: &Grant{
 			Permit:          permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -60,7 +60,7 @@
 	Host        string `cbor:"4,keyasint"`
 	Incarnation int64  `cbor:"5,keyasint"`
 	// Held are the parts of prompts that the owner holds.
-	Held []permit.HeldPart `cbor:"6,keyasint,omitempty"`
+	Held []permit.HeldParts `cbor:"6,keyasint,omitempty"`
 }
 
 // grantsKey returns the key prefix of the pages of a service.
@@ -156,7 +156,7 @@
 	// about to overwrite that page.
 	inherited []permit.QuotaUsage
 	// held are the parts of prompts that owners hold.
-	held []permit.HeldPart
+	held []permit.HeldParts
 }
 
 // readEarlierGrants reads what earlier owners of a service persisted.
@@ -192,9 +192,9 @@
 }
 
 // heldNow returns the parts of prompts that the writer of the page still holds.
-func (p grantPage) heldNow() []permit.HeldPart {
+func (p grantPage) heldNow() []permit.HeldParts {
 	age := max(0, time.Since(time.Unix(0, p.Written)))
-	var held []permit.HeldPart
+	var held []permit.HeldParts
 	for _, h := range p.Held {
 		if h.Left -= age; h.Left > 0 {
 			held = append(held, h)
--- a/godwitmoord/pkg/dispatch/held_reader.go
+++ b/godwitmoord/pkg/dispatch/held_reader.go
@@ -40,7 +40,7 @@
 		r.writer.owner.common.Log.Info("held parts of other owners not read", zap.String("service", s.service), zap.Error(err))
 		return
 	}
-	var held []permit.HeldPart
+	var held []permit.HeldParts
 	for _, page := range pages {
 		held = append(held, page.heldNow()...)
 	}
--- a/godwitmoord/pkg/dispatch/owner_reports.go
+++ b/godwitmoord/pkg/dispatch/owner_reports.go
@@ -18,20 +18,20 @@
 	s.warn(warning{Service: s.service, Crash: &crash})
 }
 
-// reportHeld reports a part to all entries, and writes it to the store.
-func (s *serviceOwner) reportHeld(held permit.HeldPart) {
+// reportHeld reports held parts to all entries, and writes them to the store.
+func (s *serviceOwner) reportHeld(held permit.HeldParts) {
 	s.owner.common.Count("owner.parts.held")
-	s.owner.common.Log.Info("part of prompts held", zap.String("service", s.service), zap.String("part", held.Part),
+	s.owner.common.Log.Info("parts of prompts held", zap.String("service", s.service), zap.Strings("parts", held.Parts),
 		zap.Duration("left", held.Left), zap.Duration("hold", held.Hold))
 	s.warn(warning{Service: s.service, Held: &held})
 	s.persistHeld()
 }
 
-// reportCleared reports a part that is no longer held to all entries and to the store.
-func (s *serviceOwner) reportCleared(part string) {
+// reportCleared reports parts that are no longer held to all entries and to the store.
+func (s *serviceOwner) reportCleared(key string) {
 	s.owner.common.Count("owner.parts.cleared")
-	s.owner.common.Log.Info("part of prompts no longer held", zap.String("service", s.service), zap.String("part", part))
-	s.warn(warning{Service: s.service, Cleared: part})
+	s.owner.common.Log.Info("parts of prompts no longer held", zap.String("service", s.service), zap.String("parts", key))
+	s.warn(warning{Service: s.service, Cleared: key})
 	s.persistHeld()
 }
 
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -198,7 +198,7 @@
 }
 
 // adoptHeld passes the parts that other owners hold to the core.
-func (s *serviceOwner) adoptHeld(held []permit.HeldPart) {
+func (s *serviceOwner) adoptHeld(held []permit.HeldParts) {
 	if len(held) > 0 {
 		s.step(permit.Warned{At: instantNow(), Held: held})
 	}
@@ -227,15 +227,15 @@
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
-		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter, Part: a.Part})
+		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter, Held: a.Held})
 	case permit.LimitChanged:
 		s.logLimit(a.Limit)
 	case permit.CrashFound:
 		s.reportCrash(a.Crash)
-	case permit.PartHeld:
+	case permit.PartsHeld:
 		s.reportHeld(a.Held)
-	case permit.PartCleared:
-		s.reportCleared(a.Part)
+	case permit.PartsCleared:
+		s.reportCleared(a.Key)
 	}
 }
 
--- a/godwitmoord/pkg/dispatch/warnings.go
+++ b/godwitmoord/pkg/dispatch/warnings.go
@@ -13,8 +13,8 @@
 	// many crashes of a service are.
 	crashMemory = time.Minute
 	maxCrashes  = 64
-	// maxHeldParts bounds the held parts that an entry stores for a service.
-	maxHeldParts = 256
+	// maxHeld bounds the sets of held parts that an entry stores for a service.
+	maxHeld = 256
 )
 
 // warnings holds what the owners of one service learned about parts of prompts that
@@ -22,7 +22,8 @@
 // next owner. The zero value holds nothing.
 type warnings struct {
 	crashes []rememberedCrash
-	held    map[string]heldPart
+	// held holds the held parts by their keys.
+	held map[string]heldParts
 }
 
 type rememberedCrash struct {
@@ -30,9 +31,10 @@
 	at    time.Time
 }
 
-type heldPart struct {
-	until  time.Time
-	length time.Duration
+// heldParts are held parts with the time until which they are held.
+type heldParts struct {
+	permit.HeldParts
+	until time.Time
 }
 
 // add stores one message of an owner.
@@ -53,36 +55,35 @@
 	delete(w.held, m.Cleared)
 }
 
-func (w *warnings) hold(held permit.HeldPart, now time.Time) {
+func (w *warnings) hold(held permit.HeldParts, now time.Time) {
 	if w.held == nil {
-		w.held = map[string]heldPart{}
+		w.held = map[string]heldParts{}
 	}
-	if len(w.held) >= maxHeldParts {
-		maps.DeleteFunc(w.held, func(_ string, h heldPart) bool { return now.After(h.until) })
+	if len(w.held) >= maxHeld {
+		maps.DeleteFunc(w.held, func(_ string, h heldParts) bool { return now.After(h.until) })
 	}
-	if _, known := w.held[held.Part]; !known && len(w.held) >= maxHeldParts {
-		// The owner refuses requests with the part.
+	if _, known := w.held[held.Key()]; !known && len(w.held) >= maxHeld {
+		// The owner refuses requests with the parts.
 		return
 	}
-	w.held[held.Part] = heldPart{until: now.Add(held.Left), length: held.Hold}
+	w.held[held.Key()] = heldParts{HeldParts: held, until: now.Add(held.Left)}
 }
 
 // check returns the refusal of a request that must not be sent, or nil.
 func (w *warnings) check(ask permit.Ask) *RefusedError {
-	if w == nil || len(w.held) == 0 {
+	if w == nil {
 		return nil
 	}
-	for _, part := range ask.Suspect().Keys() {
-		held, known := w.held[part]
-		if left := time.Until(held.until); known && left > 0 {
-			return &RefusedError{Reason: permit.Held, RetryAfter: left, Part: part}
+	for key, held := range w.held {
+		if left := time.Until(held.until); left > 0 && held.Match(ask.Suspect()) {
+			return &RefusedError{Reason: permit.Held, RetryAfter: left, Held: key}
 		}
 	}
 	return nil
 }
 
 // all returns everything that is stored, for an owner that does not know it.
-func (w *warnings) all() (crashes []permit.Crash, held []permit.HeldPart) {
+func (w *warnings) all() (crashes []permit.Crash, held []permit.HeldParts) {
 	if w == nil {
 		return nil, nil
 	}
@@ -90,8 +91,9 @@
 		c.crash.Age = time.Since(c.at)
 		crashes = append(crashes, c.crash)
 	}
-	for part, h := range w.held {
-		held = append(held, permit.HeldPart{Part: part, Left: max(time.Until(h.until), 0), Hold: h.length})
+	for _, h := range w.held {
+		h.Left = max(time.Until(h.until), 0)
+		held = append(held, h.HeldParts)
 	}
 	return crashes, held
 }
--- a/godwitmoord/pkg/dispatch/warnings_test.go
+++ b/godwitmoord/pkg/dispatch/warnings_test.go
@@ -14,7 +14,7 @@
 )
 
 func heldWarning(part string) warning {
-	return warning{Held: &permit.HeldPart{Part: part, Left: time.Minute, Hold: time.Minute}}
+	return warning{Held: &permit.HeldParts{Parts: []string{part}, Left: time.Minute, Hold: time.Minute}}
 }
 
 func TestEntryRefusesRequestsWithAHeldPartUntilTheHoldIsOver(t *testing.T) {
@@ -27,7 +27,7 @@
 		time.Sleep(20 * time.Second)
 		refused := w.check(deadly)
 		is.Equal(refused.Reason, permit.Held)
-		is.Equal(refused.Part, "deadly")
+		is.Equal(refused.Held, "deadly")
 		is.Equal(refused.RetryAfter, 40*time.Second)
 		is.True(w.check(permit.Ask{Request: "r-2", Parts: []string{"system"}}) == nil)
 		time.Sleep(40 * time.Second)
@@ -55,7 +55,7 @@
 		time.Sleep(10 * time.Second)
 		crashes, held := w.all()
 		is.Equal(crashes, []permit.Crash{{ID: "i-1@5", Age: 11 * time.Second}})
-		is.Equal(held, []permit.HeldPart{{Part: "deadly", Left: 50 * time.Second, Hold: time.Minute}})
+		is.Equal(held, []permit.HeldParts{{Parts: []string{"deadly"}, Left: 50 * time.Second, Hold: time.Minute}})
 	})
 }
 
@@ -68,7 +68,7 @@
 	}
 	crashes, held := w.all()
 	is.Equal(len(crashes), maxCrashes)
-	is.Equal(len(held), maxHeldParts)
+	is.Equal(len(held), maxHeld)
 }
 
 // pageStore holds one page.
@@ -88,13 +88,13 @@
 	s.owner.grantWriter.owner = s.owner
 	s.owner.grantWriter.store = &pageStore{page: grantPage{
 		Host: "entry-9", Written: time.Now().Add(-10 * time.Second).UnixNano(),
-		Held: []permit.HeldPart{{Part: "deadly", Left: time.Minute, Hold: time.Minute}, {Part: "over", Left: time.Second}},
+		Held: []permit.HeldParts{{Parts: []string{"deadly"}, Left: time.Minute, Hold: time.Minute}, {Parts: []string{"over"}, Left: time.Second}},
 	}}
 	r := heldReader{writer: &s.owner.grantWriter}
 	r.read(t.Context(), s)
 	event, isWarning := (<-s.events.Values()).(permit.Warned)
 	is.True(isWarning)
 	is.Equal(len(event.Held), 1)
-	is.Equal(event.Held[0].Part, "deadly")
+	is.Equal(event.Held[0].Key(), "deadly")
 	is.True(event.Held[0].Left <= 50*time.Second)
 }
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -45,8 +45,8 @@
 	Suspect *permit.Suspect `cbor:"13,keyasint,omitempty"`
 	// Crashes and Held are what earlier owners learned about parts of prompts that
 	// crash endpoints.
-	Crashes []permit.Crash    `cbor:"14,keyasint,omitempty"`
-	Held    []permit.HeldPart `cbor:"15,keyasint,omitempty"`
+	Crashes []permit.Crash     `cbor:"14,keyasint,omitempty"`
+	Held    []permit.HeldParts `cbor:"15,keyasint,omitempty"`
 	// Limits holds the limits that endpoints name. A message of limitKind has one.
 	Limits []permit.RateLimit `cbor:"16,keyasint,omitempty"`
 }
@@ -71,8 +71,8 @@
 	Rates *permit.LearnedRates `cbor:"8,keyasint,omitempty"`
 	// Suspend requests that the entry stops the attempt and returns its permit.
 	Suspend bool `cbor:"6,keyasint,omitempty"`
-	// Part is what a refused request is held for.
-	Part string `cbor:"10,keyasint,omitempty"`
+	// Held is the key of the parts for which a request is refused.
+	Held string `cbor:"10,keyasint,omitempty"`
 	// Limit is the limit that the granted endpoint names, as far as the owner knows.
 	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
 	// Warning tells what the owner learned about parts of prompts.
@@ -82,10 +82,10 @@
 // warning is one thing that the owner of a service learned about parts of prompts that
 // crash endpoints.
 type warning struct {
-	Service string           `cbor:"1,keyasint"`
-	Crash   *permit.Crash    `cbor:"2,keyasint,omitempty"`
-	Held    *permit.HeldPart `cbor:"3,keyasint,omitempty"`
-	// Cleared is a part that is not held any more.
+	Service string            `cbor:"1,keyasint"`
+	Crash   *permit.Crash     `cbor:"2,keyasint,omitempty"`
+	Held    *permit.HeldParts `cbor:"3,keyasint,omitempty"`
+	// Cleared is the key of parts that are not held any more.
 	Cleared string `cbor:"4,keyasint,omitempty"`
 }
 
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -61,8 +61,8 @@
 		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason),
 		zap.Int("status", r.relay.status), zap.Int("events", r.relay.position.events), zap.String("last-event", r.relay.position.lastEvent), zap.String("end", r.relay.end),
 	}
-	if r.heldPart != "" {
-		fields = append(fields, zap.String("held-part", r.heldPart))
+	if r.heldParts != "" {
+		fields = append(fields, zap.String("held-parts", r.heldParts))
 	}
 	if refused, isRefusal := result.(Refused); isRefusal {
 		fields = append(fields, zap.Float64("retry-after-ms", milliseconds(refused.RetryAfter)))
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -44,9 +44,9 @@
 	// expected the request to take.
 	owner    string
 	estimate time.Duration
-	// heldPart is the part of the prompt for which the request was refused; empty if
-	// it was not.
-	heldPart string
+	// heldParts is the key of the parts of the prompt for which the request was refused;
+	// empty if it was not.
+	heldParts string
 }
 
 // newAsk returns the request for one more permit. It counts only the answer tokens
@@ -115,7 +115,7 @@
 	if errors.As(err, &rejection) {
 		refused.Reason = refusalReason(rejection.Reason)
 		refused.RetryAfter = rejection.RetryAfter
-		r.heldPart = rejection.Part
+		r.heldParts = rejection.Held
 	}
 	return nil, refused
 }
