--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -99,5 +99,4 @@
 func (CrashFound) action()   {}
 func (PartsHeld) action()    {}
 func (PartsCleared) action() {}
-
 func (LimitChanged) action() {}
--- a/coordination/pkg/permit/quarantine.go
+++ b/coordination/pkg/permit/quarantine.go
@@ -38,7 +38,7 @@
 	// crashes are those of the last minute, the oldest first. Parts that were answered
 	// since are removed from their suspects.
 	crashes []rememberedCrash
-	// held holds the held parts by their keys, in the order in which they were added.
+	// held holds the held parts, in the order in which they were added.
 	held []*heldSet
 }
 
@@ -72,8 +72,8 @@
 	}
 }
 
-// sign returns a text that is the same for parts that were in the same crashes.
-func (v *evidence) sign() string { return strings.Join(v.crashes, " ") }
+// crashKey returns a text that is the same for parts that were in the same crashes.
+func (v *evidence) crashKey() string { return strings.Join(v.crashes, " ") }
 
 // incriminates reports whether enough crashes that nothing else explains speak against
 // the parts.
@@ -144,7 +144,8 @@
 	}
 }
 
-// addCrash adds a crash, and returns the parts that are held because of it.
+// addCrash adds a crash, and returns the parts that are held, or held longer, because of
+// it.
 func (q *quarantine) addCrash(now Instant, crash Crash) []HeldParts {
 	if slices.ContainsFunc(q.crashes, func(c rememberedCrash) bool { return c.id == crash.ID }) {
 		return nil
@@ -217,16 +218,16 @@
 		}
 	}
 	var weighed []*evidence
-	bySign := map[string]*evidence{}
+	byCrashes := map[string]*evidence{}
 	for _, part := range slices.Sorted(maps.Keys(byPart)) {
 		v := byPart[part]
-		same := bySign[v.sign()]
+		same := byCrashes[v.crashKey()]
 		if same != nil && !v.isOwn {
 			same.parts = append(same.parts, part)
 			continue
 		}
 		if !v.isOwn {
-			bySign[v.sign()] = v
+			byCrashes[v.crashKey()] = v
 		}
 		weighed = append(weighed, v)
 	}
