Encode lines of the record only when somebody reads them

Every step of an owner was encoded as JSON twice, and every finished request three times and sent over the bus to be counted, although hardly any line is ever read.

--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/record"
@@ -208,12 +208,7 @@
 	actions := s.core.Step(event)
 	s.eventNumber++
 	line := permit.Line{Service: s.service, Owner: s.owner.common.Self.Name, Epoch: s.epoch, Number: s.eventNumber}
-	line, err := line.WithDecision(event, actions)
-	if err != nil {
-		s.owner.common.Log.Error("decision cannot be recorded", zap.Error(err))
-	} else {
-		s.owner.record.Add(record.Line{Decision: &line})
-	}
+	s.owner.record.Add(record.Line{Decision: &record.Decision{Line: line, Event: event, Actions: slices.Clone(actions)}})
 	for _, action := range actions {
 		s.sendDecision(action)
 	}
--- a/godwitmoord/pkg/kernel/kernel.go
+++ b/godwitmoord/pkg/kernel/kernel.go
@@ -42,8 +42,6 @@
 	// ConfigurationChanged has an empty payload; read the configuration from the
 	// release service.
 	ConfigurationChanged = "configuration-changed"
-	// RequestFinished has the finished line of package serving as JSON payload.
-	RequestFinished = "request-finished"
 )
 
 const eventBuffer = 256
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -1,19 +1,16 @@
 package serving
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
-	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/text"
 )
 
-// recordResult records the result of the request, logs it and announces it to the
-// other services of this host.
+// recordResult records the result of the request and logs it.
 func (s *Service) recordResult(r *requestRun, result Result) {
 	request := r.request
 	took := time.Since(request.Arrived)
@@ -40,12 +37,6 @@
 	}
 	s.record.Add(record.Line{Request: &line})
 	s.common.Log.Info("request finished", r.logFields(line, result)...)
-	payload, err := json.Marshal(line)
-	if err != nil {
-		s.common.Log.Error("finished request cannot be encoded", zap.Error(err))
-		return
-	}
-	s.common.Kernel.Publish(kernel.RequestFinished, payload)
 }
 
 // logFields returns the log fields of a finished request: the values that its
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -22,13 +22,7 @@
 	"godwitmoor.example/godwitmoord/pkg/release"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	// sampleSize and sampleAlpha configure the exponentially decaying sample of
-	// request durations.
-	sampleSize  = 1028
-	sampleAlpha = 0.015
-)
+const readHeaderTimeout = 5 * time.Second
 
 // Service serves the status port and, on the platform, the readiness port.
 type Service struct {
@@ -62,7 +56,7 @@
 // New returns a service that is not started yet.
 func New(c *common.Common) *Service { return &Service{common: c} }
 
-// Start opens the ports and begins to count finished requests.
+// Start opens the ports.
 func (s *Service) Start(ctx context.Context) error {
 	var err error
 	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
@@ -74,11 +68,6 @@
 	if s.record, err = kernel.Lookup[*record.Service](s.common.Kernel, kernel.Record); err != nil {
 		return err
 	}
-	finished, err := s.common.Kernel.Subscribe(ctx, kernel.RequestFinished)
-	if err != nil {
-		return err
-	}
-	go s.loop(finished)
 	listener, err := net.Listen("tcp", s.common.Settings.StatusListen)
 	if err != nil {
 		return errors.Wrap(err, "open the status port; set status-listen to a free address")
@@ -123,29 +112,6 @@
 	}
 }
 
-// loop updates the counters of finished requests, by tier and outcome,
-// and the histograms of their durations, by tier.
-func (s *Service) loop(finished <-chan []byte) {
-	for payload := range finished {
-		var request record.Request
-		if err := json.Unmarshal(payload, &request); err != nil {
-			s.common.Log.Error("finished request cannot be decoded", zap.Error(err))
-			continue
-		}
-		s.common.Count("requests." + request.Tier + "." + request.Outcome)
-		if request.InTime {
-			s.common.Count("requests." + request.Tier + ".in-time")
-		}
-		sample := func() metrics.Histogram {
-			return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-		}
-		histogram, isHistogram := s.common.Metrics.GetOrRegister("requests."+request.Tier+".took-us", sample).(metrics.Histogram)
-		if isHistogram {
-			histogram.Update(int64(request.Took * float64(time.Millisecond/time.Microsecond)))
-		}
-	}
-}
-
 // Stop closes the ports and waits for requests in progress until ctx ends.
 func (s *Service) Stop(ctx context.Context) error {
 	if s.server == nil {
