Choose owners among the hosts with the most processor time

Callers on the grown sites waited for an owner that could not keep up: the owner of a service was any ready host, of which ten in eleven have 0.192 of a core and the others 0.8. Rows of hosts carry the processor time of their settings, and owners are ranked among the ready hosts with at least half of the largest, the same ones at every host. Where it is not known, all hosts are alike as before.

--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -199,7 +199,7 @@
 	}
 }
 
-func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.ReadyNames(), service) }
+func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.OwnerNames(), service) }
 
 func (e *Entry) sendAsk(p *pendingAsk, owner string) {
 	e.mu.Lock()
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -11,7 +11,7 @@
 // servicesWithNewOwner returns the services in use here whose owner has changed since
 // the last call.
 func (e *Entry) servicesWithNewOwner() []string {
-	ready := e.members.ReadyNames()
+	ready := e.members.OwnerNames()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var moved []string
@@ -41,7 +41,7 @@
 // asksToResend returns the asks to send again: those whose owner has changed, and
 // those without a decision for too long.
 func (e *Entry) asksToResend() []*pendingAsk {
-	ready := e.members.ReadyNames()
+	ready := e.members.OwnerNames()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var asks []*pendingAsk
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -141,7 +141,7 @@
 	if current == nil {
 		return true
 	}
-	ready := o.members.ReadyNames()
+	ready := o.members.OwnerNames()
 	return slices.ContainsFunc(current.Configuration.Services, func(s configuration.Service) bool {
 		return ownerOf(ready, s.Name) == o.common.Self.Name
 	})
--- a/godwitmoord/pkg/dispatch/poller.go
+++ b/godwitmoord/pkg/dispatch/poller.go
@@ -74,13 +74,13 @@
 }
 
 func (p *poller) isOwner(service string) bool {
-	return ownerOf(p.owner.members.ReadyNames(), service) == p.owner.common.Self.Name
+	return ownerOf(p.owner.members.OwnerNames(), service) == p.owner.common.Self.Name
 }
 
 // ownerOf returns the owner of a service: the ready host that ranks first by
 // rendezvous hashing.
-func ownerOf(ready []string, service string) string {
-	return host.Ranked(ready, service, 1)[0]
+func ownerOf(candidates []string, service string) string {
+	return host.Ranked(candidates, service, 1)[0]
 }
 
 // poll reads the load of one endpoint once and passes the result to the core of its
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -85,6 +85,7 @@
 			Incarnation: c.Self.Incarnation,
 			Address:     c.Settings.PeerListen,
 			DataCentre:  c.Settings.DataCentre,
+			Capacity:    c.Settings.Capacity(),
 		}},
 	}
 }
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -100,6 +100,31 @@
 	return names
 }
 
+// OwnerNames returns the names of the hosts that may own a service, sorted: of the
+// ready hosts those with at least half of the largest capacity. An owner decides for
+// all hosts, so a small one would be slow for all of them. It is never empty.
+func (s *Service) OwnerNames() []string {
+	names := s.ReadyNames()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	largest := uint32(0)
+	for _, name := range names {
+		largest = max(largest, s.capacityOf(name))
+	}
+	return slices.DeleteFunc(names, func(name string) bool { return 2*s.capacityOf(name) < largest })
+}
+
+// capacityOf returns the capacity of a host; s.mu is held.
+func (s *Service) capacityOf(name string) uint32 {
+	if name == s.self.row.Name {
+		return s.self.row.Capacity
+	}
+	if e := s.table[name]; e != nil {
+		return e.row.Capacity
+	}
+	return 0
+}
+
 // startingNames returns the names of this host and of the others that are
 // starting; s.mu is held.
 func (s *Service) startingNames() []string {
--- a/godwitmoord/pkg/membership/row.go
+++ b/godwitmoord/pkg/membership/row.go
@@ -73,6 +73,9 @@
 	Version     int64  `cbor:"6,keyasint"`
 	Revision    uint64 `cbor:"7,keyasint"`
 	State       State  `cbor:"8,keyasint"`
+	// Capacity is the processor time that the host may use, in thousandths of a core;
+	// zero if it is not known.
+	Capacity uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 func (r row) identity() host.Identity {
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -49,6 +49,10 @@
 	// StopBound is how long after StopNotice the requests still in progress are
 	// cut off; zero means never. On the platform, StopGrace applies instead.
 	StopBound document.Duration `json:"stop-bound,omitempty"`
+	// ProcessorShare is the share of each of ProcessorCores cores that this host may
+	// use. Hosts with more own services; zero if it is not known.
+	ProcessorShare float64 `json:"processor-share,omitempty"`
+	ProcessorCores int     `json:"processor-cores,omitempty"`
 	// Record writes every decision to the log.
 	Record bool `json:"record,omitempty"`
 	// Platform is set when the platform's store holds the configuration, the
@@ -68,6 +72,9 @@
 	// KeyRevocation is how long a customer's key may still be accepted after its
 	// removal.
 	KeyRevocation document.Duration `json:"key-revocation"`
+	// LeavingBound is how long after an endpoint's leaving was stored, or was said by
+	// the endpoint itself, requests may still reach it; default 2s.
+	LeavingBound document.Duration `json:"leaving-bound,omitempty"`
 	// StopGrace is the time between the signal to stop and the kill by the
 	// platform.
 	StopGrace document.Duration `json:"stop-grace"`
@@ -97,9 +104,12 @@
 }
 
 const (
-	defaultHeartbeat  = 500 * time.Millisecond
-	defaultDeadAfter  = 4 * time.Second
-	defaultStopNotice = 3 * time.Second
+	// maxProcessorCores is more than any host has.
+	maxProcessorCores   = 1 << 16
+	defaultHeartbeat    = 500 * time.Millisecond
+	defaultDeadAfter    = 4 * time.Second
+	defaultStopNotice   = 3 * time.Second
+	defaultLeavingBound = 2 * time.Second
 )
 
 // Overrides holds the values of command-line flags. A value that is not empty
@@ -120,6 +130,13 @@
 	return s
 }
 
+// Capacity returns the processor time that this host may use, in thousandths of a core;
+// zero if it is not known.
+func (s Settings) Capacity() uint32 {
+	const perCore = 1000
+	return uint32(s.ProcessorShare * float64(max(s.ProcessorCores, 1)) * perCore)
+}
+
 // Load reads and checks a settings file.
 func Load(file string, overrides Overrides) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -147,6 +164,11 @@
 	s.Heartbeat = valueOrDefault(s.Heartbeat, defaultHeartbeat)
 	s.DeadAfter = valueOrDefault(s.DeadAfter, defaultDeadAfter)
 	s.StopNotice = valueOrDefault(s.StopNotice, defaultStopNotice)
+	if s.Platform != nil {
+		p := *s.Platform
+		p.LeavingBound = valueOrDefault(p.LeavingBound, defaultLeavingBound)
+		s.Platform = &p
+	}
 	return s
 }
 
@@ -200,6 +222,12 @@
 			add(d.field, "is below zero", `set a duration such as "3s"`)
 		}
 	}
+	if s.ProcessorShare < 0 || s.ProcessorShare > 1 {
+		add("/processor-share", "is not between 0 and 1", "set the share of a core, or leave it out")
+	}
+	if s.ProcessorCores < 0 || s.ProcessorCores > maxProcessorCores {
+		add("/processor-cores", "is not a number of cores", "set it to 1 or more, or leave it out")
+	}
 	if s.DeadAfter < 2*s.Heartbeat {
 		add("/dead-after", "is less than twice the heartbeat", "set it to twice the heartbeat or more")
 	}
@@ -220,6 +248,9 @@
 	if p.KeyRevocation <= 0 {
 		add("key-revocation", "is not above zero", `set a duration such as "5s"`)
 	}
+	if p.LeavingBound < 0 {
+		add("leaving-bound", "is below zero", `set a duration such as "2s"`)
+	}
 	if p.StopGrace <= 0 {
 		add("stop-grace", "is not above zero", `set a duration such as "8s"`)
 	}
