Hand what the store tells one host on to all hosts

Each host knew of endpoints only what its own watch told it.

What the store tells one host now reaches all others as notices: versioned by the store's revisions, sent to a few random hosts at each step, compared by digests with the membership probes, bounded. A turned-away host follows the endpoints and the configuration by them. This replaces the revision that probes carried, by which a host listed the endpoints again after 1.3 s. The waits on the way are parts of the bound in the settings (leaving-bound) and stand in one place; a test adds them up. TestHostIsBehindWhenOthersReportANewerChange and its like are replaced by tests that a host follows what others were told and is not misled by what is older than what it heard itself.

An endpoint's own word that it leaves (Server-Leaving) binds the host that reads it at once and reaches all others; it ends when the endpoint starts again. A rejection's Retry-After keeps the host from sending there for so long, and its owner from granting it. A host that gets a grant against what it knows gives it back and tells the owner.

--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -116,6 +116,36 @@
 	// IdleLimit is how long the endpoint keeps an idle connection open; zero if it
 	// did not send a limit.
 	IdleLimit time.Duration
+	// Leaving is set if the endpoint says that it is leaving.
+	Leaving bool
+	// Pause is how long the endpoint wants no request from this host.
+	Pause Pause
+}
+
+// maxPause is the longest pause of an endpoint that is kept to.
+const maxPause = time.Hour
+
+// Pause is what a rejection says of how long its endpoint wants no request.
+type Pause struct {
+	// For is the length of the pause; zero if none is named.
+	For time.Duration
+	// Unreadable is set if the rejection names something that is no length of time.
+	Unreadable bool
+}
+
+// ParsePause parses the values of a Retry-After header, in seconds. Of several, the
+// longest holds. A date, and whatever else is no non-negative number, names none.
+func ParsePause(values []string) Pause {
+	var p Pause
+	for _, text := range values {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || math.IsNaN(seconds) || seconds < 0 {
+			p.Unreadable = true
+			continue
+		}
+		p.For = max(p.For, time.Duration(min(seconds, maxPause.Seconds())*float64(time.Second)))
+	}
+	return p
 }
 
 // RateLimit is what an answer says of the rate of requests that its endpoint takes from
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -71,6 +71,8 @@
 	prefillUntil Instant
 	crashWatch   crashWatch
 	pacer        ratePacer
+	// hostPauses holds until when the endpoint wants no requests of single hosts.
+	hostPauses map[string]Instant
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -26,7 +26,8 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Limited, Listed, Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Reported,
+// Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 type (
@@ -132,6 +133,12 @@
 		At    Instant   `json:"at"`
 		Limit RateLimit `json:"limit"`
 	}
+	// Paused reports that an endpoint wants no request from a host for a time.
+	Paused struct {
+		At    Instant `json:"at"`
+		Host  string  `json:"host"`
+		Pause Pause   `json:"pause"`
+	}
 	// Reported is an endpoint's own report of the number of requests it runs. It
 	// arrives with a delay.
 	Reported struct {
@@ -165,6 +172,7 @@
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
 func (e Limited) at() Instant    { return e.At }
+func (e Paused) at() Instant     { return e.At }
 func (e Warned) at() Instant     { return e.At }
 func (e Progressed) at() Instant { return e.At }
 func (e Stalled) at() Instant    { return e.At }
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -141,7 +141,7 @@
 	largerWait := c.hasLargerWaiters()
 	for _, e := range c.freeEndpoints {
 		estimate := e.estimate(a, c.now)
-		if !c.inTime(w, e, estimate) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
+		if !c.inTime(w, e, estimate) || e.isPausedFor(a.Host, c.now) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
 			continue
 		}
 		score := e.score(estimate)
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -77,6 +77,8 @@
 		return decode[Warned](l.Event)
 	case "limited":
 		return decode[Limited](l.Event)
+	case "paused":
+		return decode[Paused](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
 	case "reported":
@@ -120,6 +122,8 @@
 		return "warned"
 	case Limited:
 		return "limited"
+	case Paused:
+		return "paused"
 	case Listed:
 		return "listed"
 	case Reported:
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -37,6 +37,7 @@
 	"godwitmoor.example/godwitmoord/pkg/logs"
 	"godwitmoor.example/godwitmoord/pkg/membership"
 	"godwitmoor.example/godwitmoord/pkg/memory"
+	"godwitmoor.example/godwitmoord/pkg/notice"
 	"godwitmoor.example/godwitmoord/pkg/peer"
 	"godwitmoor.example/godwitmoord/pkg/record"
 	"godwitmoor.example/godwitmoord/pkg/release"
@@ -204,6 +205,9 @@
 	d.common.Dialect = platform.Dialect{}
 	d.release = release.New(d.common, nil)
 	d.members.SetFreshnessProof(d.release)
+	notices := notice.New(d.common)
+	d.members.SetNoticeDigests(notices)
+	d.kernel.Register(kernel.Notice, notices)
 	d.kernel.Register(kernel.Release, d.release)
 	d.kernel.Register(kernel.Discovery, discovery.New(d.common, platform.NewStore(p.Store), platform.Layout{}))
 }
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -7,6 +7,11 @@
 // a few hosts provide this freshness proof to all others. Hosts are listed only
 // once; after that the membership protocol keeps the list current.
 //
+// What the store tells one host, that host passes on to the others as notices, and
+// so does a host that an endpoint tells that it is leaving. A host that the store
+// turns away, or whose watch is silent, therefore knows what the others know. The
+// revisions of the store decide which of two statements about a key is the newer.
+//
 // # Usage
 //
 //	follower := discovery.New(common, store, layout)
@@ -30,38 +35,26 @@
 )
 
 const (
-	// configurationBatchDelay and ownerBatchDelay are the pauses after a watch of
-	// the configuration and of the endpoints that returned changes, so that the next
-	// watch returns several changes at once. They are short because a new version
-	// must be in force, and a leaving endpoint must get no more requests, within two
-	// seconds.
+	// configurationBatchDelay is the pause after a watch of the configuration that
+	// returned changes, so that the next watch returns several changes at once. It is
+	// short because a new version must be in force within two seconds.
 	configurationBatchDelay = 100 * time.Millisecond
-	ownerBatchDelay         = 250 * time.Millisecond
-	// nonOwnerBatchDelay and nonOwnerWatchDuration replace ownerBatchDelay and
-	// ownerWatchDuration on a host that owns no service: it only sends to endpoints
-	// that owners grant, so it may receive changes later.
-	nonOwnerBatchDelay    = time.Second
+	// nonOwnerWatchDuration replaces ownerWatchDuration on a host that owns no
+	// service.
 	nonOwnerWatchDuration = 10 * time.Second
 	// configurationMaxRetryPause is the longest pause after a failed read of the
 	// configuration. It is short because requests with customers' keys cannot be
 	// served until a read succeeds.
 	configurationMaxRetryPause = 300 * time.Millisecond
-	// ownerWatchDuration is how long a watch of the endpoints lasts without changes.
-	// It bounds the time until a dead connection is detected, which must happen
-	// before a leaving endpoint may get no more requests.
+	// ownerWatchDuration is how long a watch of the endpoints lasts without changes,
+	// and so the time until a dead connection is detected.
 	ownerWatchDuration = 2 * time.Second
-	// endpointsCheckInterval is how often loop checks the endpoints in use. maxBehind is how long
-	// another host may report a newer change of endpoints before this host lists the
-	// endpoints again.
+	// endpointsCheckInterval is how often loop checks the endpoints in use.
 	endpointsCheckInterval = 100 * time.Millisecond
-	maxBehind              = nonOwnerBatchDelay + 300*time.Millisecond
 	// outageGrace is how long after the store is reachable again an endpoint with a
 	// missing entry stays in use. The entries of live endpoints lapse during an
 	// outage of the store and are back about two seconds after it.
 	outageGrace = 2200 * time.Millisecond
-	// missingEntryGrace is the longest time that an endpoint stays in use after its
-	// entry went missing, because it may have left for good.
-	missingEntryGrace = 1600 * time.Millisecond
 )
 
 // Store is the part of the platform's key-value store that this package uses.
@@ -100,16 +93,13 @@
 	layout  Layout
 	release *release.Service
 	members *membership.Service
+	notices notices
 
 	mu    sync.Mutex
 	table Table
-	// newestChange is the revision of the newest endpoint change that this host has
-	// seen; it is sent to the other hosts. syncedRevision is the revision up to which
-	// this host has seen all endpoint changes. behindSince is when another host was
-	// first found to report a later change; zero if none does.
-	newestChange   int64
+	// syncedRevision is the revision up to which the store told this host all changes
+	// of endpoints.
 	syncedRevision int64
-	behindSince    time.Time
 	// endpoints watches the entries of the endpoints.
 	endpoints *follower
 	// ownsNoService is true while this host owns no service.
@@ -135,6 +125,11 @@
 	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
 		return err
 	}
+	if s.notices, err = kernel.Lookup[notices](s.common.Kernel, kernel.Notice); err != nil {
+		return err
+	}
+	s.notices.Handle(storeTopic, s.acceptChange)
+	s.notices.Handle(leavingTopic, s.acceptLeaving)
 	s.publishHosts()
 	configurationFollower := &follower{service: s, prefix: s.layout.ConfigurationKey(), watchDuration: s.configurationWatchDuration, batchDelay: constant(configurationBatchDelay), maxPause: configurationMaxRetryPause, apply: s.installConfiguration, afterCall: s.recordProof}
 	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), watchDuration: s.endpointsWatchDuration, batchDelay: s.endpointsBatchDelay, maxPause: longRetryPause, apply: s.applyEndpoints, afterCall: s.expire}
@@ -161,6 +156,7 @@
 			continue
 		}
 		s.release.Install(version, decoded)
+		s.share(c, u)
 	}
 }
 
--- a/godwitmoord/pkg/discovery/endpoints.go
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -8,44 +8,68 @@
 	"godwitmoor.example/coordination/pkg/keyvalue"
 )
 
-// applyEndpoints applies the result of a listing or a watch of the endpoints.
+// applyEndpoints applies the result of a listing or a watch of the endpoints, and
+// passes what is new on to the other hosts.
 func (s *Service) applyEndpoints(u update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := u.complete
 	present := map[string]bool{}
 	for _, c := range u.changes {
-		s.newestChange = max(s.newestChange, c.Entry.Revision)
 		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
-		switch {
-		case !isEndpoint:
-		case c.Removed:
-			changed = s.markMissing(name, c.Entry.Revision) || changed
-		default:
-			present[name] = true
-			changed = s.applyEntry(name, c.Entry) || changed
+		if !isEndpoint {
+			continue
+		}
+		present[name] = !c.Removed
+		applied, usable := s.applyChange(name, c, s.graceLeft(u.age))
+		changed = changed || applied
+		if usable || applied {
+			s.share(keyvalue.Change{Entry: c.Entry, Removed: !usable}, u)
 		}
 	}
 	if u.complete {
 		for _, name := range s.table.PresentNames() {
 			if !present[name] {
-				s.markMissing(name, u.revision)
+				s.applyMissing(name, u)
 			}
 		}
 	}
 	if changed {
 		s.release.SetEndpoints(s.table.ByService(), s.table.Left())
 	}
-	s.syncedRevision = max(s.syncedRevision, s.newestChange)
-	if u.complete {
-		s.syncedRevision = max(s.syncedRevision, u.revision)
+	s.syncedRevision = max(s.syncedRevision, u.revision)
+}
+
+// applyChange applies a change of one entry. It reports whether that changed anything,
+// and whether the entry describes an endpoint. If it does not, or was removed, the
+// endpoint stays in use for the given grace.
+func (s *Service) applyChange(name string, c keyvalue.Change, grace time.Duration) (changed, usable bool) {
+	if c.Removed {
+		return s.markMissing(name, c.Entry.Revision, grace), false
+	}
+	service, endpoint, err := s.layout.Endpoint(name, c.Entry.Value)
+	if err != nil {
+		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
+		return s.markMissing(name, c.Entry.Revision, grace), false
+	}
+	changed = s.table.Put(service, endpoint, c.Entry.Revision)
+	if changed {
+		s.common.Log.Info("endpoint found", zap.String("endpoint", name), zap.String("service", service),
+			zap.String("address", endpoint.Address), zap.Bool("leaving", endpoint.Leaving), zap.Int64("revision", c.Entry.Revision))
+	}
+	return changed, true
+}
+
+// applyMissing applies that a listing lacks the entry of an endpoint.
+func (s *Service) applyMissing(name string, u update) {
+	if s.markMissing(name, u.revision, s.graceLeft(u.age)) {
+		removal := keyvalue.Entry{Key: s.layout.EndpointPrefix() + name, Revision: u.revision}
+		s.share(keyvalue.Change{Entry: removal, Removed: true}, u)
 	}
-	s.members.SetEndpointsRevision(s.newestChange)
 }
 
 // loop takes endpoints out of use in time, also while a long watch is in
-// progress. It lists the endpoints again if other hosts have seen a change that
-// this host's watch did not return.
+// progress.
 func (s *Service) loop(ctx context.Context) {
 	for {
 		select {
@@ -54,27 +78,7 @@
 		case <-time.After(endpointsCheckInterval):
 		}
 		s.expire(0)
-		if s.isBehind() {
-			s.endpoints.requestListing()
-		}
-	}
-}
-
-// isBehind reports whether another host has reported a newer change of endpoints
-// for longer than maxBehind, so that this host's watch should have returned it.
-func (s *Service) isBehind() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case s.members.NewestEndpointsRevision() <= s.syncedRevision:
-		s.behindSince = time.Time{}
-	case s.behindSince.IsZero():
-		s.behindSince = time.Now()
-	case time.Since(s.behindSince) > maxBehind:
-		s.behindSince = time.Time{}
-		return true
 	}
-	return false
 }
 
 // SetOwner records whether this host owns a service. A host that becomes an owner
@@ -97,10 +101,10 @@
 // endpointsBatchDelay returns the pause after a watch that returned changes of
 // endpoints.
 func (s *Service) endpointsBatchDelay() time.Duration {
-	if s.ownsNoService.Load() {
-		return nonOwnerBatchDelay
+	if s.ownsNoService.Load() && !s.isProver() {
+		return s.budget().longPause()
 	}
-	return ownerBatchDelay
+	return s.budget().shortPause()
 }
 
 // expire takes endpoints out of use whose entries did not come back in time.
@@ -112,45 +116,26 @@
 	}
 }
 
-// inUseUntil returns until when an endpoint whose entry went missing stays in
-// use. On a host that owns no service that is always missingEntryGrace, since its
-// long watch may not have noticed an outage of the store.
-func (s *Service) inUseUntil() time.Time {
-	if s.ownsNoService.Load() {
-		return time.Now().Add(missingEntryGrace)
+// graceLeft returns how long an endpoint stays in use whose entry went missing up to
+// age ago. On a host that owns no service it does not depend on the host's own view of
+// the store, since its long watch may not have noticed an outage.
+func (s *Service) graceLeft(age time.Duration) time.Duration {
+	longest := s.budget().grace() - age
+	if s.endpoints.lost || s.ownsNoService.Load() {
+		return longest
 	}
-	until := s.endpoints.regainedAt.Add(outageGrace)
-	if latest := time.Now().Add(missingEntryGrace); s.endpoints.lost || latest.Before(until) {
-		until = latest
-	}
-	return until
+	return min(longest, time.Until(s.endpoints.regainedAt.Add(outageGrace)))
 }
 
 // markMissing marks the entry of an endpoint as missing and reports whether that
-// changed anything.
-func (s *Service) markMissing(name string, revision int64) bool {
-	until := s.inUseUntil()
-	if !s.table.MarkMissing(name, revision, until) {
+// changed anything. The endpoint stays in use for the given grace.
+func (s *Service) markMissing(name string, revision int64, grace time.Duration) bool {
+	now := time.Now()
+	if !s.table.MarkMissing(name, revision, now.Add(grace)) {
 		return false
 	}
 	s.common.Log.Info("endpoint entry gone", zap.String("endpoint", name), zap.Int64("revision", revision),
-		zap.Bool("may-come-back", time.Now().Before(until)))
-	s.table.Expire(time.Now())
+		zap.Bool("may-come-back", grace > 0))
+	s.table.Expire(now)
 	return true
 }
-
-// applyEntry applies one entry and reports whether that changed anything. An
-// entry that cannot be decoded counts as missing.
-func (s *Service) applyEntry(name string, e keyvalue.Entry) bool {
-	service, endpoint, err := s.layout.Endpoint(name, e.Value)
-	if err != nil {
-		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
-		return s.markMissing(name, e.Revision)
-	}
-	changed := s.table.Put(service, endpoint, e.Revision)
-	if changed {
-		s.common.Log.Info("endpoint found", zap.String("endpoint", name), zap.String("service", service),
-			zap.String("address", endpoint.Address), zap.Bool("leaving", endpoint.Leaving), zap.Int64("revision", e.Revision))
-	}
-	return changed
-}
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -30,6 +30,8 @@
 	// complete is true for a listing of all keys: a key that is missing from it
 	// does not exist.
 	complete bool
+	// age is how long ago the changes may have been made.
+	age time.Duration
 }
 
 // follower lists the keys with a prefix and then watches them. It lists them
@@ -60,6 +62,8 @@
 	lostSince  time.Time
 	regainedAt time.Time
 	pause      time.Duration
+	// lastEnd is when the last successful call ended.
+	lastEnd time.Time
 
 	mu sync.Mutex
 	// listingRequested is true from requestListing until the listing begins.
@@ -134,6 +138,8 @@
 			f.handleFailure(ctx, err)
 		default:
 			upTo := provenUpTo(started, wait, u)
+			u.age = f.changesAge(boottime.Now()-started, u)
+			f.lastEnd = time.Now()
 			f.apply(u)
 			f.revision, f.listed = u.revision, true
 			f.handleSuccess()
@@ -156,6 +162,16 @@
 	return started
 }
 
+// changesAge returns how long ago the changes of a watch that took the given time may
+// have been made: during the watch if it waited for them, and otherwise since the
+// call before it. The age of what a listing shows is not known.
+func (f *follower) changesAge(took time.Duration, u update) time.Duration {
+	if u.complete || took > maxAnswerDelay || f.lastEnd.IsZero() {
+		return 0
+	}
+	return time.Since(f.lastEnd)
+}
+
 // call lists the keys, or watches them if they were listed before.
 func (f *follower) call(ctx context.Context, wait time.Duration) (update, error) {
 	if f.listed {
--- a/godwitmoord/pkg/discovery/freshness.go
+++ b/godwitmoord/pkg/discovery/freshness.go
@@ -94,12 +94,17 @@
 	return version > 0 && (age == 0 || age > maxProofAge)
 }
 
+// isProver reports whether this host provides proofs to others.
+func (s *Service) isProver() bool {
+	names := s.members.ReadyNames()
+	provers := host.Ranked(names, proverRankingKey, max(minProvers, len(names)/hostsPerProver))
+	return slices.Contains(provers, s.common.Self.Name)
+}
+
 // configurationWatchDuration returns how long the next watch of the configuration
 // lasts without changes. Hosts that provide freshness proofs use short watches.
 func (s *Service) configurationWatchDuration() time.Duration {
-	names := s.members.ReadyNames()
-	provers := host.Ranked(names, proverRankingKey, max(minProvers, len(names)/hostsPerProver))
-	if slices.Contains(provers, s.common.Self.Name) {
+	if s.isProver() {
 		return proverWatchDuration
 	}
 	return nonProverWatchDuration
--- a/godwitmoord/pkg/discovery/freshness_test.go
+++ b/godwitmoord/pkg/discovery/freshness_test.go
@@ -13,6 +13,7 @@
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/membership"
+	"godwitmoor.example/godwitmoord/pkg/notice"
 	"godwitmoor.example/godwitmoord/pkg/release"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
@@ -21,13 +22,16 @@
 func newLoneHost() *Service {
 	c := &common.Common{
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Kernel: kernel.New(zap.NewNop()),
-		Self:     host.Identity{Name: "entry-1", Incarnation: 1},
-		Settings: settings.Settings{Platform: &settings.Platform{KeyRevocation: document.Duration(5 * time.Second)}},
+		Self: host.Identity{Name: "entry-1", Incarnation: 1},
+		Settings: settings.Settings{Platform: &settings.Platform{
+			KeyRevocation: document.Duration(5 * time.Second), LeavingBound: document.Duration(2 * time.Second),
+		}},
 	}
 	s := New(c, &scriptedStore{}, nil)
 	s.members = membership.New(c)
 	s.members.SetPhase(membership.Ready)
 	s.release = release.New(c, nil)
+	s.notices = notice.New(c)
 	return s
 }
 
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -13,8 +13,14 @@
 // zero value is an empty table. It reads no clock: callers pass the time.
 type Table struct {
 	observations map[string]observation
+	// leaving holds, by name, when the endpoint was born that said itself that it is
+	// leaving. It ends with the next run of the endpoint's process.
+	leaving map[string]int64
 }
 
+// maxLeaving bounds the endpoints whose own word is held.
+const maxLeaving = 4096
+
 // observation is the last observed state of one endpoint.
 type observation struct {
 	service  string
@@ -43,10 +49,27 @@
 	if t.observations == nil {
 		t.observations = map[string]observation{}
 	}
+	if born, said := t.leaving[e.Name]; said && (e.Born > born || (e.Born == 0 && previous.missing)) {
+		delete(t.leaving, e.Name)
+	}
 	t.observations[e.Name] = observation{service: service, endpoint: e, revision: revision}
 	return !found || previous.missing || previous.service != service || !reflect.DeepEqual(previous.endpoint, e)
 }
 
+// MarkLeaving records that the run of an endpoint's process that was born at the given
+// time said itself that it is leaving, and reports whether that is a change.
+func (t *Table) MarkLeaving(name string, born int64) bool {
+	known, said := t.leaving[name]
+	if (said && known >= born) || (!said && len(t.leaving) >= maxLeaving) || t.observations[name].endpoint.Born > born {
+		return false
+	}
+	if t.leaving == nil {
+		t.leaving = map[string]int64{}
+	}
+	t.leaving[name] = born
+	return true
+}
+
 // MarkMissing records that an entry is missing and reports whether that is a change.
 // The endpoint stays in use up to the given time, because its entry may have lapsed
 // in an outage of the store while the endpoint is alive. A leaving endpoint is out
@@ -56,7 +79,7 @@
 	if !found || revision < observed.revision || observed.missing {
 		return false
 	}
-	if observed.endpoint.Leaving {
+	if _, said := t.leaving[name]; said || observed.endpoint.Leaving {
 		// The endpoint announced that it leaves, so its entry will not return.
 		until = time.Time{}
 	}
@@ -78,6 +101,7 @@
 			expired = true
 		case now.Sub(observed.inUseUntil) > leftRetention:
 			delete(t.observations, name)
+			delete(t.leaving, name)
 		}
 	}
 	return expired
@@ -95,7 +119,8 @@
 	return left
 }
 
-// PresentNames returns the names of the endpoints that have an entry in the store.
+// PresentNames returns the names of the endpoints that have an entry in the store,
+// sorted.
 func (t *Table) PresentNames() []string {
 	var names []string
 	for name, observed := range t.observations {
@@ -103,6 +128,7 @@
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -110,9 +136,14 @@
 func (t *Table) ByService() map[string][]configuration.Endpoint {
 	services := map[string][]configuration.Endpoint{}
 	for _, observed := range t.observations {
-		if !observed.left {
-			services[observed.service] = append(services[observed.service], observed.endpoint)
+		if observed.left {
+			continue
+		}
+		e := observed.endpoint
+		if _, said := t.leaving[e.Name]; said {
+			e.Leaving = true
 		}
+		services[observed.service] = append(services[observed.service], e)
 	}
 	for _, endpoints := range services {
 		slices.SortFunc(endpoints, func(a, b configuration.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -79,6 +79,8 @@
 	rates map[string]map[string]permit.LearnedRates
 	// limits holds the limits that endpoints name, by service and endpoint.
 	limits map[string]map[string]permit.RateLimit
+	// pauses holds until when endpoints want no request from this host.
+	pauses map[string]time.Time
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
 }
@@ -110,6 +112,7 @@
 		lastOwner: map[string]string{},
 		rates:     map[string]map[string]permit.LearnedRates{},
 		limits:    map[string]map[string]permit.RateLimit{},
+		pauses:    map[string]time.Time{},
 		warnings:  map[string]*warnings{},
 	}
 }
@@ -276,6 +279,7 @@
 		result = askResult{grant: &Grant{
 			Permit:          permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
 			Address:         m.Address,
+			Born:            m.Born,
 			Estimate:        m.Estimate,
 			ReportFirstPart: m.ReportFirstPart,
 			entry:           e,
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
@@ -13,6 +14,9 @@
 	// Address is the endpoint's address according to the owner; empty if the owner
 	// does not have it.
 	Address string
+	// Born is when the endpoint started according to the owner, in Unix milliseconds;
+	// zero if it is not known.
+	Born int64
 	// Estimate is how long the owner expects the request to take at the endpoint.
 	Estimate time.Duration
 	// ReportFirstPart requests a call of Progressed when the first part of the answer
@@ -89,6 +93,43 @@
 	g.sendToOwners(entryMessage{Kind: limitKind, Service: g.service, Limits: []permit.RateLimit{limit}})
 }
 
+// ReportPause reports to the owner, and remembers for this host, that the endpoint
+// wants no request from this host for a time.
+func (g *Grant) ReportPause(pause time.Duration) {
+	e := g.entry
+	e.mu.Lock()
+	e.pauses[g.Permit.Endpoint] = later(e.pauses[g.Permit.Endpoint], time.Now().Add(pause))
+	e.mu.Unlock()
+	e.common.Count("entry.pauses.reported")
+	e.common.Log.Info("endpoint wants a pause", zap.String("endpoint", g.Permit.Endpoint), zap.Duration("pause", pause))
+	g.sendPause(pause)
+}
+
+// PauseLeft returns how long the endpoint still wants no request from this host. If it
+// does, it tells the owner again, which did not know.
+func (g *Grant) PauseLeft() time.Duration {
+	g.entry.mu.Lock()
+	left := time.Until(g.entry.pauses[g.Permit.Endpoint])
+	g.entry.mu.Unlock()
+	if left > 0 {
+		g.sendPause(left)
+	}
+	return max(left, 0)
+}
+
+func (g *Grant) sendPause(pause time.Duration) {
+	pauses := []permit.Pause{{Endpoint: g.Permit.Endpoint, Left: pause}}
+	g.sendToOwners(entryMessage{Kind: pauseKind, Service: g.service, Pauses: pauses})
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Stalled reports to the owner that the endpoint has sent no data for longer than
 // expected. The permit is still held.
 func (g *Grant) Stalled() {
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -131,10 +131,28 @@
 	e.mu.Lock()
 	m.Rates = storedFor(e, service, e.rates[service])
 	m.Limits = storedFor(e, service, e.limits[service])
+	m.Pauses = e.pausesOf(service)
 	m.Crashes, m.Held = e.warnings[service].all()
 	e.mu.Unlock()
 	e.sendList(m)
 }
 
+// pausesOf returns the pauses of the endpoints of a service that are not over, and
+// drops those that are. The caller holds e.mu.
+func (e *Entry) pausesOf(service string) []permit.Pause {
+	var pauses []permit.Pause
+	for endpoint, until := range e.pauses {
+		left := time.Until(until)
+		if left <= 0 {
+			delete(e.pauses, endpoint)
+			continue
+		}
+		if owner, listed := e.serviceOf(endpoint); listed && owner == service {
+			pauses = append(pauses, permit.Pause{Endpoint: endpoint, Left: left})
+		}
+	}
+	return pauses
+}
+
 // sendList sends a list to the owner of its service.
 func (e *Entry) sendList(m entryMessage) { e.send(e.ownerOf(m.Service), m) }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -193,6 +193,9 @@
 	for _, limit := range m.Limits {
 		events = append(events, permit.Limited{At: now, Limit: limit})
 	}
+	for _, pause := range m.Pauses {
+		events = append(events, permit.Paused{At: now, Host: from, Pause: pause})
+	}
 	if len(m.Crashes)+len(m.Held) > 0 {
 		events = append(events, permit.Warned{At: now, Crashes: m.Crashes, Held: m.Held})
 	}
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -218,7 +218,8 @@
 func (s *serviceOwner) sendDecision(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.addressOf(a.Endpoint), Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit})
+		granted := s.endpoint(a.Endpoint)
+		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit})
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
@@ -234,16 +235,16 @@
 	}
 }
 
-// addressOf returns the address of an endpoint, empty if the endpoint is no longer
-// in the configuration.
-func (s *serviceOwner) addressOf(endpoint string) string {
+// endpoint returns an endpoint of the configuration in force, or one without an
+// address if it is no longer there.
+func (s *serviceOwner) endpoint(name string) configuration.Endpoint {
 	current := s.owner.release.Current()
 	service, known := current.Configuration.Service(s.service)
 	if !known {
-		return ""
+		return configuration.Endpoint{}
 	}
-	e, _ := service.Endpoint(endpoint)
-	return e.Address
+	e, _ := service.Endpoint(name)
+	return e
 }
 
 func (s *serviceOwner) send(name string, m ownerMessage) {
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -18,6 +18,7 @@
 	stallKind
 	progressKind
 	limitKind
+	pauseKind
 )
 
 // entryMessage is a message from an entry to the owner of a service.
@@ -49,6 +50,9 @@
 	Held    []permit.HeldParts `cbor:"15,keyasint,omitempty"`
 	// Limits holds the limits that endpoints name. A message of limitKind has one.
 	Limits []permit.RateLimit `cbor:"16,keyasint,omitempty"`
+	// Pauses holds how long endpoints want no request from the entry's host. A message
+	// of pauseKind has one.
+	Pauses []permit.Pause `cbor:"17,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
@@ -60,6 +64,8 @@
 	Endpoint string `cbor:"2,keyasint,omitempty"`
 	// Address is the endpoint's address according to the owner.
 	Address string `cbor:"9,keyasint,omitempty"`
+	// Born is when the endpoint started according to the owner, in Unix milliseconds.
+	Born int64 `cbor:"13,keyasint,omitempty"`
 	// Reason is set in a refusal only.
 	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
--- a/godwitmoord/pkg/kernel/kernel.go
+++ b/godwitmoord/pkg/kernel/kernel.go
@@ -35,6 +35,7 @@
 	Front      = "front"
 	Record     = "record"
 	Status     = "status"
+	Notice     = "notice"
 )
 
 // Topics of the events that services publish.
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -31,7 +31,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"godwitmoor.example/coordination/pkg/host"
@@ -64,11 +63,7 @@
 	listed          []hostListItem
 	lostCallbacks   []func(host.Identity)
 	proof           FreshnessProof
-	// endpointsRevision is the revision of the newest change of endpoints that
-	// this host knows; newestEndpointsRevision is the highest that another host
-	// reported.
-	endpointsRevision       atomic.Int64
-	newestEndpointsRevision atomic.Int64
+	notices         NoticeDigests
 	// differingProbes is the number of probes in a row that found a different
 	// table.
 	differingProbes int
--- a/godwitmoord/pkg/membership/message.go
+++ b/godwitmoord/pkg/membership/message.go
@@ -34,9 +34,8 @@
 	// ProofAge is the time since the sender's version was last proven to be the
 	// newest (the age of its freshness proof); zero if it never was.
 	ProofAge time.Duration `cbor:"7,keyasint,omitempty"`
-	// Endpoints is the revision of the newest change of endpoints that the sender
-	// knows.
-	Endpoints int64 `cbor:"8,keyasint,omitempty"`
+	// Notices is the digest of the sender's notices, nil if it has none.
+	Notices *uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // exchange sends a message with piggybacked updates, waits for the reply and
@@ -54,6 +53,9 @@
 		return message{}, err
 	}
 	reply, err := s.receive(data)
+	if err == nil && s.notices != nil && reply.Notices != nil {
+		s.notices.CheckDigest(address, *reply.Notices)
+	}
 	if err == nil && s.proof != nil && reply.ProofAge > 0 {
 		// The other host computed the age after this request was sent, so the age
 		// subtracted from the time of sending never overstates how recent the
@@ -65,8 +67,12 @@
 
 // addUpdates adds to a message the pending updates (unless it already has rows),
 // the table's digest, the version in force with the age of its freshness proof,
-// and the revision of the endpoints.
+// and the digest of the notices.
 func (s *Service) addUpdates(m message) message {
+	if s.notices != nil {
+		digest := s.notices.Digest()
+		m.Notices = &digest
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.Rows == nil {
@@ -74,7 +80,6 @@
 	}
 	m.Digest = s.digest()
 	m.Version = s.self.row.Version
-	m.Endpoints = s.endpointsRevision.Load()
 	if s.proof != nil {
 		m.ProofAge = s.proof.Age(m.Version)
 	}
@@ -126,9 +131,6 @@
 			return m, &peer.RefusedError{Reason: "invalid row in a membership message"}
 		}
 	}
-	for known := s.newestEndpointsRevision.Load(); m.Endpoints > known; known = s.newestEndpointsRevision.Load() {
-		s.newestEndpointsRevision.CompareAndSwap(known, m.Endpoints)
-	}
 	for _, r := range m.Rows {
 		if identity, lost := s.merge(r); lost {
 			s.notifyLost(identity)
--- a/godwitmoord/pkg/membership/version.go
+++ b/godwitmoord/pkg/membership/version.go
@@ -20,10 +20,13 @@
 func (s *Service) SetFreshnessProof(p FreshnessProof) { s.proof = p }
 
 // SetVersion sets the version of the configuration in force here and disseminates
-// it.
+// it if it changed.
 func (s *Service) SetVersion(version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.self.row.Version == version {
+		return
+	}
 	s.self.row.Version = version
 	s.publishSelf(s.self.row.Revision + 1)
 }
@@ -40,10 +43,14 @@
 	return newest
 }
 
-// SetEndpointsRevision sets the revision of the newest change of endpoints that
-// this host knows. The next probes report it to the other hosts.
-func (s *Service) SetEndpointsRevision(revision int64) { s.endpointsRevision.Store(revision) }
+// NoticeDigests compares the notices of this host with those of others.
+type NoticeDigests interface {
+	// Digest returns the digest of this host's notices.
+	Digest() uint64
+	// CheckDigest takes the digest of the host at address.
+	CheckDigest(address string, digest uint64)
+}
 
-// NewestEndpointsRevision returns the highest revision of a change of endpoints
-// that another host has reported.
-func (s *Service) NewestEndpointsRevision() int64 { return s.newestEndpointsRevision.Load() }
+// SetNoticeDigests makes the probes carry the digests of notices. Call it before
+// Start.
+func (s *Service) SetNoticeDigests(n NoticeDigests) { s.notices = n }
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -17,9 +17,9 @@
 
 // sendAttempt makes one attempt with a permit and returns the permit afterwards.
 func (r *requestRun) sendAttempt(ctx context.Context, grant *dispatch.Grant) error {
-	address, known := r.endpointAddress(grant)
-	if !known {
-		err := &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: errors.New("the endpoint is no longer in the configuration")}
+	address, err := r.endpointAddress(grant)
+	if err != nil {
+		err := &attempt.NotSentError{Address: grant.Permit.Endpoint, Cause: err}
 		r.logFailed(err)
 		grant.Unused()
 		return err
@@ -114,7 +114,7 @@
 	}
 	message.FirstByteTimeout = r.dataTimeout(message.FirstByteTimeout, grant.Estimate)
 	message.GapTimeout = r.dataTimeout(message.GapTimeout, grant.Estimate)
-	message.OnHead = func(head exchange.EndpointResponse) { r.reportLimit(grant, head.Limit) }
+	message.OnHead = func(head exchange.EndpointResponse) { r.heed(grant, head) }
 	if r.request.Keyless {
 		monitor := &inactivityMonitor{run: r, grant: grant, ctx: ctx}
 		message.InactivityInterval = inactivityInterval
@@ -123,6 +123,20 @@
 	return message
 }
 
+// heed applies what a head of an answer says of its endpoint beside the answer.
+func (r *requestRun) heed(grant *dispatch.Grant, head exchange.EndpointResponse) {
+	r.reportLimit(grant, head.Limit)
+	if head.Leaving && r.service.endpoints != nil {
+		r.service.endpoints.ReportLeaving(grant.Permit.Endpoint, r.endpointBorn)
+	}
+	if head.Pause.Unreadable {
+		r.service.common.Count("endpoints.pauses.unreadable")
+	}
+	if head.Pause.For > 0 {
+		grant.ReportPause(head.Pause.For)
+	}
+}
+
 // reportLimit reports what an answer says of the rate of requests that its endpoint takes.
 func (r *requestRun) reportLimit(grant *dispatch.Grant, limit exchange.RateLimit) {
 	if limit.Unreadable {
@@ -188,22 +202,3 @@
 	spare := time.Until(r.request.Deadline) - estimate
 	return min(timeout, max(spare/2, minDataTimeout))
 }
-
-// endpointAddress returns the address of the granted endpoint in the
-// configuration in force, which may be newer than the one that the request
-// arrived under. If this host has not discovered the endpoint yet, the address
-// that the owner sent is used. An endpoint that this host knows to have left has
-// no address, even if the owner granted it, because the owner may receive that
-// update later.
-func (r *requestRun) endpointAddress(grant *dispatch.Grant) (address string, known bool) {
-	current := r.service.release.Current()
-	service, known := current.Configuration.Service(r.request.Service.Name)
-	if !known {
-		return "", false
-	}
-	if e, listed := service.Endpoint(grant.Permit.Endpoint); listed {
-		return e.Address, !e.Leaving || !r.request.Keyless
-	}
-	found := grant.Address != "" && r.request.Keyless
-	return grant.Address, found && !r.service.release.HasLeft(grant.Permit.Endpoint)
-}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -19,6 +19,11 @@
 	attempts []string
 	avoid    []string
 	endpoint string
+	// endpointBorn is when the endpoint of the current attempt started, in Unix
+	// milliseconds; zero if it is not known.
+	endpointBorn int64
+	// withheld counts the grants that were not used because this host knew better.
+	withheld int
 	// mayHaveRun is set once an attempt may have run: a byte of the request may
 	// have reached an endpoint that did not reject the request.
 	mayHaveRun bool
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -36,6 +36,8 @@
 	claims  *claims.Service
 	members *membership.Service
 	record  *record.Service
+	// endpoints is nil where endpoints report that they are leaving in other ways.
+	endpoints endpointStates
 }
 
 // New returns the service, which must be started before it serves requests.
@@ -60,6 +62,9 @@
 		// Callers of the platform send no idempotency keys, so no claims are made.
 		s.claims, err = kernel.Lookup[*claims.Service](s.common.Kernel, kernel.Claims)
 	}
+	if s.common.Settings.Platform != nil {
+		s.endpoints, err = kernel.Lookup[endpointStates](s.common.Kernel, kernel.Discovery)
+	}
 	if err != nil {
 		return err
 	}
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -24,6 +24,9 @@
 	// errorBodyTimeout bounds the time to read the body of an error answer, in which
 	// another endpoint could already run the request.
 	errorBodyTimeout = 300 * time.Millisecond
+	// maxWithheld bounds the grants of one request that this host does not use because
+	// it knows better than the owner.
+	maxWithheld = 8
 )
 
 // serveWithoutClaim serves a request that needs no claim. When an attempt fails,
@@ -51,6 +54,9 @@
 			return Broken{Reason: text.AnswerLost}
 		case ctx.Err() != nil:
 			return r.deadlineResult()
+		case errors.HasType(err, (*WithheldError)(nil)) && r.withheld < maxWithheld:
+			r.withheld++
+			sends--
 		case sends >= maxSends || !r.mayTryAnother():
 			return r.preferErrorAnswer(r.failureResult(err))
 		}
