--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -134,6 +134,16 @@
 // Load returns the number of waiting requests and the number of permits held.
 func (c *Core) Load() (waiting, held int) { return len(c.waiting), len(c.held) }
 
+// Evaluations returns how often the times of a request at one of the present endpoints
+// were worked out. It measures the cost of the decisions independently of the host.
+func (c *Core) Evaluations() uint64 {
+	total := uint64(0)
+	for _, e := range c.endpointOrder {
+		total += e.evaluations
+	}
+	return total
+}
+
 func (c *Core) report(e Reported) {
 	if target := c.endpoints[e.Endpoint]; target != nil {
 		target.report(e.Running)
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -71,6 +71,9 @@
 	prefillUntil Instant
 	crashWatch   crashWatch
 	pacer        ratePacer
+	// evaluations counts how often the times of a request at this endpoint were worked
+	// out.
+	evaluations uint64
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
--- a/coordination/pkg/permit/endpoint_rates.go
+++ b/coordination/pkg/permit/endpoint_rates.go
@@ -22,6 +22,7 @@
 func smooth(share *float64, sample float64) { *share += learningRate * (sample - *share) }
 
 func (e *endpoint) promptTime(a Ask) time.Duration {
+	e.evaluations++
 	return time.Duration(float64(a.PromptTokens) * e.prefillCost * float64(time.Second))
 }
 
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -79,6 +79,7 @@
 // runningRequest is a request that runs on an engine.
 type runningRequest struct {
 	id      string
+	host    string
 	call    *call
 	granted time.Duration
 	// promptLeft is the number of tokens of the prompt that are left to prefill, and
@@ -134,8 +135,15 @@
 	// identifiesCallers sets the subject of each ask, by which the core recognises a
 	// request that is asked for again after a refusal.
 	identifiesCallers bool
+	// engines is the number of engines, nine if zero. customers is the number of
+	// customers with quotas, and hosts the number of entry hosts that list their permits.
+	engines, customers, hosts int
+	// records keeps the events of the load in simulation.events.
+	records bool
 }
 
+func (p policy) engineCount() int { return cmp.Or(p.engines, 9) }
+
 // simulation is one simulation of the load.
 type simulation struct {
 	policy  policy
@@ -148,6 +156,8 @@
 	// callsByID maps the ID of each ask to its call.
 	callsByID map[string]*call
 	nextID    int
+	// events holds the events that arrived during the load, if the policy records them.
+	events []permit.Event
 }
 
 // simulateLoad simulates the load under a policy, and 20 s more, which is longer than
@@ -155,13 +165,16 @@
 func simulateLoad(p policy) *simulation {
 	s := &simulation{policy: p, engines: map[string]*engineModel{}, callsByID: map[string]*call{}}
 	var rules []permit.EndpointRules
-	for i := range 9 {
+	for i := range p.engineCount() {
 		name := fmt.Sprint("engine-", i)
 		s.engines[name] = &engineModel{slowness: []float64{0.68, 0.68, 3}[i%3]}
 		rules = append(rules, permit.EndpointRules{Name: name, Limit: slotsPerEngine})
 	}
 	s.drawCalls(rand.New(rand.NewPCG(20261204, 8)))
-	s.core.Step(permit.Configured{At: start, Tiers: len(kinds), QueueLimit: 2000, Weights: tierWeights, WorstWeight: p.worstWeight, Endpoints: rules})
+	s.step(permit.Configured{
+		At: start, Tiers: len(kinds), QueueLimit: 2000, Weights: tierWeights, WorstWeight: p.worstWeight, Endpoints: rules,
+		Quotas: p.quotas(), QuotaWindow: 8 * time.Second,
+	})
 	for ; s.now < loadSpan+20*time.Second; s.now += tick {
 		s.advance()
 	}
@@ -212,6 +225,49 @@
 	if s.now%(10*tick) == 0 {
 		s.step(permit.Ticked{At: s.instant()})
 	}
+	if s.now%(2*time.Second) == 0 {
+		s.listPermits()
+	}
+}
+
+// listPermits lists the permits of each entry host.
+func (s *simulation) listPermits() {
+	for host := range s.policy.hosts {
+		list := permit.Listed{At: s.instant(), Host: s.policy.hostOf(host)}
+		for name, m := range s.engines {
+			for _, r := range m.running {
+				if r.host == list.Host {
+					list.Permits = append(list.Permits, permit.Permit{ID: r.id, Endpoint: name, Tier: r.call.kind})
+				}
+			}
+		}
+		s.step(list)
+	}
+}
+
+// hostOf returns the entry host of a request by its number; empty without hosts.
+func (p policy) hostOf(number int) string {
+	if p.hosts == 0 {
+		return ""
+	}
+	return fmt.Sprint("entry-", number%p.hosts)
+}
+
+// customerOf returns the customer of a request by its number; empty without customers.
+func (p policy) customerOf(number int) string {
+	if p.customers == 0 {
+		return ""
+	}
+	return fmt.Sprint("customer-", number%p.customers)
+}
+
+// quotas returns quotas that no customer uses up.
+func (p policy) quotas() []permit.Quota {
+	quotas := make([]permit.Quota, p.customers)
+	for i := range quotas {
+		quotas[i] = permit.Quota{Customer: p.customerOf(i), Limit: 1e9, Total: 1e9}
+	}
+	return quotas
 }
 
 func (s *simulation) instant() permit.Instant { return start.After(s.now) }
@@ -224,6 +280,7 @@
 	c.tries++
 	ask := permit.Ask{
 		ID: id, Request: id, Tier: c.kind, PromptTokens: c.prompt, AnswerTokens: c.expectedParts, GapGoal: 300 * time.Millisecond,
+		Host: s.policy.hostOf(s.nextID), Customer: s.policy.customerOf(s.nextID), QuotaTokens: c.prompt,
 		Deadline: start.After(c.firstTry + k.deadline), Goal: s.instant().After(k.goal), Patience: s.instant().After(2400 * time.Millisecond),
 	}
 	if s.policy.identifiesCallers {
@@ -233,11 +290,14 @@
 }
 
 func (s *simulation) step(e permit.Event) {
+	if s.policy.records && s.now < loadSpan {
+		s.events = append(s.events, e)
+	}
 	for _, action := range slices.Clone(s.core.Step(e)) {
 		switch a := action.(type) {
 		case permit.Granted:
 			m := s.engines[a.Endpoint]
-			m.running = append(m.running, &runningRequest{id: a.ID, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt)})
+			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt)})
 		case permit.Refused:
 			s.scheduleRetry(s.callsByID[a.ID], a.RetryAfter)
 		}
