Say how late an owner decides, and when owners change

Callers on the grown sites wait until they leave, and no line told whether their asks were lost, undecided or in a queue. Owners now log once a second at most that they decide late, with the age of the oldest event, the queue and what waits; owner.events.age-us, owner.changes, entry.owner.changes and entry.asks.resent count the same. Histograms are made in one place.

--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -29,6 +29,9 @@
 // Progressed, Finished, Failed, Stalled, Warned, Limited, Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
+// TimeOf returns when an event arrived.
+func TimeOf(event Event) Instant { return event.at() }
+
 type (
 	// Configured sets the rules of the service. The first one starts the settling
 	// period, during which a new owner receives the permits that were granted
--- a/godwitmoord/pkg/common/common.go
+++ b/godwitmoord/pkg/common/common.go
@@ -33,3 +33,20 @@
 func (c *Common) CountBytes(name string, n int) {
 	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(int64(n))
 }
+
+const (
+	// sampleSize and sampleAlpha are the size of a histogram's sample and how strongly
+	// it favours recent values.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Observe adds a value to the named histogram.
+func (c *Common) Observe(name string, value int64) {
+	sample := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	if histogram, isHistogram := c.Metrics.GetOrRegister(name, sample).(metrics.Histogram); isHistogram {
+		histogram.Update(value)
+	}
+}
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -203,7 +203,9 @@
 
 func (e *Entry) sendAsk(p *pendingAsk, owner string) {
 	e.mu.Lock()
-	if p.owner != owner {
+	if p.owner == owner {
+		e.common.Count("entry.asks.resent")
+	} else {
 		p.resendAfter = 0
 	}
 	p.owner = owner
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
@@ -17,7 +18,9 @@
 	var moved []string
 	for service := range e.servicesInUse() {
 		owner := ownerOf(ready, service)
-		if e.lastOwner[service] != owner {
+		if former := e.lastOwner[service]; former != owner {
+			e.common.Log.Info("owner of a service", zap.String("service", service), zap.String("owner", owner), zap.String("before", former))
+			e.common.Count("entry.owner.changes")
 			e.lastOwner[service] = owner
 			moved = append(moved, service)
 		}
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -22,6 +22,7 @@
 	eventNumber int64
 	core        permit.Core
 	events      ring.Ring[permit.Event]
+	lateness    lateness
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
@@ -117,6 +118,7 @@
 		case <-ctx.Done():
 			return
 		case event := <-s.events.Values():
+			s.observeAge(event)
 			s.refreshEarlierGrants(event)
 			s.step(event)
 		case <-ticker.C:
@@ -153,6 +155,8 @@
 		return false
 	}
 	s.outdated.Store(isOwner)
+	s.owner.common.Count("owner.changes")
+	s.owner.common.Log.Info("ownership of a service changed", zap.String("service", s.service), zap.Bool("owner", isOwner))
 	return true
 }
 
--- a/godwitmoord/pkg/status/status.go
+++ b/godwitmoord/pkg/status/status.go
@@ -24,10 +24,6 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	// sampleSize and sampleAlpha configure the exponentially decaying sample of
-	// request durations.
-	sampleSize  = 1028
-	sampleAlpha = 0.015
 )
 
 // Service serves the status port and, on the platform, the readiness port.
@@ -136,13 +132,7 @@
 		if request.InTime {
 			s.common.Count("requests." + request.Tier + ".in-time")
 		}
-		sample := func() metrics.Histogram {
-			return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-		}
-		histogram, isHistogram := s.common.Metrics.GetOrRegister("requests."+request.Tier+".took-us", sample).(metrics.Histogram)
-		if isHistogram {
-			histogram.Update(int64(request.Took * float64(time.Millisecond/time.Microsecond)))
-		}
+		s.common.Observe("requests."+request.Tier+".took-us", int64(request.Took*float64(time.Millisecond/time.Microsecond)))
 	}
 }
 
