--- a/coordination/pkg/permit/owner_load_test.go
+++ b/coordination/pkg/permit/owner_load_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-var loadFactors = []float64{1, 2, 3}
+var loadFactors = []float64{0.5, 1, 2, 3}
 
 // asksIn counts the asks among events.
 func asksIn(events []permit.Event) int {
