--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -319,6 +319,7 @@
 	if m.Endpoint == "" || (held != nil && held.owner == from.Name) {
 		return
 	}
+	e.common.Count("entry.grants.unwanted")
 	service, known := e.serviceOf(m.Endpoint)
 	if known {
 		e.send(from.Name, entryMessage{Kind: withdrawKind, Service: service, ID: m.ID})
--- a/godwitmoord/pkg/dispatch/late_owner_test.go
+++ b/godwitmoord/pkg/dispatch/late_owner_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
@@ -63,6 +64,9 @@
 	granted, refused, abandoned int
 	// longestWait is the longest wait for a decision.
 	longestWait time.Duration
+	// resent is how often an ask was sent again, and unwanted how many grants came after
+	// their callers had left.
+	resent, unwanted int64
 }
 
 // sendRequests sends requests at a rate for loadSpan to a slow owner, and returns how they
@@ -101,6 +105,8 @@
 	cancel()
 	close(slow.stop)
 	time.Sleep(time.Second)
+	all.resent = metrics.GetOrRegisterCounter("entry.asks.resent", o.common.Metrics).Count()
+	all.unwanted = metrics.GetOrRegisterCounter("entry.grants.unwanted", o.common.Metrics).Count()
 	return all
 }
 
