--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -73,6 +73,9 @@
 	pacer        ratePacer
 	// hostPauses holds until when the endpoint wants no requests of single hosts.
 	hostPauses map[string]Instant
+	// evaluations counts how often the times of a request at this endpoint were worked
+	// out.
+	evaluations uint64
 }
 
 func newEndpoint(rules EndpointRules) *endpoint {
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -206,7 +206,9 @@
 
 func (e *Entry) sendAsk(p *pendingAsk, owner string) {
 	e.mu.Lock()
-	if p.owner != owner {
+	if p.owner == owner {
+		e.common.Count("entry.asks.resent")
+	} else {
 		p.resendAfter = 0
 	}
 	p.owner = owner
@@ -321,6 +323,7 @@
 	if m.Endpoint == "" || (held != nil && held.owner == from.Name) {
 		return
 	}
+	e.common.Count("entry.grants.unwanted")
 	service, known := e.serviceOf(m.Endpoint)
 	if known {
 		e.send(from.Name, entryMessage{Kind: withdrawKind, Service: service, ID: m.ID})
