Show that hosts turned away by the store send to endpoints that leave

Callers' requests reach an endpoint later than 2 s after the store took its word that it leaves. Cause: a host that the store turns away knows of no leaving, and the owner that it asks, or is itself, knows of none either. Nothing else tells it.

--- /dev/null
+++ b/godwitmoord/pkg/app/leaving_test.go
@@ -0,0 +1,138 @@
+package app_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/platform/platformtest"
+)
+
+const (
+	// leavingBound is the platform's bound on the time in which an endpoint that said it
+	// leaves may still get requests.
+	leavingBound = 2 * time.Second
+	// watchedAfterBound is how long these tests look for requests after the bound.
+	watchedAfterBound = 1500 * time.Millisecond
+	fleetSize         = 3
+	// busyDelay makes requests take so long that one endpoint has no place for all.
+	busyDelay = 200 * time.Millisecond
+)
+
+// platformFleet is a deployment on the platform with several hosts, each with an
+// access of its own to the store.
+type platformFleet struct {
+	*platformDeployment
+	hosts    []platformHost
+	accesses []*platformtest.Access
+}
+
+// startPlatformFleet starts a fleet whose first host owns the service desk.
+func startPlatformFleet(t *testing.T) *platformFleet {
+	t.Helper()
+	f := &platformFleet{platformDeployment: newPlatformDeployment(t)}
+	f.writeConfiguration()
+	f.registerWorker("desk-1", false)
+	f.registerWorker("desk-2", false)
+	var names, peers []string
+	for i := range fleetSize {
+		names, peers = append(names, fmt.Sprint("entry-", i+1)), append(peers, freeAddress(t))
+	}
+	for i, name := range host.Ranked(names, "desk", fleetSize) {
+		access := platformtest.NewAccess(f.store)
+		server := httptest.NewServer(access)
+		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+		f.accesses = append(f.accesses, access)
+		f.hosts = append(f.hosts, f.startHostAt(platformHost{name: name, store: server.URL, peerAddress: peers[i]}, peers))
+	}
+	for _, h := range f.hosts {
+		f.eventually("the host is ready", func() bool { return readinessStatusAt(h.readinessAddress) == http.StatusOK })
+		f.eventually("the host serves", func() bool { return f.sendTo(h, "/lookup/7").Status == http.StatusOK })
+	}
+	time.Sleep(time.Second) // hosts without a service begin their long watches
+	return f
+}
+
+func (f *platformFleet) sendTo(h platformHost, path string) platformtest.Answer {
+	return platformtest.Call(h.frontAddress, "shop.example", path, "good-key", uuid.NewString())
+}
+
+// eachRefusal runs a test of a fleet for each way in which the store turns hosts away.
+func eachRefusal(t *testing.T, test func(f *platformFleet, r platformtest.Refusal)) {
+	t.Parallel()
+	for _, refusal := range []platformtest.Refusal{platformtest.RefusedBusy, platformtest.RefusedReset, platformtest.RefusedSilent} {
+		t.Run(string(refusal), func(t *testing.T) {
+			t.Parallel()
+			test(startPlatformFleet(t), refusal)
+		})
+	}
+}
+
+// counts are the requests that were sent while an endpoint left: those that were served,
+// and those that reached the endpoint after the bound.
+type counts struct{ sent, served, late int }
+
+// sendWhileLeaving makes an endpoint leave and sends requests to a host until some time
+// after the bound.
+func (f *platformFleet) sendWhileLeaving(endpoint string, h platformHost) counts {
+	start := time.Now()
+	sendSteadily(500*time.Millisecond, func(int) { f.sendTo(h, "/lookup/7") })
+	f.is.True(f.workers[endpoint].Arrivals(start) > 0) // it is in use
+	f.registerWorker(endpoint, true)
+	bound := time.Now().Add(leavingBound)
+	var c counts
+	var mu sync.Mutex
+	sendSteadily(leavingBound+watchedAfterBound, func(int) {
+		answer := f.sendTo(h, "/lookup/7")
+		mu.Lock()
+		defer mu.Unlock()
+		c.sent++
+		if answer.Status == http.StatusOK {
+			c.served++
+		}
+	})
+	c.late = f.workers[endpoint].Arrivals(bound)
+	f.t.Logf("%+v", c)
+	return c
+}
+
+// arrivalsAfterBound returns how many requests reach desk-1 after the bound while both
+// endpoints are needed.
+func (f *platformFleet) arrivalsAfterBound(h platformHost) int {
+	f.injectFaults("desk", platformtest.WorkerFaults{Delay: busyDelay})
+	return f.sendWhileLeaving("desk-1", h).late
+}
+
+func TestOwnerThatTheStoreTurnsAwayGrantsALeavingEndpoint(t *testing.T) {
+	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
+		f.accesses[0].SetRefusal(refusal)
+		f.is.Equal(f.arrivalsAfterBound(f.hosts[0]), 0)
+	})
+}
+
+func TestEntryAndOwnerThatTheStoreTurnsAwayUseALeavingEndpoint(t *testing.T) {
+	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
+		f.accesses[0].SetRefusal(refusal)
+		f.accesses[1].SetRefusal(refusal)
+		f.is.Equal(f.arrivalsAfterBound(f.hosts[1]), 0)
+	})
+}
+
+func TestEntryThatKnowsOfALeavingEndpointUsesAnOldGrant(t *testing.T) {
+	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
+		f.accesses[0].SetRefusal(refusal)
+		f.is.Equal(f.arrivalsAfterBound(f.hosts[1]), 0)
+	})
+}
+
+func TestEntryThatTheStoreTurnsAwayUsesALeavingEndpoint(t *testing.T) {
+	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
+		f.accesses[1].SetRefusal(refusal)
+		f.is.Equal(f.arrivalsAfterBound(f.hosts[1]), 0)
+	})
+}
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -95,23 +96,44 @@
 func (s *platformDeployment) startHost() {
 	standin := httptest.NewServer(s.store)
 	s.t.Cleanup(standin.Close)
-	s.frontAddress, s.readinessAddress = freeAddress(s.t), freeAddress(s.t)
-	text := fmt.Sprintf(`{"name": "entry-1", "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
+	h := s.startHostAt(platformHost{name: "entry-1", store: standin.URL, peerAddress: freeAddress(s.t)}, []string{})
+	s.daemon, s.frontAddress, s.readinessAddress = h.daemon, h.frontAddress, h.readinessAddress
+}
+
+// platformHost is one host of a deployment on the platform.
+type platformHost struct {
+	name string
+	// store is the URL at which this host reaches the store.
+	store            string
+	peerAddress      string
+	frontAddress     string
+	readinessAddress string
+	daemon           *app.Daemon
+}
+
+// startHostAt starts a host that knows the peer addresses of others.
+func (s *platformDeployment) startHostAt(h platformHost, peers []string) platformHost {
+	h.frontAddress, h.readinessAddress = freeAddress(s.t), freeAddress(s.t)
+	hosts, err := json.Marshal(peers)
+	s.is.NoErr(err)
+	text := fmt.Sprintf(`{"name": %q, "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
 		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": "10ms",
-		"platform": {"store": "%s", "readiness": "%s", "hosts": [], "key-revocation": "3s", "stop-grace": "5s",
+		"platform": {"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": "3s", "stop-grace": "5s",
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		s.frontAddress, freeAddress(s.t), freeAddress(s.t), strings.TrimPrefix(standin.URL, "http://"), s.readinessAddress)
+		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts)
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
-	daemon := app.New(parsed, zap.NewNop())
-	s.is.NoErr(daemon.Start(context.Background()))
-	s.t.Cleanup(func() { _ = daemon.Stop() })
-	s.daemon = daemon
+	h.daemon = app.New(parsed, zap.NewNop())
+	s.is.NoErr(h.daemon.Start(context.Background()))
+	s.t.Cleanup(func() { _ = h.daemon.Stop() })
+	return h
 }
 
-func (s *platformDeployment) readinessStatus() int {
-	response, err := http.Get("http://" + s.readinessAddress + "/readyz")
+func (s *platformDeployment) readinessStatus() int { return readinessStatusAt(s.readinessAddress) }
+
+func readinessStatusAt(address string) int {
+	response, err := http.Get("http://" + address + "/readyz")
 	if err != nil {
 		return 0
 	}
