Show that requests fail when an entry knows of a leaving endpoint before the owner

Callers get 503 no-endpoint although another endpoint has room for all. The entry hears that an endpoint leaves and gives back the grants for it, unsent; the owner, turned away by the store, goes on granting it. Each request that was given back asks again as a repeat, and the retry budget is soon used up, although nothing reached an endpoint.

--- a/godwitmoord/pkg/app/leaving_test.go
+++ b/godwitmoord/pkg/app/leaving_test.go
@@ -20,8 +20,13 @@
 	// watchedAfterBound is how long these tests look for requests after the bound.
 	watchedAfterBound = 1500 * time.Millisecond
 	fleetSize         = 3
+	// ampleQuota is not used up even while hosts have just met, when owners grant only a
+	// part of it.
+	ampleQuota = 10_000_000
 	// busyDelay makes requests take so long that one endpoint has no place for all.
 	busyDelay = 200 * time.Millisecond
+	// slowerDelay makes an endpoint slower than the other one, which is then preferred.
+	slowerDelay = 60 * time.Millisecond
 )
 
 // platformFleet is a deployment on the platform with several hosts, each with an
@@ -36,6 +41,7 @@
 func startPlatformFleet(t *testing.T) *platformFleet {
 	t.Helper()
 	f := &platformFleet{platformDeployment: newPlatformDeployment(t)}
+	f.quota = ampleQuota
 	f.writeConfiguration()
 	f.registerWorker("desk-1", false)
 	f.registerWorker("desk-2", false)
@@ -130,6 +136,16 @@
 	})
 }
 
+func TestRequestsFailWhenTheEntryKnowsOfALeavingEndpointAndTheOwnerDoesNot(t *testing.T) {
+	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
+		f.workers["desk-2"].SetFaults(platformtest.WorkerFaults{Delay: slowerDelay}) // it has places for all
+		f.accesses[0].SetRefusal(refusal)
+		c := f.sendWhileLeaving("desk-1", f.hosts[1])
+		f.is.Equal(c.late, 0)
+		f.is.Equal(c.served, c.sent)
+	})
+}
+
 func TestEntryThatTheStoreTurnsAwayUsesALeavingEndpoint(t *testing.T) {
 	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
 		f.accesses[1].SetRefusal(refusal)
