Log what the sending host and the owner knew of endpoints at each send

"request finished" could not tell whether a request went to an endpoint that leaves because its owner, its own host or both had not heard so: "store lost" comes seconds after a store has fallen silent. It now says when the last attempt was sent, and for how long endpoints may then have changed unknown to the sending host and, at its grant, to the owner..

The age counts from the begin of the last watch that returned, or almost from its end if it ran its whole time without a change; on a host that owns nothing it is up to 10 s while all is well.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -137,7 +137,7 @@
 	}
 	s.publishHosts()
 	configurationFollower := &follower{service: s, prefix: s.layout.ConfigurationKey(), watchDuration: s.configurationWatchDuration, batchDelay: constant(configurationBatchDelay), maxPause: configurationMaxRetryPause, apply: s.installConfiguration, afterCall: s.recordProof}
-	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), watchDuration: s.endpointsWatchDuration, batchDelay: s.endpointsBatchDelay, maxPause: longRetryPause, apply: s.applyEndpoints, afterCall: s.expire}
+	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), watchDuration: s.endpointsWatchDuration, batchDelay: s.endpointsBatchDelay, maxPause: longRetryPause, apply: s.applyEndpoints, afterCall: s.recordSync}
 	go configurationFollower.run(ctx)
 	go (&freshnessChecker{service: s, inForce: s.release, others: s.members, configurationFollower: configurationFollower}).run(ctx)
 	go s.endpoints.run(ctx)
--- a/godwitmoord/pkg/discovery/endpoints.go
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -53,7 +53,7 @@
 			return
 		case <-time.After(endpointsCheckInterval):
 		}
-		s.expire(0)
+		s.expire()
 		if s.isBehind() {
 			s.endpoints.requestListing()
 		}
@@ -103,8 +103,15 @@
 	return ownerBatchDelay
 }
 
+// recordSync records up to when the changes of endpoints are known, and takes endpoints
+// out of use. After a failed call the boot time is zero.
+func (s *Service) recordSync(upTo time.Duration) {
+	s.release.RecordEndpointsSync(upTo)
+	s.expire()
+}
+
 // expire takes endpoints out of use whose entries did not come back in time.
-func (s *Service) expire(time.Duration) {
+func (s *Service) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.Expire(time.Now()) {
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -282,6 +282,7 @@
 			service:         p.service,
 			suspect:         p.ask.Suspect(),
 			limit:           m.Limit,
+			EndpointsAge:    m.EndpointsAge,
 			owner:           from.Name,
 		}}
 		e.held[m.ID] = result.grant
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -18,9 +18,12 @@
 	// ReportFirstPart requests a call of Progressed when the first part of the answer
 	// arrives.
 	ReportFirstPart bool
-	entry           *Entry
-	service         string
-	suspect         permit.Suspect
+	// EndpointsAge is for how long endpoints may have changed without the knowledge of
+	// the owner when it granted the permit; zero if they are not discovered.
+	EndpointsAge time.Duration
+	entry        *Entry
+	service      string
+	suspect      permit.Suspect
 	// limit is the limit of the endpoint that the owner knew of at the grant; nil if none.
 	limit *permit.RateLimit
 	owner string
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -223,7 +223,7 @@
 func (s *serviceOwner) sendDecision(action permit.Action) {
 	switch a := action.(type) {
 	case permit.Granted:
-		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.addressOf(a.Endpoint), Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit})
+		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: s.addressOf(a.Endpoint), Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, EndpointsAge: s.owner.release.EndpointsAge()})
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -75,6 +75,9 @@
 	Held string `cbor:"10,keyasint,omitempty"`
 	// Limit is the limit that the granted endpoint names, as far as the owner knows.
 	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
+	// EndpointsAge is for how long endpoints may have changed without the knowledge of
+	// the owner that grants one.
+	EndpointsAge time.Duration `cbor:"13,keyasint,omitempty"`
 	// Warning tells what the owner learned about parts of prompts.
 	Warning *warning `cbor:"11,keyasint,omitempty"`
 }
--- a/godwitmoord/pkg/release/install.go
+++ b/godwitmoord/pkg/release/install.go
@@ -55,6 +55,22 @@
 	return left != nil && (*left)[endpoint]
 }
 
+// RecordEndpointsSync records that this host knows all changes of endpoints up to the
+// given boot time.
+func (s *Service) RecordEndpointsSync(upTo time.Duration) {
+	s.endpointsSyncedAt.Store(max(s.endpointsSyncedAt.Load(), int64(upTo)))
+}
+
+// EndpointsAge returns for how long endpoints may have changed without the knowledge of
+// this host; zero if it never had a list of them.
+func (s *Service) EndpointsAge() time.Duration {
+	syncedAt := time.Duration(s.endpointsSyncedAt.Load())
+	if syncedAt == 0 {
+		return 0
+	}
+	return max(s.now()-syncedAt, 1)
+}
+
 // setInForce brings a configuration with the endpoints found into force. The caller
 // holds s.mu.
 func (s *Service) setInForce(version int64, c configuration.Configuration) {
--- a/godwitmoord/pkg/release/release.go
+++ b/godwitmoord/pkg/release/release.go
@@ -78,6 +78,9 @@
 	// provenAt is the latest boot time at which the version in force was proven to
 	// be the newest, in nanoseconds; zero if it never was.
 	provenAt atomic.Int64
+	// endpointsSyncedAt is the latest boot time up to which this host knows all changes
+	// of endpoints, in nanoseconds; zero if it never did.
+	endpointsSyncedAt atomic.Int64
 	// now returns the boot time; tests replace it.
 	now func() time.Duration
 }
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -25,6 +25,7 @@
 		return err
 	}
 	start := time.Now()
+	r.lastSend = lastSend{at: start, endpointsAge: r.service.release.EndpointsAge(), ownerEndpointsAge: grant.EndpointsAge}
 	message := r.attemptRequest(ctx, grant)
 	r.relay.beginAttempt(r.firstPartReporter(grant, start))
 	r.awaitingHead = true
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -61,6 +61,10 @@
 		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason),
 		zap.Int("status", r.relay.status), zap.Int("events", r.relay.position.events), zap.String("last-event", r.relay.position.lastEvent), zap.String("end", r.relay.end),
 	}
+	if sent := r.lastSend; !sent.at.IsZero() {
+		fields = append(fields, zap.Float64("sent-ago-ms", milliseconds(time.Since(sent.at))),
+			zap.Float64("endpoints-age-ms", milliseconds(sent.endpointsAge)), zap.Float64("owner-endpoints-age-ms", milliseconds(sent.ownerEndpointsAge)))
+	}
 	if r.heldParts != "" {
 		fields = append(fields, zap.String("held-parts", r.heldParts))
 	}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -44,11 +44,20 @@
 	// expected the request to take.
 	owner    string
 	estimate time.Duration
+	// lastSend describes the last attempt that was sent.
+	lastSend lastSend
 	// heldParts is the key of the parts of the prompt for which the request was refused;
 	// empty if it was not.
 	heldParts string
 }
 
+// lastSend is when an attempt was sent, and for how long endpoints may then have changed
+// without the knowledge of this host, and of the owner when it granted the permit.
+type lastSend struct {
+	at                              time.Time
+	endpointsAge, ownerEndpointsAge time.Duration
+}
+
 // newAsk returns the request for one more permit. It counts only the answer tokens
 // that the caller has not received yet.
 func (r *requestRun) newAsk(id string) permit.Ask {
