Show that an owner's waits add up past the bound after a brief silence of the store

The store is silent to the owner, takes the word of an endpoint that it leaves, and is back 1.5 s after it, 0.5 s before the bound. Requests reach the endpoint after the bound. By reading: the dead watch is given up 1.3 s after other hosts are heard to know more, and the listing that then begins is given 1 s, though a new call would be answered after 0.2 s. Each wait is short by itself; together they are over 2.3 s.

--- a/godwitmoord/pkg/app/leaving_test.go
+++ b/godwitmoord/pkg/app/leaving_test.go
@@ -23,6 +23,8 @@
 	// ampleQuota is not used up even while hosts have just met, when owners grant only a
 	// part of it.
 	ampleQuota = 10_000_000
+	// briefSilence is how long a store is silent that is back well before the bound.
+	briefSilence = 1500 * time.Millisecond
 	// busyDelay makes requests take so long that one endpoint has no place for all.
 	busyDelay = 200 * time.Millisecond
 	// slowerDelay makes an endpoint slower than the other one, which is then preferred.
@@ -58,14 +60,14 @@
 	}
 	for _, h := range f.hosts {
 		f.eventually("the host is ready", func() bool { return readinessStatusAt(h.readinessAddress) == http.StatusOK })
-		f.eventually("the host serves", func() bool { return f.sendTo(h, "/lookup/7").Status == http.StatusOK })
+		f.eventually("the host serves", func() bool { return f.lookUpAt(h).Status == http.StatusOK })
 	}
 	time.Sleep(time.Second) // hosts without a service begin their long watches
 	return f
 }
 
-func (f *platformFleet) sendTo(h platformHost, path string) platformtest.Answer {
-	return platformtest.Call(h.frontAddress, "shop.example", path, "good-key", uuid.NewString())
+func (f *platformFleet) lookUpAt(h platformHost) platformtest.Answer {
+	return platformtest.Call(h.frontAddress, "shop.example", "/lookup/7", "good-key", uuid.NewString())
 }
 
 // eachRefusal runs a test of a fleet for each way in which the store turns hosts away.
@@ -83,18 +85,18 @@
 // and those that reached the endpoint after the bound.
 type counts struct{ sent, served, late int }
 
-// sendWhileLeaving makes an endpoint leave and sends requests to a host until some time
+// sendWhileLeaving makes desk-1 leave and sends requests to a host until some time
 // after the bound.
-func (f *platformFleet) sendWhileLeaving(endpoint string, h platformHost) counts {
+func (f *platformFleet) sendWhileLeaving(h platformHost) counts {
 	start := time.Now()
-	sendSteadily(500*time.Millisecond, func(int) { f.sendTo(h, "/lookup/7") })
-	f.is.True(f.workers[endpoint].Arrivals(start) > 0) // it is in use
-	f.registerWorker(endpoint, true)
+	sendSteadily(500*time.Millisecond, func(int) { f.lookUpAt(h) })
+	f.is.True(f.workers["desk-1"].Arrivals(start) > 0) // it is in use
+	f.registerWorker("desk-1", true)
 	bound := time.Now().Add(leavingBound)
 	var c counts
 	var mu sync.Mutex
 	sendSteadily(leavingBound+watchedAfterBound, func(int) {
-		answer := f.sendTo(h, "/lookup/7")
+		answer := f.lookUpAt(h)
 		mu.Lock()
 		defer mu.Unlock()
 		c.sent++
@@ -102,7 +104,7 @@
 			c.served++
 		}
 	})
-	c.late = f.workers[endpoint].Arrivals(bound)
+	c.late = f.workers["desk-1"].Arrivals(bound)
 	f.t.Logf("%+v", c)
 	return c
 }
@@ -111,7 +113,7 @@
 // endpoints are needed.
 func (f *platformFleet) arrivalsAfterBound(h platformHost) int {
 	f.injectFaults("desk", platformtest.WorkerFaults{Delay: busyDelay})
-	return f.sendWhileLeaving("desk-1", h).late
+	return f.sendWhileLeaving(h).late
 }
 
 func TestOwnerThatTheStoreTurnsAwayGrantsALeavingEndpoint(t *testing.T) {
@@ -140,7 +142,7 @@
 	eachRefusal(t, func(f *platformFleet, refusal platformtest.Refusal) {
 		f.workers["desk-2"].SetFaults(platformtest.WorkerFaults{Delay: slowerDelay}) // it has places for all
 		f.accesses[0].SetRefusal(refusal)
-		c := f.sendWhileLeaving("desk-1", f.hosts[1])
+		c := f.sendWhileLeaving(f.hosts[1])
 		f.is.Equal(c.late, 0)
 		f.is.Equal(c.served, c.sent)
 	})
@@ -152,3 +154,21 @@
 		f.is.Equal(f.arrivalsAfterBound(f.hosts[1]), 0)
 	})
 }
+
+func TestOwnerUsesALeavingEndpointAfterABriefSilenceOfTheStore(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t)
+	f.accesses[0].SetRefusal(platformtest.RefusedSilent)
+	f.injectFaults("desk", platformtest.WorkerFaults{Delay: busyDelay})
+	start := time.Now()
+	sendSteadily(500*time.Millisecond, func(int) { f.lookUpAt(f.hosts[0]) })
+	f.is.True(f.workers["desk-1"].Arrivals(start) > 0) // it is in use
+	f.registerWorker("desk-1", true)
+	bound := time.Now().Add(leavingBound)
+	back := time.AfterFunc(briefSilence, func() { f.accesses[0].SetRefusal(platformtest.NotRefused) })
+	defer back.Stop()
+	sendSteadily(leavingBound+watchedAfterBound, func(int) { f.lookUpAt(f.hosts[0]) })
+	late := f.workers["desk-1"].Arrivals(bound)
+	t.Logf("%d requests after the bound", late)
+	f.is.Equal(late, 0)
+}
