Show that an entry sends too long to an endpoint whose entry is gone

These endpoints never said that they leave: their entries were removed. Their owner was turned away by the store and granted them by an old table. The sending hosts heard of the removal 0.62 to 0.86 s after it, as a host that owns nothing pauses for 1 s after each change, and then kept the endpoint in use for 1.6 s more, in case its entry had lapsed in an outage: 1.0 + 1.6 + 0.1 s (check) are past the bound of 2 s.

--- a/godwitmoord/pkg/app/leaving_test.go
+++ b/godwitmoord/pkg/app/leaving_test.go
@@ -172,3 +172,21 @@
 	t.Logf("%d requests after the bound", late)
 	f.is.Equal(late, 0)
 }
+
+func TestEntryUsesAnEndpointTooLongAfterItsEntryIsGone(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t)
+	f.accesses[0].SetRefusal(platformtest.RefusedSilent)
+	f.injectFaults("desk", platformtest.WorkerFaults{Delay: busyDelay})
+	start := time.Now()
+	sendSteadily(500*time.Millisecond, func(int) { f.lookUpAt(f.hosts[1]) })
+	f.is.True(f.workers["desk-1"].Arrivals(start) > 0) // it is in use
+	f.registerWorker("pool-1", false)
+	time.Sleep(100 * time.Millisecond) // the host has heard of this change
+	f.store.RemoveWorker("desk-1")
+	bound := time.Now().Add(leavingBound)
+	sendSteadily(leavingBound+watchedAfterBound, func(int) { f.lookUpAt(f.hosts[1]) })
+	late := f.workers["desk-1"].Arrivals(bound)
+	t.Logf("%d requests after the bound", late)
+	f.is.Equal(late, 0)
+}
