--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -72,7 +72,7 @@
 		s.applyEndpoints(update{changes: []keyvalue.Change{present("i-1", 5)}, revision: 5})
 		s.applyEndpoints(update{changes: []keyvalue.Change{removed("i-1", 6)}, revision: 6, age: s.budget().longPause()})
 		time.Sleep(s.budget().grace() - s.budget().longPause())
-		s.expire(0)
+		s.expire()
 		is.True(s.release.HasLeft("i-1"))
 	})
 }
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -224,7 +224,10 @@
 	switch a := action.(type) {
 	case permit.Granted:
 		granted := s.endpoint(a.Endpoint)
-		s.send(a.Host, ownerMessage{ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate, ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit})
+		s.send(a.Host, ownerMessage{
+			ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate,
+			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, EndpointsAge: s.owner.release.EndpointsAge(),
+		})
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -65,7 +65,7 @@
 	// Address is the endpoint's address according to the owner.
 	Address string `cbor:"9,keyasint,omitempty"`
 	// Born is when the endpoint started according to the owner, in Unix milliseconds.
-	Born int64 `cbor:"13,keyasint,omitempty"`
+	Born int64 `cbor:"14,keyasint,omitempty"`
 	// Reason is set in a refusal only.
 	Reason     permit.Reason `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
@@ -81,6 +81,9 @@
 	Held string `cbor:"10,keyasint,omitempty"`
 	// Limit is the limit that the granted endpoint names, as far as the owner knows.
 	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
+	// EndpointsAge is for how long endpoints may have changed without the knowledge of
+	// the owner that grants one.
+	EndpointsAge time.Duration `cbor:"13,keyasint,omitempty"`
 	// Warning tells what the owner learned about parts of prompts.
 	Warning *warning `cbor:"11,keyasint,omitempty"`
 }
