Say which owner left a request without a decision

Callers were turned away with reason deadline, or left, and the log did not tell a host whose owner never answered from one whose owner refused: the line named an owner only for grants. It now names the owner that refused, or the one that was asked last without a decision, how often the ask was sent, and whether the caller left first.

--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -52,12 +52,29 @@
 	// Held is the key of the parts for which the request is held; empty for other
 	// reasons.
 	Held string
+	// Owner is the host that refused.
+	Owner string
 }
 
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("the owner refused a permit (%s); retry in %v", e.Reason, e.RetryAfter)
 }
 
+// UndecidedError reports that the caller's context ended before an owner decided.
+type UndecidedError struct {
+	// Owner is the host that was asked last, and Sends how many times the ask was
+	// sent, to any owner.
+	Owner string
+	Sends int
+	Cause error
+}
+
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("no decision of owner %s after %d messages: %v", e.Owner, e.Sends, e.Cause)
+}
+
+func (e *UndecidedError) Unwrap() error { return e.Cause }
+
 // Entry asks owners for permits for the requests that this host has accepted from
 // callers.
 type Entry struct {
@@ -91,6 +108,7 @@
 	sentAt      time.Time
 	resendAfter time.Duration
 	owner       string
+	sends       int
 	result      chan askResult
 }
 
@@ -139,8 +157,8 @@
 func (e *Entry) Stop(context.Context) error { return nil }
 
 // Acquire asks the owner of a service for a permit and waits for the decision until
-// ctx ends. The error is a *RefusedError or ctx.Err(); in both cases the request
-// holds no permit.
+// ctx ends. The error is a *RefusedError or an *UndecidedError; in both cases the
+// request holds no permit.
 func (e *Entry) Acquire(ctx context.Context, service string, ask permit.Ask, times Times) (*Grant, error) {
 	if refused := e.checkHeld(service, ask); refused != nil {
 		return nil, refused
@@ -178,15 +196,16 @@
 		}
 		return a.grant, nil
 	case <-ctx.Done():
-		e.cancelAsk(p)
-		return nil, ctx.Err()
+		return nil, e.cancelAsk(p, ctx.Err())
 	}
 }
 
-func (e *Entry) cancelAsk(p *pendingAsk) {
+// cancelAsk withdraws an ask whose context ended with cause, and returns the error
+// that Acquire returns for it.
+func (e *Entry) cancelAsk(p *pendingAsk, cause error) error {
 	e.mu.Lock()
 	delete(e.waiting, p.ask.ID)
-	owner := p.owner
+	owner, sends := p.owner, p.sends
 	e.mu.Unlock()
 	select {
 	case a := <-p.result:
@@ -197,6 +216,7 @@
 	default:
 		e.send(owner, entryMessage{Kind: withdrawKind, Service: p.service, ID: p.ask.ID})
 	}
+	return &UndecidedError{Owner: owner, Sends: sends, Cause: cause}
 }
 
 func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.ReadyNames(), service) }
@@ -208,6 +228,10 @@
 	}
 	p.owner = owner
 	p.sentAt = time.Now()
+	p.sends++
+	if p.sends > 1 {
+		e.common.Count("entry.asks.resent")
+	}
 	p.resendAfter = min(max(2*p.resendAfter, minResendDelay), maxResendDelay)
 	e.mu.Unlock()
 	ask := p.ask
@@ -271,7 +295,7 @@
 		return
 	}
 	delete(e.waiting, m.ID)
-	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Held: m.Held}}
+	result := askResult{refused: &RefusedError{Reason: m.Reason, RetryAfter: m.RetryAfter, Held: m.Held, Owner: from.Name}}
 	if m.Endpoint != "" {
 		result = askResult{grant: &Grant{
 			Permit:          permit.Permit{ID: m.ID, Endpoint: m.Endpoint, Tier: p.ask.Tier},
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -64,6 +65,9 @@
 	if r.heldParts != "" {
 		fields = append(fields, zap.String("held-parts", r.heldParts))
 	}
+	if u := r.undecided; u != nil {
+		fields = append(fields, zap.String("undecided-by", u.Owner), zap.Int("ask-sends", u.Sends), zap.Bool("caller-gone", errors.Is(u, context.Canceled)))
+	}
 	if refused, isRefusal := result.(Refused); isRefusal {
 		fields = append(fields, zap.Float64("retry-after-ms", milliseconds(refused.RetryAfter)))
 	}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -40,10 +40,11 @@
 	reserved *dispatch.Grant
 	// queueTime is the total time spent waiting for permits.
 	queueTime time.Duration
-	// owner is the host that granted the last permit, estimate the time that it
-	// expected the request to take.
-	owner    string
-	estimate time.Duration
+	// owner is the host that decided on the last ask, estimate the time that it
+	// expected the request to take. undecided is set instead if none decided.
+	owner     string
+	estimate  time.Duration
+	undecided *dispatch.UndecidedError
 	// heldParts is the key of the parts of the prompt for which the request was refused;
 	// empty if it was not.
 	heldParts string
@@ -107,6 +108,7 @@
 		r.recordGrant(grant)
 		return grant, nil
 	}
+	errors.As(err, &r.undecided)
 	if r.relay.headSent {
 		return nil, Broken{Reason: text.AnswerLost}
 	}
@@ -115,7 +117,7 @@
 	if errors.As(err, &rejection) {
 		refused.Reason = refusalReason(rejection.Reason)
 		refused.RetryAfter = rejection.RetryAfter
-		r.heldParts = rejection.Held
+		r.heldParts, r.owner = rejection.Held, rejection.Owner
 	}
 	return nil, refused
 }
