Log and count changes of owners as each entry sees them

An entry whose message to an owner failed takes another host for the owner for two seconds, alone, and nothing showed it. A line now names the service, the owner and the one before; entry.owners.changed and membership.avoided count. Tests of membership passed with -race.

--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
@@ -17,7 +18,9 @@
 	var moved []string
 	for service := range e.servicesInUse() {
 		owner := ownerOf(ready, service)
-		if e.lastOwner[service] != owner {
+		if before := e.lastOwner[service]; before != owner {
+			e.common.Count("entry.owners.changed")
+			e.common.Log.Info("owner of a service changed", zap.String("service", service), zap.String("owner", owner), zap.String("before", before))
 			e.lastOwner[service] = owner
 			moved = append(moved, service)
 		}
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -72,6 +72,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.table[name]; e != nil {
+		s.common.Count("membership.avoided")
 		e.avoidedAt = time.Now()
 		e.recordFailure()
 	}
