--- a/godwitmoord/pkg/serving/inactivity.go
+++ b/godwitmoord/pkg/serving/inactivity.go
@@ -75,7 +75,8 @@
 	next, refusal := r.acquire(ctx)
 	r.avoid = previousAvoid
 	if refusal != nil {
-		r.endpoint = current
+		// The request goes on at its endpoint.
+		r.endpoint, r.undecided = current, nil
 		return false
 	}
 	if next.Permit.Endpoint == current {
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -125,7 +125,7 @@
 // recordGrant records the permit that the next attempt uses.
 func (r *requestRun) recordGrant(grant *dispatch.Grant) {
 	r.endpoint = grant.Permit.Endpoint
-	r.owner, r.estimate = grant.Owner(), grant.Estimate
+	r.owner, r.estimate, r.undecided = grant.Owner(), grant.Estimate, nil
 }
 
 // times returns the points in time that the owner schedules the request by.
