--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -36,6 +36,8 @@
 	customerKey string
 	// quota is the customer's quota in tokens per second; zero means that of the stand-in.
 	quota int
+	// log is the log of the hosts that start next; nil for none.
+	log *zap.Logger
 }
 
 func startPlatformDeployment(t *testing.T) *platformDeployment {
@@ -126,7 +128,10 @@
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
-	h.daemon = app.New(parsed, zap.NewNop())
+	if s.log == nil {
+		s.log = zap.NewNop()
+	}
+	h.daemon = app.New(parsed, s.log)
 	s.is.NoErr(h.daemon.Start(context.Background()))
 	s.t.Cleanup(func() { _ = h.daemon.Stop() })
 	return h
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -45,10 +45,11 @@
 	reserved *dispatch.Grant
 	// queueTime is the total time spent waiting for permits.
 	queueTime time.Duration
-	// owner is the host that granted the last permit, estimate the time that it
-	// expected the request to take.
-	owner    string
-	estimate time.Duration
+	// owner is the host that decided on the last ask, estimate the time that it
+	// expected the request to take. undecided is set instead if none decided.
+	owner     string
+	estimate  time.Duration
+	undecided *dispatch.UndecidedError
 	// lastSend describes the last attempt that was sent.
 	lastSend lastSend
 	// heldParts is the key of the parts of the prompt for which the request was refused;
@@ -123,6 +124,7 @@
 		r.recordGrant(grant)
 		return grant, nil
 	}
+	errors.As(err, &r.undecided)
 	if r.relay.headSent {
 		return nil, Broken{Reason: text.AnswerLost}
 	}
@@ -131,7 +133,7 @@
 	if errors.As(err, &rejection) {
 		refused.Reason = refusalReason(rejection.Reason)
 		refused.RetryAfter = rejection.RetryAfter
-		r.heldParts = rejection.Held
+		r.heldParts, r.owner = rejection.Held, rejection.Owner
 	}
 	return nil, refused
 }
@@ -139,7 +141,7 @@
 // recordGrant records the permit that the next attempt uses.
 func (r *requestRun) recordGrant(grant *dispatch.Grant) {
 	r.endpoint = grant.Permit.Endpoint
-	r.owner, r.estimate = grant.Owner(), grant.Estimate
+	r.owner, r.estimate, r.undecided = grant.Owner(), grant.Estimate, nil
 }
 
 // times returns the points in time that the owner schedules the request by.
