Refuse what a late or silent owner can't decide in time

An owner that gets to an ask after half of the time to its goal refuses it at once without deciding it (owner-late). It tells each host which of its requests wait for a slot; an entry that hears neither that nor a decision until the goal refuses the request, which has not run and won't (owner-silent). An ask that its owner is known to have isn't sent again, unless that owner's process ends. Asks for which the owner's queue has no room are refused instead of dropped.

Failed before, and hold now: TestRequestsWaitUntilTheirCallersLeaveWhenTheOwnerIsLate, TestOwnerServesFewerRequestsTheMoreAreSent, TestRequestWaitsUntilItsCallerLeavesWhenTheOwnerIsSilent, TestEntryWithoutADecisionHoldsARequestUntilItsCallerHasLeft, TestAskThatALateOwnerHasReceivedIsSentToItAgain. The tests' slow owner now passes over what it refuses late, as the loop of an owner does; before, it was a copy of that loop without it.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -22,12 +22,16 @@
 	Crowded Reason = "crowded"
 	// NoRepeat means that the retry budget is exhausted.
 	NoRepeat Reason = "no-repeat"
+	// OwnerLate means that the owner received the ask too long ago to decide it in time.
+	OwnerLate Reason = "owner-late"
+	// OwnerSilent means that no owner said in time that it has the ask.
+	OwnerSilent Reason = "owner-silent"
 	// Held means that a part of the request's prompt, or the request itself, crashes
 	// endpoints.
 	Held Reason = "crashes-endpoints"
 )
 
-// Action is a decision of the core. It is one of Granted, Refused, Suspended,
+// Action is a decision of the core. It is one of Granted, Queued, Refused, Suspended,
 // CrashFound, PartsHeld, PartsCleared and LimitChanged.
 type Action interface{ action() }
 
@@ -51,6 +55,13 @@
 		// it names none.
 		Limit *RateLimit `json:"limit,omitempty"`
 	}
+	// Queued tells a host which of its requests wait for a slot, once for each of them
+	// that was not granted at once. The host can then tell a request that waits from one
+	// that its owner has not looked at.
+	Queued struct {
+		Host string   `json:"host"`
+		IDs  []string `json:"ids"`
+	}
 	// Suspended stops a running request to free its slot for a higher tier. The
 	// host cancels the attempt, returns the permit and asks again.
 	Suspended struct {
@@ -94,6 +105,7 @@
 
 func (Granted) action()   {}
 func (Refused) action()   {}
+func (Queued) action()    {}
 func (Suspended) action() {}
 
 func (CrashFound) action()   {}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -169,4 +169,5 @@
 		c.expire(&c.queues[i])
 	}
 	c.shed()
+	c.announce()
 }
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -145,6 +145,8 @@
 		return "granted"
 	case Refused:
 		return "refused"
+	case Queued:
+		return "queued"
 	case Suspended:
 		return "suspended"
 	case CrashFound:
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -181,9 +181,11 @@
 		d.registerNativeServices()
 	}
 	owner := dispatch.NewOwner(c)
+	entry := dispatch.NewEntry(c)
 	d.members.OnLost(owner.HostLost)
+	d.members.OnLost(entry.HostLost)
 	k.Register(kernel.Owner, owner)
-	k.Register(kernel.Dispatch, dispatch.NewEntry(c))
+	k.Register(kernel.Dispatch, entry)
 	k.Register(kernel.Serving, serving.New(c))
 	k.Register(kernel.Front, d.front)
 	k.Register(kernel.Status, d.status)
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -111,7 +111,10 @@
 	resendAfter time.Duration
 	owner       string
 	sends       int
-	result      chan askResult
+	// received is set once the owner is known to have the ask, queued once it said that
+	// the ask waits for a slot.
+	received, queued bool
+	result           chan askResult
 }
 
 // askResult is the decision on an ask: either a grant or a refusal.
@@ -192,34 +195,34 @@
 	e.waiting[ask.ID] = p
 	e.mu.Unlock()
 	e.sendAsk(p, e.ownerOf(service))
-	select {
-	case a := <-p.result:
-		if a.refused != nil {
-			return nil, a.refused
-		}
-		return a.grant, nil
-	case <-ctx.Done():
-		return nil, e.cancelAsk(p, ctx.Err())
-	}
+	return e.awaitDecision(ctx, p)
 }
 
 // cancelAsk withdraws an ask whose context ended with cause, and returns the error
 // that Acquire returns for it.
 func (e *Entry) cancelAsk(p *pendingAsk, cause error) error {
+	if a, decided := e.withdraw(p); decided && a.grant != nil {
+		// The grant arrived at the moment when ctx ended.
+		a.grant.Unused()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &UndecidedError{Owner: p.owner, Sends: p.sends, Cause: cause}
+}
+
+// withdraw ends an ask, and returns its decision if that arrived meanwhile.
+func (e *Entry) withdraw(p *pendingAsk) (result askResult, decided bool) {
 	e.mu.Lock()
 	delete(e.waiting, p.ask.ID)
-	owner, sends := p.owner, p.sends
+	owner := p.owner
 	e.mu.Unlock()
 	select {
-	case a := <-p.result:
-		// The grant arrived at the moment when ctx ended.
-		if a.grant != nil {
-			a.grant.Unused()
-		}
+	case result = <-p.result:
+		return result, true
 	default:
 		e.send(owner, entryMessage{Kind: withdrawKind, Service: p.service, ID: p.ask.ID})
+		return result, false
 	}
-	return &UndecidedError{Owner: owner, Sends: sends, Cause: cause}
 }
 
 func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.OwnerNames(), service) }
@@ -234,6 +237,7 @@
 	p.owner = owner
 	p.sentAt = time.Now()
 	p.sends++
+	p.received, p.queued = false, false
 	p.resendAfter = min(max(2*p.resendAfter, minResendDelay), maxResendDelay)
 	e.mu.Unlock()
 	ask := p.ask
@@ -256,14 +260,18 @@
 	}
 	if err := e.localOwner.handle(e.common.Self, m); err != nil {
 		e.common.Count("entry.messages.refused")
+		return
+	}
+	if m.Kind == askKind {
+		e.markReceived(m.Ask.ID)
 	}
 }
 
 // receive decodes and handles one decision from an owner on another host.
 func (e *Entry) receive(from host.Identity, message []byte) error {
 	var m ownerMessage
-	if err := cbor.Unmarshal(message, &m); err != nil || (m.ID == "" && m.Warning == nil) {
-		return &peer.RefusedError{Reason: "message of an owner is malformed, or has neither an ID nor a warning"}
+	if err := cbor.Unmarshal(message, &m); err != nil || (m.ID == "" && m.Warning == nil && len(m.Queued) == 0) {
+		return &peer.RefusedError{Reason: "message of an owner is malformed, or has neither IDs nor a warning"}
 	}
 	e.handle(from, m)
 	return nil
@@ -276,6 +284,11 @@
 		e.mu.Unlock()
 		return
 	}
+	if len(m.Queued) > 0 || m.Unknown {
+		e.markAsks(from, m)
+		e.mu.Unlock()
+		return
+	}
 	if m.Suspend {
 		stop := e.markSuspended(m.ID)
 		e.mu.Unlock()
--- a/godwitmoord/pkg/dispatch/late_owner_test.go
+++ b/godwitmoord/pkg/dispatch/late_owner_test.go
@@ -51,8 +51,10 @@
 		case <-o.stop:
 			return
 		case event := <-o.service.events.Values():
-			time.Sleep(stepTime)
-			o.service.step(event)
+			if !o.service.refuseLate(event) {
+				time.Sleep(stepTime)
+				o.service.step(event)
+			}
 		case <-ticker.C:
 			o.service.step(permit.Ticked{At: instantNow()})
 		}
--- a/godwitmoord/pkg/dispatch/lateness.go
+++ b/godwitmoord/pkg/dispatch/lateness.go
@@ -13,6 +13,13 @@
 	lateFrom = 100 * time.Millisecond
 	// lateLogInterval is how often a late owner says so in the log.
 	lateLogInterval = time.Second
+	// lateShare is the share of the time that an ask has left, when it arrives, after
+	// which a late owner refuses it without deciding: until its goal, or until its
+	// caller gives up if it has missed that.
+	lateShare = 0.5
+	// minLateRetryAfter is the shortest wait advised to a caller whose ask a late owner
+	// refused.
+	minLateRetryAfter = 500 * time.Millisecond
 )
 
 // lateness observes how old events are when an owner decides them. The zero value has
@@ -48,3 +55,38 @@
 		zap.Int("waiting", waiting), zap.Int("held", held), zap.Uint64("evaluations", s.core.Evaluations()))
 	s.lateness = lateness{loggedAt: time.Now()}
 }
+
+// refuseLate refuses an ask that was received too long ago, and reports whether it did.
+// Deciding it would make the asks behind it late as well, and its caller would wait for
+// an answer that comes too late to be of use.
+func (s *serviceOwner) refuseLate(event permit.Event) bool {
+	asked, isAsk := event.(permit.Asked)
+	if !isAsk {
+		return false
+	}
+	age := instantNow().Since(asked.At)
+	if left, bounded := timeLeft(asked); !bounded || age <= time.Duration(lateShare*float64(left)) {
+		return false
+	}
+	s.owner.common.Count("owner.asks.refused-late")
+	s.refuseOverdue(asked.Ask, max(minLateRetryAfter, 2*age))
+	return true
+}
+
+// timeLeft returns the time that an ask has left when it arrives; false if only its
+// deadline bounds it.
+func timeLeft(asked permit.Asked) (time.Duration, bool) {
+	switch {
+	case asked.Ask.Goal > asked.At:
+		return asked.Ask.Goal.Since(asked.At), true
+	case asked.Ask.Patience > 0:
+		return max(asked.Ask.Patience.Since(asked.At), 0), true
+	default:
+		return 0, false
+	}
+}
+
+// refuseOverdue refuses an ask that the core has not seen.
+func (s *serviceOwner) refuseOverdue(ask permit.Ask, retryAfter time.Duration) {
+	s.send(ask.Host, ownerMessage{ID: ask.ID, Reason: permit.OwnerLate, RetryAfter: retryAfter})
+}
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -49,7 +49,8 @@
 	defer e.mu.Unlock()
 	var asks []*pendingAsk
 	for _, p := range e.waiting {
-		if ownerOf(ready, p.service) != p.owner || time.Since(p.sentAt) > p.resendAfter {
+		overdue := !p.received && time.Since(p.sentAt) > p.resendAfter
+		if overdue || ownerOf(ready, p.service) != p.owner {
 			asks = append(asks, p)
 		}
 	}
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -177,6 +177,9 @@
 		// The entry has a newer configuration than this host; it sends the ask
 		// again.
 		o.common.Count("owner.events.unknown-service")
+		if m.Kind == askKind {
+			o.send(from.Name, ownerMessage{ID: m.Ask.ID, Unknown: true})
+		}
 		return nil
 	}
 	for _, event := range events {
@@ -275,3 +278,14 @@
 	go s.run(o.ctx)
 	return s
 }
+
+// send sends a decision to the entry on a host.
+func (o *Owner) send(name string, m ownerMessage) {
+	if name == o.common.Self.Name {
+		o.deliverLocal(o.common.Self, m)
+		return
+	}
+	if !o.outbox.Send(o.ctx, name, m) {
+		o.common.Count("owner.messages.dropped")
+	}
+}
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -53,10 +53,15 @@
 	}
 }
 
-// offer queues an event for the decision core.
+// offer queues an event for the decision core. An ask for which there is no room is
+// refused.
 func (s *serviceOwner) offer(event permit.Event) {
-	if !s.events.Offer(event) {
-		s.owner.common.Count("owner.events.dropped")
+	if s.events.Offer(event) {
+		return
+	}
+	s.owner.common.Count("owner.events.dropped")
+	if asked, isAsk := event.(permit.Asked); isAsk {
+		s.refuseOverdue(asked.Ask, minLateRetryAfter)
 	}
 }
 
@@ -120,8 +125,10 @@
 			return
 		case event := <-s.events.Values():
 			s.observeAge(event)
-			s.refreshEarlierGrants(event)
-			s.step(event)
+			if !s.refuseLate(event) {
+				s.refreshEarlierGrants(event)
+				s.step(event)
+			}
 		case <-ticker.C:
 			// A core without waiting requests and held permits has nothing to expire.
 			if waiting, held := s.core.Load(); waiting+held > 0 {
@@ -228,6 +235,8 @@
 			ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate,
 			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, EndpointsAge: s.owner.release.EndpointsAge(),
 		})
+	case permit.Queued:
+		s.send(a.Host, ownerMessage{Queued: a.IDs})
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
@@ -255,13 +264,4 @@
 	return e
 }
 
-func (s *serviceOwner) send(name string, m ownerMessage) {
-	o := s.owner
-	if name != o.common.Self.Name {
-		if !o.outbox.Send(o.ctx, name, m) {
-			o.common.Count("owner.messages.dropped")
-		}
-		return
-	}
-	o.deliverLocal(o.common.Self, m)
-}
+func (s *serviceOwner) send(name string, m ownerMessage) { s.owner.send(name, m) }
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -79,6 +79,10 @@
 	Suspend bool `cbor:"6,keyasint,omitempty"`
 	// Held is the key of the parts for which a request is refused.
 	Held string `cbor:"10,keyasint,omitempty"`
+	// Queued lists asks that wait for a slot; the message has nothing else.
+	Queued []string `cbor:"15,keyasint,omitempty"`
+	// Unknown is set if the owner does not know the service of the ask yet.
+	Unknown bool `cbor:"16,keyasint,omitempty"`
 	// Limit is the limit that the granted endpoint names, as far as the owner knows.
 	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
 	// EndpointsAge is for how long endpoints may have changed without the knowledge of
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -169,6 +169,10 @@
 		return text.NoEndpoint
 	case permit.QueueFull, permit.Crowded:
 		return text.QueueFull
+	case permit.OwnerLate:
+		return text.OwnerLate
+	case permit.OwnerSilent:
+		return text.OwnerSilent
 	case permit.Displaced:
 		return text.Displaced
 	case permit.Held:
--- a/godwitmoord/pkg/text/text.go
+++ b/godwitmoord/pkg/text/text.go
@@ -48,6 +48,8 @@
 	KeysUnconfirmed   Reason = "keys-unconfirmed"
 	BadHeader         Reason = "bad-header"
 	CrashesEndpoints  Reason = "crashes-endpoints"
+	OwnerLate         Reason = "owner-late"
+	OwnerSilent       Reason = "owner-silent"
 )
 
 // Texts returns the texts for each reason. The zero value returns the English ones.
@@ -86,6 +88,8 @@
 	KeyConflict:       {"the Idempotency-Key was used for another request", "make a new key for each new request"},
 	KeyWithdrawn:      {"the request was withdrawn before it ran", "send it again with a new Idempotency-Key"},
 	Deadline:          {"the request could not be finished in time", "send it again later, or with a longer Request-Timeout"},
+	OwnerLate:         {"the host that decides for the service is behind with its decisions", "send it again after Retry-After"},
+	OwnerSilent:       {"no host decided for the service in time", "send it again after Retry-After"},
 	QueueFull:         {"too many requests of this tier wait", "send it again after Retry-After"},
 	Displaced:         {"a request of a higher tier took the place", "send it again after Retry-After"},
 	NoEndpoint:        {"no endpoint took the request", "send it again after Retry-After"},
