--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -22,9 +22,9 @@
 	// forcedStartLead is how long before its latest start a request may be sent to
 	// an endpoint where it harms other requests.
 	forcedStartLead = 100 * time.Millisecond
-	// fewWaiting is how many requests may wait for every event to try all of them at
-	// all endpoints.
-	fewWaiting = 32
+	// maxTries is how many pairs of a waiting request and a free endpoint are tried at
+	// an event; with more, only what changed is.
+	maxTries = 512
 	// smallWorkShare is the share of the mean work below which a request counts as small.
 	smallWorkShare = 0.5
 )
@@ -63,16 +63,20 @@
 }
 
 // assignSlots assigns free slots to waiting requests. What no waiting request could use
-// at the last event none can use at this one, unless it changed: so among many waiting
-// requests only the endpoints that changed and the request that arrived are tried.
-// Times change too, so at every tick all are.
+// at the last event none can use at this one, unless it changed: so among many pairs of
+// waiting requests and free endpoints only those of the endpoints that changed and of
+// the request that arrived are tried. Times change too, so at every tick all are.
 func (c *Core) assignSlots(event Event) {
 	_, ticked := event.(Ticked)
 	arrived := c.arrived
 	c.arrived = nil
 	if len(c.waiting) > 0 {
-		all := ticked || len(c.waiting) <= fewWaiting
-		c.assignToQueues(all)
+		c.findFreeEndpoints()
+		all := ticked || len(c.waiting)*len(c.freeEndpoints) <= maxTries
+		if !all {
+			c.freeEndpoints = slices.DeleteFunc(c.freeEndpoints, func(e *endpoint) bool { return !e.changed })
+		}
+		c.assignToQueues()
 		if !all && arrived != nil {
 			c.assignArrived(arrived)
 		}
@@ -82,10 +86,9 @@
 	}
 }
 
-// assignToQueues assigns the free slots of all endpoints, or of those that changed, one
-// queue after the other in serving order.
-func (c *Core) assignToQueues(all bool) {
-	c.findFreeEndpoints(func(e *endpoint) bool { return all || e.changed })
+// assignToQueues assigns the free slots found, one queue after the other in serving
+// order.
+func (c *Core) assignToQueues() {
 	if len(c.freeEndpoints) == 0 {
 		return
 	}
@@ -104,7 +107,7 @@
 	if c.waiting[w.ask.ID] != w {
 		return
 	}
-	c.findFreeEndpoints(func(*endpoint) bool { return true })
+	c.findFreeEndpoints()
 	if best := c.bestEndpoint(w); best != nil {
 		c.dequeue(w)
 		c.grant(w, best)
@@ -151,12 +154,11 @@
 	}
 }
 
-// findFreeEndpoints finds the endpoints with a free slot among those wanted.
-func (c *Core) findFreeEndpoints(wanted func(*endpoint) bool) {
+func (c *Core) findFreeEndpoints() {
 	c.freeEndpoints = c.freeEndpoints[:0]
 	settling := c.now < c.settledAt
 	for _, e := range c.endpointOrder {
-		if wanted(e) && e.hasFreeSlot(c.now, settling) && c.acceptsMore(e) {
+		if e.hasFreeSlot(c.now, settling) && c.acceptsMore(e) {
 			c.freeEndpoints = append(c.freeEndpoints, e)
 		}
 	}
