Follow the endpoints beside any number of entries of other programs

Callers of a host beside 10,000 short and 18 long entries of another program saw what a host that no longer follows its endpoints does: one that left was used on, one that started never was (timed out after 30 s).

Cause: a listing keeps every entry until its end and fails above 16 MiB, and a watch whose changes exceed 4 MiB leads to a listing. What another program leaves counted as much as the endpoints, and every later listing failed too. Each such entry also cost a line of the log at each listing.

A host counts what was left out (store.unusable) and logs one of it a minute.

--- a/coordination/pkg/keyvalue/watch.go
+++ b/coordination/pkg/keyvalue/watch.go
@@ -11,6 +11,25 @@
 type Listing struct {
 	Entries  []Entry
 	Revision int64
+	// Unusable describes the entries that are left out.
+	Unusable Unusable
+}
+
+// Unusable describes entries that other programs wrote and that say nothing to this
+// one. The zero value describes none.
+type Unusable struct {
+	Count int
+	// First says what is wrong with the first of them.
+	First error
+}
+
+// With returns a description of one more entry.
+func (u Unusable) With(problem error) Unusable {
+	if u.Count == 0 {
+		u.First = problem
+	}
+	u.Count++
+	return u
 }
 
 // Change is one write or removal of one key.
@@ -26,6 +45,9 @@
 type Changes struct {
 	Changes  []Change
 	Revision int64
+	// Unusable describes the entries that were written and cannot be used. Each of
+	// them counts as removed.
+	Unusable Unusable
 }
 
 // Watcher follows the entries below a prefix.
--- a/godwitmoord/pkg/app/platform_odd_entries_test.go
+++ b/godwitmoord/pkg/app/platform_odd_entries_test.go
@@ -5,11 +5,18 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"godwitmoor.example/platform/platformtest"
 )
 
-// pollPause keeps the requests of a test that polls within its customer's quota.
-const pollPause = 100 * time.Millisecond
+const (
+	// maxLogLines is how many lines a host may log beside those of its requests.
+	maxLogLines = 100
+	// pollPause keeps the requests of a test that polls within its customer's quota.
+	pollPause = 100 * time.Millisecond
+)
 
 // checkFollows checks that the host takes a worker out of use that leaves, and takes one
 // that starts into use.
@@ -36,3 +43,22 @@
 	s.checkFollows("desk-2", "desk-1")
 	s.checkFollows("desk-1", "desk-2")
 }
+
+func TestManyOddEntriesStopAHostFromFollowingItsEndpointsOrFillItsLog(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	s := newPlatformDeployment(t)
+	s.log = zap.New(core)
+	s.writeConfiguration()
+	s.registerWorker("desk-1", false)
+	s.store.SetOddEntries(5_000)
+	s.startHost()
+	s.eventually("the host is ready", func() bool { return s.readinessStatus() == http.StatusOK })
+	s.eventually("the worker is used", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusOK })
+	s.store.SetOddEntries(10_000)
+	s.store.SetLongEntries(18)
+	s.checkFollows("desk-1", "desk-2")
+	s.store.SetOddEntries(1000)
+	s.checkFollows("desk-2", "desk-1")
+	finished := lines.FilterMessage("request finished").Len()
+	s.is.True(lines.Len()-finished < maxLogLines)
+}
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -31,6 +31,8 @@
 	frontAddress     string
 	readinessAddress string
 	version          int
+	// log is the daemon's log; nil means none.
+	log *zap.Logger
 	// customerKey is the customer's key in the next configuration that is written.
 	customerKey string
 }
@@ -104,7 +106,10 @@
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
-	daemon := app.New(parsed, zap.NewNop())
+	if s.log == nil {
+		s.log = zap.NewNop()
+	}
+	daemon := app.New(parsed, s.log)
 	s.is.NoErr(daemon.Start(context.Background()))
 	s.t.Cleanup(func() { _ = daemon.Stop() })
 	s.daemon = daemon
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/reply"
@@ -21,6 +22,9 @@
 	// maxAnswerDelay is the longest time assumed between the moment the store ends
 	// a watch and the arrival of its answer here.
 	maxAnswerDelay = 300 * time.Millisecond
+	// unusableLogPause is the shortest time between two messages about entries that
+	// cannot be used.
+	unusableLogPause = time.Minute
 )
 
 // update is the result of one call of the store, a listing or a watch.
@@ -30,6 +34,7 @@
 	// complete is true for a listing of all keys: a key that is missing from it
 	// does not exist.
 	complete bool
+	unusable keyvalue.Unusable
 }
 
 // follower lists the keys with a prefix and then watches them. It lists them
@@ -60,6 +65,8 @@
 	lostSince  time.Time
 	regainedAt time.Time
 	pause      time.Duration
+	// unusableAt is when entries that cannot be used were logged last.
+	unusableAt time.Time
 
 	mu sync.Mutex
 	// listingRequested is true from requestListing until the listing begins.
@@ -135,6 +142,7 @@
 		default:
 			upTo := provenUpTo(started, wait, u)
 			f.apply(u)
+			f.reportUnusable(u)
 			f.revision, f.listed = u.revision, true
 			f.handleSuccess()
 			f.afterCall(upTo)
@@ -160,16 +168,31 @@
 func (f *follower) call(ctx context.Context, wait time.Duration) (update, error) {
 	if f.listed {
 		changes, err := f.service.store.Watch(ctx, f.prefix, f.revision, wait)
-		return update{changes: changes.Changes, revision: changes.Revision}, err
+		return update{changes: changes.Changes, revision: changes.Revision, unusable: changes.Unusable}, err
 	}
 	listing, err := f.service.store.List(ctx, f.prefix)
-	u := update{revision: listing.Revision, complete: true}
+	u := update{revision: listing.Revision, complete: true, unusable: listing.Unusable}
 	for _, e := range listing.Entries {
 		u.changes = append(u.changes, keyvalue.Change{Entry: e})
 	}
 	return u, err
 }
 
+// reportUnusable counts the entries that cannot be used, and logs one of them now and
+// then.
+func (f *follower) reportUnusable(u update) {
+	if u.unusable.Count == 0 {
+		return
+	}
+	metrics.GetOrRegisterCounter("store.unusable", f.service.common.Metrics).Inc(int64(u.unusable.Count))
+	if !f.unusableAt.IsZero() && time.Since(f.unusableAt) < unusableLogPause {
+		return
+	}
+	f.unusableAt = time.Now()
+	f.service.common.Log.Warn("entries not used", zap.String("prefix", f.prefix), zap.Int("entries", u.unusable.Count),
+		zap.Bool("listing", u.complete), zap.NamedError("first", u.unusable.First))
+}
+
 // handleFailure records a failed call and waits before the next attempt.
 func (f *follower) handleFailure(ctx context.Context, err error) {
 	if !f.lost {
