Believe a rejection only of the request that it can be for

Callers whose order a worker ran, or had run, got 503 or 429, which promise "not run, try again" (REFUSED), or their order ran at a second worker too (TWICE): a faulty worker had written an earlier rejection once more on a kept connection.

Cause: a rejection without an id was taken as the answer to whatever request was on its way, also on a connection that had carried others; and one with the id of the new request was believed although the connection had carried a rejection before, or although the answer stood right behind it.

Such requests avoid connections that carried a rejection, so that what is repeated there has no request to be taken for. Requests that may repeat are unchanged.

--- a/godwitmoord/pkg/app/platform_rejection_test.go
+++ b/godwitmoord/pkg/app/platform_rejection_test.go
@@ -6,9 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/google/uuid"
+	"godwitmoor.example/platform/platformtest"
 )
 
 // repeatingEndpoint rejects its first request and runs all others. Beside the
@@ -96,3 +101,44 @@
 	defer endpoint.mu.Unlock()
 	s.is.Equal(endpoint.runs, 1)
 }
+
+// repetitions are the ways in which the workers of one test repeat a rejection.
+var repetitions = []platformtest.Repetition{
+	{Status: "503 Full", When: "before", ID: "new"},
+	{Status: "503 Full", When: "instead", ID: "new"},
+	{Status: "429 Too Many", When: "before", ID: "none", Apart: true},
+	{Status: "421 Misdirected", When: "instead", ID: "none", Invented: true},
+	{Status: "503 Full", When: "before", ID: "new", Invented: true},
+	{Status: "503 Full", When: "after", ID: "old", Apart: true},
+}
+
+func TestRepeatedRejectionTellsACallerToRepeatAnOrderThatRunsOrRunsItTwice(t *testing.T) {
+	for _, repetition := range repetitions {
+		t.Run(repetition.String(), func(t *testing.T) {
+			s := newPlatformDeployment(t)
+			workers := map[string]*platformtest.RejectingWorker{}
+			for _, name := range []string{"desk-1", "desk-2"} {
+				worker, err := platformtest.StartRejectingWorker(repetition)
+				s.is.NoErr(err)
+				t.Cleanup(worker.Close)
+				workers[name], s.workerAddresses[name] = worker, worker.Address()
+				s.registerWorker(name, false)
+			}
+			s.writeConfiguration()
+			s.startHost()
+			s.eventually("the host is ready", func() bool { return s.readinessStatus() == http.StatusOK })
+			for range 8 {
+				id := uuid.NewString()
+				r := platformtest.Call(s.frontAddress, "shop.example", "/short/7", "good-key", id)
+				runs := slices.Concat(workers["desk-1"].Runs(), workers["desk-2"].Runs())
+				runs = slices.DeleteFunc(runs, func(run string) bool { return run != id })
+				s.is.True(len(runs) <= 1)
+				s.is.True(len(runs) == 0 || !slices.Contains(promises, r.Status))
+				s.is.True(r.Status != http.StatusOK || strings.Contains(r.Body, id))
+			}
+		})
+	}
+}
+
+// promises are the statuses that tell a caller that its request did not run.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -44,6 +44,9 @@
 	// another request before. Other requests get a new connection, because a
 	// reused one may turn out to be closed after the first byte was sent.
 	MayReuseConnection bool
+	// RunsOnce says that the request must not run twice. A rejection of it counts only
+	// if it cannot be that of an earlier request.
+	RunsOnce bool
 	// EchoesAttempt says that the endpoint returns the attempt's id.
 	EchoesAttempt bool
 	// FirstByteTimeout bounds the wait for the answer's whole head, GapTimeout the
@@ -161,7 +164,7 @@
 // *NotSentError, *LostError and *CrossedError. When ctx ends, the connection is
 // closed, which cancels the request at the endpoint.
 func (s *Sender) Send(ctx context.Context, address string, p Request) (*Answer, error) {
-	c, err := s.connect(ctx, address, p.MayReuseConnection)
+	c, err := s.connect(ctx, address, p)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
@@ -181,7 +184,9 @@
 	connection   *connection
 	request      Request
 	stopWatching func() bool
-	finishOnce   sync.Once
+	// skipped counts the answers to other attempts that were read.
+	skipped    int
+	finishOnce sync.Once
 }
 
 // send writes the request and reads the head of its answer.
@@ -204,9 +209,7 @@
 		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	if answerHead.NotRun {
-		body.drain(maxRefusalBytes)
-		answer.Close()
-		return nil, &NotSentError{Address: t.connection.address, Cause: errors.New("the endpoint refused the request"), Refused: true}
+		return nil, t.rejected(answer, answerHead)
 	}
 	return answer, nil
 }
@@ -215,7 +218,7 @@
 // attempts on the same connection.
 func (t *roundTrip) readAnswer() (*http.Response, exchange.EndpointResponse, error) {
 	var crossed error
-	for range maxSkippedAnswers {
+	for ; t.skipped < maxSkippedAnswers; t.skipped++ {
 		response, err := t.connection.readAnswer(t.request.Method, t.limits(t.request.FirstByteTimeout), t.onInterim)
 		if err != nil && crossed != nil {
 			return nil, exchange.EndpointResponse{}, crossed
@@ -284,57 +287,3 @@
 	}
 	return encodeHead(p.Method, p.Target, host, header, len(p.Body))
 }
-
-// bodyReader reads the body, bounds the wait for each part of it and records when
-// it was read to its end.
-type bodyReader struct {
-	roundTrip *roundTrip
-	body      io.Reader
-	// reusable is set if the endpoint keeps the connection open after the answer,
-	// for as long as idle; an idle of zero means that it did not state a limit.
-	reusable  bool
-	idleLimit time.Duration
-	// complete is set once the body of a reusable connection was read to its end.
-	complete bool
-	// totalLimited is set while one wait covers all of the body that is left.
-	totalLimited bool
-}
-
-func (t *roundTrip) newBody(response *http.Response, head exchange.EndpointResponse) *bodyReader {
-	return &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: head.IdleLimit}
-}
-
-// limitTotal bounds the time to read all of the body that is left.
-func (r *bodyReader) limitTotal(timeout time.Duration) {
-	r.totalLimited = true
-	r.roundTrip.connection.receiver.beginWait(waitLimits{longest: timeout})
-}
-
-// drain reads a body that nobody needs, up to a length of limit bytes, so that the
-// connection can be reused.
-func (r *bodyReader) drain(limit int64) {
-	if !r.reusable {
-		return
-	}
-	r.limitTotal(drainTimeout)
-	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
-}
-
-func (r *bodyReader) Read(into []byte) (int, error) {
-	c := r.roundTrip.connection
-	if !r.totalLimited {
-		c.receiver.beginWait(r.roundTrip.limits(r.roundTrip.request.GapTimeout))
-	}
-	n, err := r.body.Read(into)
-	if n > 0 {
-		c.sender.recordData(c.address)
-	}
-	if err != nil && !errors.Is(err, io.EOF) {
-		return n, c.receiver.cause(err)
-	}
-	if err != nil && r.reusable {
-		c.setIdleLimit(r.idleLimit)
-		r.complete = true
-	}
-	return n, err
-}
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -55,6 +55,10 @@
 	reader *bufio.Reader
 	// usableUntil is the time from which an idle connection must no longer be used.
 	usableUntil time.Time
+	// reused is set if the connection carried another request before, and rejected if
+	// its endpoint rejected one of them.
+	reused   bool
+	rejected bool
 	// written receives the result of writing a long request; nil if none is being
 	// written.
 	written chan error
--- a/godwitmoord/pkg/attempt/sender.go
+++ b/godwitmoord/pkg/attempt/sender.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -44,15 +45,16 @@
 	return s.Dialect
 }
 
-// connect returns a connection to the endpoint: a usable idle one if shared is set,
-// or a new one.
-func (s *Sender) connect(ctx context.Context, address string, shared bool) (*connection, error) {
-	for shared {
-		c := s.takeIdle(address)
+// connect returns a connection to the endpoint: a usable idle one if the request may
+// use one, or a new one.
+func (s *Sender) connect(ctx context.Context, address string, p Request) (*connection, error) {
+	for p.MayReuseConnection {
+		c := s.takeIdle(address, p.RunsOnce)
 		if c == nil {
 			break
 		}
 		if time.Now().Before(c.usableUntil) && c.isUsable() {
+			c.reused = true
 			return c, nil
 		}
 		c.close()
@@ -78,19 +80,20 @@
 }
 
 // takeIdle removes the newest idle connection to an address and returns it; nil if
-// there is none.
-func (s *Sender) takeIdle(address string) *connection {
+// there is none. With unrejected, it passes over connections that carried a rejection,
+// because an endpoint may write that once more.
+func (s *Sender) takeIdle(address string, unrejected bool) *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	idle := s.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
 	// The endpoint is least likely to have closed the newest connection.
-	c := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	s.idle[address] = idle[:len(idle)-1]
-	return c
+	for n, c := range slices.Backward(idle) {
+		if !unrejected || !c.rejected {
+			s.idle[address] = slices.Delete(idle, n, n+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // putIdle stores an idle connection, or closes it if enough of them are stored for
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -98,6 +98,7 @@
 		Header:             r.Header,
 		Body:               r.Body,
 		MayReuseConnection: r.Idempotent || r.Keyless,
+		RunsOnce:           !r.Idempotent,
 		EchoesAttempt:      r.Service.EchoesAttempt,
 		FirstByteTimeout:   r.Service.FirstByteTimeout.Std(),
 		GapTimeout:         r.Service.GapTimeout.Std(),
