Leave out the comments of an answer that goes on a stream

Callers of a stream that broke off after a comment before its first event got that comment twice; one whose stream went on after an event got the comments with which the next endpoint's answer began in the middle.

Cause: the comments before the first event of a further answer were left out only if they arrived by themselves. With the first event in the same read they were forwarded. An answer with none but comments also ended the stream as complete while no event had come before.

Evidence: TestStreamThatBreaksOffAnywhereIsGoneOnWithAnErrorOrEndsAsComplete breaks a stream off at each byte of its answer, in chunks, with a length and until the connection ends, and goes on with 500, 503, 429 and 404 with and without body, with cut heads, text, nothing and more; it failed with ": hello\n\n: hello\n\nid: 1". Without the comment in the stream it held on the code as it was, as did TestErrorOfTheNextWorkerStandsInAStreamThatBrokeOffOrEndsIt over HTTP: the report that an error of the next endpoint stands in a stream, or ends it, was not seen here. Now a further answer begins with its first event.

--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -53,6 +53,25 @@
 	}
 }
 
+// fromFirstEvent returns a stream's part without the comments before its first event;
+// nil if it has only comments.
+func fromFirstEvent(part []byte) []byte {
+	var current event
+	for rest := part; len(rest) > 0; {
+		var line []byte
+		line, rest = cutLine(rest)
+		switch {
+		case len(line) > 0:
+			current = current.withLine(line)
+		case current.isEvent():
+			return part
+		default:
+			part, current = rest, event{}
+		}
+	}
+	return nil
+}
+
 // cutLine returns the first line of data without its end, which is LF, CRLF or CR,
 // and the data behind it.
 func cutLine(data []byte) (line, rest []byte) {
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -237,6 +237,10 @@
 // forwardWhole forwards a part of a stream that ends with a whole event.
 func (r *relay) forwardWhole(part []byte) error {
 	position, isFinal := r.position, false
+	if r.resumed && !r.begun {
+		// What precedes the first event of an answer that may not continue the stream.
+		part = fromFirstEvent(part)
+	}
 	for e := range parseEvents(part) {
 		if err := r.checkEvent(position, e); err != nil {
 			return err
@@ -244,9 +248,7 @@
 		position = position.withEvent(e)
 		isFinal = isFinal || (r.hasFinalEvent && e.isFinal)
 	}
-	if r.resumed && !r.begun {
-		// Comments before the first event of an answer that may not continue the
-		// stream.
+	if len(part) == 0 {
 		return nil
 	}
 	if err := r.writePart(part); err != nil {
@@ -265,7 +267,7 @@
 	if r.hasFinalEvent || endsInsideEvent(rest) {
 		return errStreamIncomplete
 	}
-	if r.resumed && r.continues && !r.begun {
+	if r.resumed && !r.begun {
 		return r.notContinued("no event")
 	}
 	if r.answer.EndsWithConnection && !r.begun {
