End a stream where its endpoint writes something else into it

Callers of a stream found the text of an error in it, with its whole head, and the stream went on or ended as complete: a worker that had begun to send events failed, and its error went into the same body.

Cause: a part between two empty lines without an id and without data was taken for a comment and forwarded, whatever its lines were.

Evidence: TestErrorThatAWorkerWritesIntoItsStreamReachesTheCaller writes a head with a text, a text and a JSON object after each byte of a stream, in its body and between its chunks; it failed at once with "HTTP/1.1 500 Internal Server Error\r\nContent-Type: ..." at the caller. A text that makes a line of an event longer can't be told from the event.

--- a/godwitmoord/pkg/serving/cut_stream_test.go
+++ b/godwitmoord/pkg/serving/cut_stream_test.go
@@ -113,3 +113,21 @@
 		}
 	}
 }
+
+func TestErrorThatAWorkerWritesIntoItsStreamReachesTheCaller(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 14\r\n\r\nthe run failed"
+	stream := platformtest.CutStream.After("")
+	for cut := range len(stream) {
+		lineBegins := cut == 0 || stream[cut-1] == '\n'
+		for name, text := range map[string]string{"head": failure, "text": "the run failed\n\n", "JSON": "{\"error\": \"failed\"}\n\n"} {
+			if name != "head" && !lineBegins {
+				continue // it makes a line of the stream longer, which nothing shows
+			}
+			next := platformtest.FalseAnswer{Name: name}
+			checkStream(t, platformtest.FramedStream(platformtest.UntilClose, "chat-7", stream[:cut]+text), next, false)
+			checkStream(t, platformtest.FramedStream(platformtest.Chunked, "chat-7", stream[:cut]+text), next, false)
+			raw := strings.TrimSuffix(string(platformtest.FramedStream(platformtest.Chunked, "chat-7", stream[:cut])), "0\r\n\r\n")
+			checkStream(t, []byte(raw+text), next, false)
+		}
+	}
+}
--- a/godwitmoord/pkg/serving/events.go
+++ b/godwitmoord/pkg/serving/events.go
@@ -10,12 +10,18 @@
 // interface.
 const finalEventData = "[DONE]"
 
+// byteOrderMark may begin a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // event is one server-sent event. A comment, which has neither an id nor data, is
 // none.
 type event struct {
 	id      []byte
 	hasData bool
 	isFinal bool
+	// foreign is set if a line has no name of a field, such as a line of a head or of
+	// a plain text.
+	foreign bool
 }
 
 // withLine returns the event with one of its lines added.
@@ -27,14 +33,30 @@
 	case "data":
 		e.isFinal = !e.hasData && string(bytes.TrimSpace(value)) == finalEventData
 		e.hasData = true
+	default:
+		e.foreign = e.foreign || !isFieldName(name)
 	}
 	return e
 }
 
+// isFieldName reports whether a line of a stream that begins with name is a field or a
+// comment. Fields that are not known are ignored, but their names look like the known.
+func isFieldName(name []byte) bool {
+	for _, b := range bytes.TrimPrefix(name, byteOrderMark) {
+		isLetter := 'a' <= b && b <= 'z'
+		isDigit := '0' <= b && b <= '9'
+		if !isLetter && !isDigit && b != '-' && b != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // isEvent reports whether the lines make up an event rather than a comment.
 func (e event) isEvent() bool { return e.hasData || len(e.id) > 0 }
 
-// parseEvents returns the events of a stream's part that ends with a whole event.
+// parseEvents returns the events of a stream's part that ends with a whole event, and
+// what stands there and is foreign.
 func parseEvents(part []byte) iter.Seq[event] {
 	return func(yield func(event) bool) {
 		var current event
@@ -45,7 +67,7 @@
 				current = current.withLine(line)
 				continue
 			}
-			if current.isEvent() && !yield(current) {
+			if (current.isEvent() || current.foreign) && !yield(current) {
 				return
 			}
 			current = event{}
@@ -63,7 +85,7 @@
 		switch {
 		case len(line) > 0:
 			current = current.withLine(line)
-		case current.isEvent():
+		case current.isEvent() || current.foreign:
 			return part
 		default:
 			part, current = rest, event{}
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -36,6 +36,10 @@
 // inside an event, or with its connection before any event.
 var errStreamIncomplete = errors.Wrap(io.ErrUnexpectedEOF, "the stream ended inside an event or before its final event")
 
+// errForeignText reports that a stream of events goes on with something else, such as
+// the error that its endpoint met.
+var errForeignText = errors.Wrap(io.ErrUnexpectedEOF, "the stream goes on with lines that are no events")
+
 // NotContinuedError reports that an attempt's answer does not go on where the
 // stream broke off that the caller already receives.
 type NotContinuedError struct {
@@ -242,6 +246,9 @@
 		part = fromFirstEvent(part)
 	}
 	for e := range parseEvents(part) {
+		if e.foreign {
+			return errForeignText
+		}
 		if err := r.checkEvent(position, e); err != nil {
 			return err
 		}
