--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -36,6 +36,10 @@
 // inside an event, or with its connection before any event.
 var errStreamIncomplete = errors.Wrap(io.ErrUnexpectedEOF, "the stream ended inside an event or before its final event")
 
+// errForeignText reports that a stream of events goes on with something else, such as
+// the error that its endpoint met.
+var errForeignText = errors.Wrap(io.ErrUnexpectedEOF, "the stream goes on with lines that are no events")
+
 // NotContinuedError reports that an attempt's answer does not go on where the
 // stream broke off that the caller already receives.
 type NotContinuedError struct {
@@ -237,16 +241,21 @@
 // forwardWhole forwards a part of a stream that ends with a whole event.
 func (r *relay) forwardWhole(part []byte) error {
 	position, isFinal := r.position, false
+	if r.resumed && !r.begun {
+		// What precedes the first event of an answer that may not continue the stream.
+		part = fromFirstEvent(part)
+	}
 	for e := range parseEvents(part) {
+		if e.foreign {
+			return errForeignText
+		}
 		if err := r.checkEvent(position, e); err != nil {
 			return err
 		}
 		position = position.withEvent(e)
 		isFinal = isFinal || (r.hasFinalEvent && e.isFinal)
 	}
-	if r.resumed && !r.begun {
-		// Comments before the first event of an answer that may not continue the
-		// stream.
+	if len(part) == 0 {
 		return nil
 	}
 	if err := r.writePart(part); err != nil {
@@ -265,7 +274,7 @@
 	if r.hasFinalEvent || endsInsideEvent(rest) {
 		return errStreamIncomplete
 	}
-	if r.resumed && r.continues && !r.begun {
+	if r.resumed && !r.begun {
 		return r.notContinued("no event")
 	}
 	if r.answer.EndsWithConnection && !r.begun {
