--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -20,6 +20,8 @@
 	return strings.CutPrefix(key, "endpoints/")
 }
 
+func (plainLayout) EndpointPrefix() string { return "endpoints/" }
+
 func (plainLayout) ConfigurationKey() string { return "configuration" }
 
 func (plainLayout) Endpoint(name string, _ []byte) (string, configuration.Endpoint, error) {
@@ -141,3 +143,5 @@
 }
 
 func (d *directNotices) Publish(n notice.Notice) { d.to.acceptChange(n) }
+
+func (*directNotices) Keep(notice.Notice) {}
