Refund only what an owner charged for a request

Where an ask said that an earlier permit of it was returned unsent, it wasn't charged again, but if it was refused or withdrawn then, the charge was taken back, also by an owner that had never made it: more than 1,000 tokens were granted of a quota of 1,000 (found by the review). An owner remembers which requests it charged and got back unsent, charges others, and refunds only its own charges of the ask. TestReturnedAskThatAnotherOwnerChargedRaisesTheQuota and TestRefundOfAReturnedAskOutlivesItsCharge failed before.

--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -43,7 +43,7 @@
 // and refuses it if it exceeds one of them.
 func (c *Core) admit(w *waiter) bool {
 	if w.ask.Returned {
-		return true
+		return c.admitReturned(w)
 	}
 	if !c.repeats.admit(c.now, w.ask.Repeat) {
 		c.refuse(w, NoRepeat)
@@ -53,13 +53,29 @@
 		// The first attempt was charged to the quota.
 		return true
 	}
+	return c.chargeQuota(w)
+}
+
+// chargeQuota charges an ask to the quota of its customer, and refuses it if there is no
+// room.
+func (c *Core) chargeQuota(w *waiter) bool {
 	wait, charged := c.charge(w.ask)
 	if !charged {
 		c.refuseWithRetryAfter(w, OverQuota, wait)
 	}
+	w.charged = charged
 	return charged
 }
 
+// admitReturned admits an ask whose earlier permit was returned before anything was
+// sent. This owner charged it already if it made that permit.
+func (c *Core) admitReturned(w *waiter) bool {
+	if c.unsent.take(w.ask.Request, c.now) {
+		return true
+	}
+	return c.chargeQuota(w)
+}
+
 // makeRoom refuses one waiting request of a tier below the given one, and reports
 // whether it found one.
 func (c *Core) makeRoom(tier int) bool {
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -81,6 +81,7 @@
 	// arrived is the request that the present event made wait; nil if there is none.
 	arrived       *waiter
 	quarantine    quarantine
+	unsent        unsentRequests
 	freeEndpoints []*endpoint
 	skipped       []*waiter
 	shedBuffer    []*waiter
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -44,6 +44,9 @@
 		c.dequeue(w)
 		return
 	}
+	if h := c.held[id]; h != nil && h.ask.Request != "" {
+		c.unsent.remember(h.ask.Request, c.now)
+	}
 	c.finish(id, Usage{})
 }
 
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -244,7 +244,7 @@
 
 // refund takes back the charge of a request that is not sent.
 func (c *Core) refund(w *waiter) {
-	if k := c.accounts[w.ask.Customer]; k != nil && !w.ask.Repeat {
+	if k := c.accounts[w.ask.Customer]; k != nil && w.charged {
 		k.advance(c.now)
 		k.ownGrants.add(w.since, -float64(w.ask.QuotaTokens))
 	}
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -15,6 +15,8 @@
 	// lateStart is when the fastest endpoint must start the request if its goal does
 	// not count, as computed at lateStartAt.
 	lateStart, lateStartAt Instant
+	// charged is set if the request was charged to its customer's quota when it arrived.
+	charged bool
 	// announced is set once the host was told that the request waits.
 	announced bool
 	// late is set once the first part can no longer arrive by its goal.
