Keep boards of notices alike, and the grace of an outage whole

After an outage the age is zero; otherwise it is the pause between two watches. - A host that had started after a removal refused the notice of it, so its board differed from all others for 10 minutes, and comparisons that changed nothing were put off by up to 30 s: it missed a new notice for 22.5 s. Such removals are kept now, and the pause is one for each other host, until either board changes. - What a listing found was not sent on. - A notice that came before its handler was kept and never applied. - A notice of a shorter grace did not shorten a longer one.

--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -209,9 +209,10 @@
 	d.members.SetFreshnessProof(d.release)
 	notices := notice.New(d.common)
 	d.members.SetNoticeDigests(notices)
-	d.kernel.Register(kernel.Notice, notices)
 	d.kernel.Register(kernel.Release, d.release)
-	d.kernel.Register(kernel.Discovery, discovery.New(d.common, platform.NewStore(p.Store), platform.Layout{}))
+	d.kernel.Register(kernel.Discovery, discovery.New(d.common, notices, platform.NewStore(p.Store), platform.Layout{}))
+	// Discovery handles notices, so none may arrive before it has started.
+	d.kernel.Register(kernel.Notice, notices)
 }
 
 // Start starts the services and returns. The host takes its role in the
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -112,8 +112,8 @@
 }
 
 // New returns a service that does nothing until Start.
-func New(c *common.Common, store Store, layout Layout) *Service {
-	return &Service{common: c, store: store, layout: layout, hostAddresses: map[string]string{}, writtenRevisions: map[string]int64{}}
+func New(c *common.Common, n notices, store Store, layout Layout) *Service {
+	return &Service{common: c, notices: n, store: store, layout: layout, hostAddresses: map[string]string{}, writtenRevisions: map[string]int64{}}
 }
 
 // Start begins to watch the store and registers this host there.
@@ -125,9 +125,6 @@
 	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
 		return err
 	}
-	if s.notices, err = kernel.Lookup[notices](s.common.Kernel, kernel.Notice); err != nil {
-		return err
-	}
 	s.notices.Handle(storeTopic, s.acceptChange)
 	s.notices.Handle(leavingTopic, s.acceptLeaving)
 	s.publishHosts()
--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -42,9 +42,9 @@
 	return keyvalue.Change{Entry: keyvalue.Entry{Key: "endpoints/" + name, Revision: revision}}
 }
 
-// removed returns the change by which an endpoint is removed at a revision.
-func removed(name string, revision int64) keyvalue.Change {
-	c := present(name, revision)
+// removed returns the change by which endpoint i-1 is removed at a revision.
+func removed(revision int64) keyvalue.Change {
+	c := present("i-1", revision)
 	c.Removed = true
 	return c
 }
@@ -58,7 +58,7 @@
 		defer cancel()
 		go s.loop(ctx)
 		s.applyEndpoints(update{changes: []keyvalue.Change{present("i-1", 5)}, revision: 5})
-		s.applyEndpoints(update{changes: []keyvalue.Change{removed("i-1", 6)}, revision: 6})
+		s.applyEndpoints(update{changes: []keyvalue.Change{removed(6)}, revision: 6})
 		time.Sleep(s.budget().grace() - 100*time.Millisecond)
 		is.True(!s.release.HasLeft("i-1")) // its entry may have lapsed in an outage of the store
 		time.Sleep(300 * time.Millisecond) // well before the long watch of this host ends
@@ -72,7 +72,7 @@
 		s := newLoneHostWithEndpoints()
 		s.ownsNoService.Store(true)
 		s.applyEndpoints(update{changes: []keyvalue.Change{present("i-1", 5)}, revision: 5})
-		s.applyEndpoints(update{changes: []keyvalue.Change{removed("i-1", 6)}, revision: 6, age: s.budget().longPause()})
+		s.applyEndpoints(update{changes: []keyvalue.Change{removed(6)}, revision: 6, age: s.budget().longPause()})
 		time.Sleep(s.budget().grace() - s.budget().longPause())
 		s.expire()
 		is.True(s.release.HasLeft("i-1"))
@@ -97,7 +97,7 @@
 		inTouch.applyEndpoints(start)
 		turnedAway.applyEndpoints(start)
 		turnedAway.endpoints.lost = true
-		passOn(inTouch, turnedAway, update{changes: []keyvalue.Change{present("i-3", 6), removed("i-1", 7)}, revision: 7})
+		passOn(inTouch, turnedAway, update{changes: []keyvalue.Change{present("i-3", 6), removed(7)}, revision: 7})
 		is.Equal(turnedAway.table.PresentNames(), []string{"i-2", "i-3"})
 		is.True(turnedAway.release.HasLeft("i-1")) // a host in touch knows that the entry did not lapse
 	})
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -170,14 +170,15 @@
 	return started
 }
 
-// changesAge returns how long ago the changes of a watch that took the given time may
-// have been made: during the watch if it waited for them, and otherwise since the
-// call before it. The age of what a listing shows is not known.
+// changesAge returns how long ago the changes may have been made that a call of the given
+// length returned: during a watch that waited for them, and otherwise since the call
+// before, of which the pause between two watches is the usual part. After an outage of
+// the store it is zero: what lapsed in the outage may still come back.
 func (f *follower) changesAge(took time.Duration, u update) time.Duration {
-	if u.complete || took > maxAnswerDelay || f.lastEnd.IsZero() {
+	if f.lost || f.lastEnd.IsZero() || (!u.complete && took > maxAnswerDelay) {
 		return 0
 	}
-	return time.Since(f.lastEnd)
+	return min(time.Since(f.lastEnd), f.service.budget().longPause())
 }
 
 // call lists the keys, or watches them if they were listed before.
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -10,9 +10,12 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/document"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/notice"
+	"godwitmoor.example/godwitmoord/pkg/settings"
 )
 
 // scriptedStore is a store whose answers the test scripts.
@@ -62,9 +65,12 @@
 
 // newFollower returns a follower of the store that ignores what it reads.
 func newFollower(store *scriptedStore, watch, batch time.Duration) *follower {
-	c := &common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry()}
+	c := &common.Common{
+		Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
+		Settings: settings.Settings{Platform: &settings.Platform{LeavingBound: document.Duration(2 * time.Second)}},
+	}
 	return &follower{
-		service: New(c, store, nil), watchDuration: constant(watch), batchDelay: constant(batch), maxPause: time.Second,
+		service: New(c, notice.New(c), store, nil), watchDuration: constant(watch), batchDelay: constant(batch), maxPause: time.Second,
 		apply: func(update) {}, afterCall: func(time.Duration) {},
 	}
 }
--- a/godwitmoord/pkg/discovery/freshness_test.go
+++ b/godwitmoord/pkg/discovery/freshness_test.go
@@ -27,11 +27,10 @@
 			KeyRevocation: document.Duration(5 * time.Second), LeavingBound: document.Duration(2 * time.Second),
 		}},
 	}
-	s := New(c, &scriptedStore{}, nil)
+	s := New(c, notice.New(c), &scriptedStore{}, nil)
 	s.members = membership.New(c)
 	s.members.SetPhase(membership.Ready)
 	s.release = release.New(c, nil)
-	s.notices = notice.New(c)
 	return s
 }
 
--- a/godwitmoord/pkg/discovery/outage_test.go
+++ b/godwitmoord/pkg/discovery/outage_test.go
@@ -30,7 +30,7 @@
 		return keyvalue.Changes{}, errors.New("the store is down")
 	}
 	if after < 6 {
-		return keyvalue.Changes{Changes: []keyvalue.Change{removed("i-1", 6)}, Revision: 6}, nil
+		return keyvalue.Changes{Changes: []keyvalue.Change{removed(6)}, Revision: 6}, nil
 	}
 	select {
 	case <-ctx.Done():
@@ -55,7 +55,7 @@
 			go s.endpoints.run(ctx)
 			go s.loop(ctx)
 			time.Sleep(5 * time.Second)
-			for len(s.table.PresentNames()) > 0 {
+			for len(s.presentNames()) > 0 {
 				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(s.budget().grace() / 2)
@@ -71,11 +71,11 @@
 		is := is.New(t)
 		held, restarted := newLoneHostWithEndpoints(), newLoneHostWithEndpoints()
 		held.applyEndpoints(update{changes: []keyvalue.Change{present("i-1", 5)}, revision: 5, complete: true})
-		held.applyEndpoints(update{changes: []keyvalue.Change{removed("i-1", 6)}, revision: 6})
+		held.applyEndpoints(update{changes: []keyvalue.Change{removed(6)}, revision: 6})
 		restarted.applyEndpoints(update{revision: 7, complete: true})
 		tombstones := &recordedNotices{}
 		held.notices = tombstones
-		held.share(removed("i-1", 6), update{})
+		held.share(removed(6), update{})
 		is.True(restarted.acceptChange(tombstones.last)) // or the boards differ for removalLife
 	})
 }
@@ -100,3 +100,10 @@
 		is.Equal(len(turnedAway.table.PresentNames()), 0)
 	})
 }
+
+// presentNames returns the endpoints that have an entry, while other goroutines run.
+func (s *Service) presentNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.PresentNames()
+}
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -39,9 +39,9 @@
 	Grace time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// share passes a change that the store told this host on to the others. A listing
-// holds what most hosts know, and every host sees a new configuration by itself, so
-// these are only kept for hosts that turn out to lack them.
+// share passes a change that the store told this host on to the others. The first
+// listing holds what most hosts know, and every host sees a new configuration by
+// itself, so these are only kept for hosts that turn out to lack them.
 func (s *Service) share(c keyvalue.Change, u update) {
 	shared := sharedChange{Value: c.Entry.Value}
 	if c.Removed {
@@ -56,7 +56,8 @@
 	if c.Removed {
 		n.Life = removalLife
 	}
-	if u.complete || c.Entry.Key == s.layout.ConfigurationKey() {
+	first := u.complete && s.syncedRevision == 0
+	if first || c.Entry.Key == s.layout.ConfigurationKey() {
 		s.notices.Keep(n)
 		return
 	}
@@ -85,7 +86,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.Entry.Revision <= s.syncedRevision {
-		return false
+		// The store told this host everything up to there. A removal is kept
+		// nevertheless, so that the boards of all hosts agree.
+		return c.Removed
 	}
 	if changed, _ := s.applyChange(name, c, grace); changed {
 		s.release.SetEndpoints(s.table.ByService(), s.table.Left())
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -76,7 +76,13 @@
 // of use at the next Expire.
 func (t *Table) MarkMissing(name string, revision int64, until time.Time) bool {
 	observed, found := t.observations[name]
-	if !found || revision < observed.revision || observed.missing {
+	if !found || revision < observed.revision || observed.left {
+		return false
+	}
+	if observed.missing {
+		// Another host may know that it has less time left.
+		observed.inUseUntil = earlier(observed.inUseUntil, until)
+		t.observations[name] = observed
 		return false
 	}
 	if _, said := t.leaving[name]; said || observed.endpoint.Leaving {
@@ -88,6 +94,14 @@
 	return true
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Expire marks the endpoints as left whose entries did not come back in time, and
 // reports whether there were any. It deletes those that left long ago.
 func (t *Table) Expire(now time.Time) bool {
@@ -108,7 +122,8 @@
 }
 
 // Left returns the names of the endpoints that left within about the last
-// leftRetention and have not come back.
+// leftRetention and have not come back, and of those without an entry that said
+// themselves that they are leaving.
 func (t *Table) Left() map[string]bool {
 	left := map[string]bool{}
 	for name, observed := range t.observations {
@@ -116,6 +131,11 @@
 			left[name] = true
 		}
 	}
+	for name := range t.leaving {
+		if _, found := t.observations[name]; !found {
+			left[name] = true
+		}
+	}
 	return left
 }
 
--- a/godwitmoord/pkg/notice/notice.go
+++ b/godwitmoord/pkg/notice/notice.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// Handle registers the handler of a topic. Register it before Start.
+// Handle registers the handler of a topic. Register it before Start; a notice of a topic
+// without a handler is refused.
 func (s *Service) Handle(topic string, handler func(Notice) bool) { s.handlers[topic] = handler }
 
 // Start begins to exchange notices with other hosts.
@@ -96,7 +97,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	s.peers, s.members, s.ctx = peers, members, ctx
+	s.mu.Unlock()
 	peers.Handle(kernel.Notice, s.receive)
 	go s.run(ctx)
 	return nil
@@ -133,9 +136,9 @@
 // Tell sends what the board holds about a subject to one host at once.
 func (s *Service) Tell(name, topic, subject string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	n, known := s.board.get(key{topic: topic, subject: subject}, time.Now())
-	s.mu.Unlock()
-	if !known {
+	if !known || s.peers == nil {
 		return
 	}
 	t := &transmission{service: s, host: name, message: message{Notices: []wireNotice{newWireNotice(n)}}}
--- a/godwitmoord/pkg/notice/notice_test.go
+++ b/godwitmoord/pkg/notice/notice_test.go
@@ -41,6 +41,7 @@
 		name := fmt.Sprint("entry-", i)
 		s := New(&common.Common{Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Self: host.Identity{Name: name, Incarnation: 1}})
 		s.peers, s.members, s.ctx = &link{network: n, from: name}, n, ctx
+		s.Handle("fact", func(Notice) bool { return true })
 		n.hosts[name] = s
 		go s.run(ctx)
 	}
--- a/godwitmoord/pkg/notice/repair.go
+++ b/godwitmoord/pkg/notice/repair.go
@@ -10,7 +10,8 @@
 	// then notices are on their way.
 	differenceGrace = 300 * time.Millisecond
 	// minRepairPause is the shortest time between two comparisons that this host
-	// asks for. It doubles with each one that changed nothing, up to maxRepairPause.
+	// asks for. With a host whose board, like the one here, does not change, it doubles
+	// with each comparison, up to maxRepairPause.
 	minRepairPause = 250 * time.Millisecond
 	maxRepairPause = 30 * time.Second
 )
@@ -21,8 +22,45 @@
 	// agree.
 	differingSince time.Time
 	lastStarted    time.Time
-	pause          time.Duration
 	running        bool
+	// peers holds the hosts that were compared with, by address.
+	peers map[string]comparedPeer
+}
+
+// comparedPeer is what is known of a host from the last comparison with it.
+type comparedPeer struct {
+	// digest is that of its board, and own that of the board here, before the
+	// comparison. While neither changes, the next one follows after pause at the
+	// earliest.
+	digest, own uint64
+	at          time.Time
+	pause       time.Duration
+}
+
+// maxComparedPeers bounds the hosts of which the last comparison is remembered.
+const maxComparedPeers = 1024
+
+// dueFor reports whether a comparison with a host is due whose digest differs.
+func (r *repairState) dueFor(address string, digest, own uint64, now time.Time) bool {
+	if r.running || now.Sub(r.differingSince) < differenceGrace || now.Sub(r.lastStarted) < minRepairPause {
+		return false
+	}
+	p, compared := r.peers[address]
+	unchanged := compared && p.digest == digest && p.own == own
+	return !unchanged || now.Sub(p.at) >= p.pause
+}
+
+// begin records the start of a comparison.
+func (r *repairState) begin(address string, digest, own uint64, now time.Time) {
+	if r.peers == nil || len(r.peers) >= maxComparedPeers {
+		r.peers = map[string]comparedPeer{}
+	}
+	p := r.peers[address]
+	if p.digest != digest || p.own != own {
+		p.pause = 0
+	}
+	r.peers[address] = comparedPeer{digest: digest, own: own, at: now, pause: min(max(2*p.pause, minRepairPause), maxRepairPause)}
+	r.running, r.lastStarted = true, now
 }
 
 // CheckDigest takes the digest that the host at address sent with a probe. It
@@ -34,17 +72,16 @@
 	r := &s.repair
 	now := time.Now()
 	if digest == own {
-		r.differingSince, r.pause = time.Time{}, 0
+		r.differingSince = time.Time{}
 		return
 	}
 	if r.differingSince.IsZero() {
 		r.differingSince = now
 	}
-	due := now.Sub(r.differingSince) >= differenceGrace && now.Sub(r.lastStarted) >= max(r.pause, minRepairPause)
-	if !due || r.running {
+	if s.peers == nil || !r.dueFor(address, digest, own, now) {
 		return
 	}
-	r.running, r.lastStarted = true, now
+	r.begin(address, digest, own, now)
 	c := &comparison{service: s, address: address}
 	go c.run(s.ctx)
 }
@@ -58,19 +95,15 @@
 func (c *comparison) run(ctx context.Context) {
 	s := c.service
 	answer, err := s.call(ctx, c.address, message{Compare: true, Held: s.held()})
-	changed := s.merge(answer.Notices, c.address)
+	s.merge(answer.Notices, c.address)
 	if notices := s.wanted(answer.Wanted); err == nil && len(notices) > 0 {
-		answer, err = s.call(ctx, c.address, message{Notices: notices})
-		changed += answer.New
+		// What is lost is found again by the next comparison.
+		_, _ = s.call(ctx, c.address, message{Notices: notices})
 	}
 	s.common.Count("notices.compared")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.repair.running = false
-	s.repair.pause = min(max(2*s.repair.pause, minRepairPause), maxRepairPause)
-	if err == nil && changed > 0 {
-		s.repair.pause = 0
-	}
 }
 
 // held lists what the board holds.
--- a/godwitmoord/pkg/notice/spread.go
+++ b/godwitmoord/pkg/notice/spread.go
@@ -52,8 +52,6 @@
 	Held    []heldKey `cbor:"3,keyasint,omitempty"`
 	// Wanted lists, in the answer to a comparison, what the sender lacks.
 	Wanted []heldKey `cbor:"4,keyasint,omitempty"`
-	// New is, in an answer, how many of the notices received were new.
-	New int `cbor:"5,keyasint,omitempty"`
 }
 
 // heldKey names a subject and the version that a board holds about it.
@@ -193,38 +191,30 @@
 	if err := cbor.Unmarshal(body, &m); err != nil {
 		return nil, &peer.RefusedError{Reason: "malformed notices"}
 	}
-	count := s.merge(m.Notices, from.Name)
-	switch {
-	case m.Compare:
-		return cbor.Marshal(s.compare(m.Held))
-	case count > 0:
-		return cbor.Marshal(message{New: count})
-	default:
+	s.merge(m.Notices, from.Name)
+	if !m.Compare {
 		return nil, nil
 	}
+	return cbor.Marshal(s.compare(m.Held))
 }
 
 // merge applies the notices received from a host and schedules the new ones to be
-// sent on. It returns how many were new.
-func (s *Service) merge(notices []wireNotice, from string) int {
-	count := 0
+// sent on.
+func (s *Service) merge(notices []wireNotice, from string) {
 	for _, w := range notices {
-		if s.accept(Notice(w), from) {
-			count++
-		}
+		s.accept(Notice(w), from)
 	}
-	return count
 }
 
-// accept applies one notice, and reports whether it was new.
-func (s *Service) accept(n Notice, from string) bool {
+// accept applies one notice, unless it is known.
+func (s *Service) accept(n Notice, from string) {
 	if !n.valid() || s.isKnown(n) {
-		return false
+		return
 	}
 	// The handler may publish notices itself, so no lock is held here.
-	if handler := s.handlers[n.Topic]; handler != nil && !handler(n) {
+	if handler := s.handlers[n.Topic]; handler == nil || !handler(n) {
 		s.common.Count("notices.refused")
-		return false
+		return
 	}
 	s.mu.Lock()
 	isNew := s.board.put(n, time.Now())
@@ -237,7 +227,6 @@
 		s.common.Log.Info("notice received", zap.String("topic", n.Topic), zap.String("subject", n.Subject),
 			zap.Int64("version", n.Version), zap.Duration("age", n.Age), zap.String("from", from))
 	}
-	return isNew
 }
 
 // isKnown reports whether the board holds a notice already, and counts the host that
