Look at an endpoint once more when the connection to it is open

The last look at an endpoint came before its connection was opened, which may take a second; and a pause or an own word to leave was not asked about for an endpoint that this host had not discovered (both by reading, found by the review). Now nothing is sent after a connection opened to an endpoint that is leaving, has left or wants a pause by then.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -58,6 +58,9 @@
 	// abandons it. Only a whole head and parts of the body are data.
 	InactivityInterval time.Duration
 	OnInactive         func(Inactivity) bool
+	// BeforeSend, if set, is called once the connection is open, before the first byte is
+	// sent. If it returns an error, nothing is sent.
+	BeforeSend func() error
 	// OnHead, if set, is called with each head that the endpoint sends: those of the
 	// answer, of a rejection, of answers to earlier attempts, and of interim answers
 	// that name a limit.
@@ -168,6 +171,12 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
+	if p.BeforeSend != nil {
+		if err := p.BeforeSend(); err != nil {
+			s.putIdle(c)
+			return nil, &NotSentError{Address: address, Cause: err}
+		}
+	}
 	stopWatching := context.AfterFunc(ctx, c.close)
 	t := &roundTrip{sender: s, connection: c, request: p, stopWatching: stopWatching}
 	answer, err := t.send()
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -96,8 +96,8 @@
 	rates map[string]map[string]permit.LearnedRates
 	// limits holds the limits that endpoints name, by service and endpoint.
 	limits map[string]map[string]permit.RateLimit
-	// pauses holds until when endpoints want no request from this host.
-	pauses map[string]time.Time
+	// pauses holds the pauses that endpoints want from this host, by endpoint.
+	pauses map[string]wantedPause
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
 }
@@ -133,7 +133,7 @@
 		lastOwner: map[string]string{},
 		rates:     map[string]map[string]permit.LearnedRates{},
 		limits:    map[string]map[string]permit.RateLimit{},
-		pauses:    map[string]time.Time{},
+		pauses:    map[string]wantedPause{},
 		warnings:  map[string]*warnings{},
 	}
 }
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -101,7 +101,8 @@
 func (g *Grant) ReportPause(pause time.Duration) {
 	e := g.entry
 	e.mu.Lock()
-	e.pauses[g.Permit.Endpoint] = later(e.pauses[g.Permit.Endpoint], time.Now().Add(pause))
+	until := later(e.pauses[g.Permit.Endpoint].until, time.Now().Add(pause))
+	e.pauses[g.Permit.Endpoint] = wantedPause{service: g.service, until: until}
 	e.mu.Unlock()
 	e.common.Count("entry.pauses.reported")
 	e.common.Log.Info("endpoint wants a pause", zap.String("endpoint", g.Permit.Endpoint), zap.Duration("pause", pause))
@@ -112,7 +113,7 @@
 // does, it tells the owner again, which did not know.
 func (g *Grant) PauseLeft() time.Duration {
 	g.entry.mu.Lock()
-	left := time.Until(g.entry.pauses[g.Permit.Endpoint])
+	left := time.Until(g.entry.pauses[g.Permit.Endpoint].until)
 	g.entry.mu.Unlock()
 	if left > 0 {
 		g.sendPause(left)
@@ -125,6 +126,12 @@
 	g.sendToOwners(entryMessage{Kind: pauseKind, Service: g.service, Pauses: pauses})
 }
 
+// wantedPause says until when an endpoint of a service wants no request from this host.
+type wantedPause struct {
+	service string
+	until   time.Time
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -145,13 +145,12 @@
 // drops those that are. The caller holds e.mu.
 func (e *Entry) pausesOf(service string) []permit.Pause {
 	var pauses []permit.Pause
-	for endpoint, until := range e.pauses {
-		left := time.Until(until)
-		if left <= 0 {
+	for endpoint, pause := range e.pauses {
+		left := time.Until(pause.until)
+		switch {
+		case left <= 0:
 			delete(e.pauses, endpoint)
-			continue
-		}
-		if owner, listed := e.serviceOf(endpoint); listed && owner == service {
+		case pause.service == service:
 			pauses = append(pauses, permit.Pause{Endpoint: endpoint, Left: left})
 		}
 	}
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -115,6 +115,11 @@
 	}
 	message.FirstByteTimeout = r.dataTimeout(message.FirstByteTimeout, grant.Estimate)
 	message.GapTimeout = r.dataTimeout(message.GapTimeout, grant.Estimate)
+	message.BeforeSend = func() error {
+		// Opening the connection may have taken long.
+		_, err := r.endpointAddress(grant)
+		return err
+	}
 	message.OnHead = func(head exchange.EndpointResponse) { r.heed(grant, head) }
 	if r.request.Keyless {
 		monitor := &inactivityMonitor{run: r, grant: grant, ctx: ctx}
--- a/godwitmoord/pkg/serving/endpoint.go
+++ b/godwitmoord/pkg/serving/endpoint.go
@@ -47,14 +47,14 @@
 	}
 	r.endpointBorn = e.Born
 	switch {
-	case listed && e.Leaving:
+	case e.Leaving:
 		return "", r.withhold(grant, "is leaving")
-	case listed && grant.PauseLeft() > 0:
+	case r.service.release.HasLeft(endpoint):
+		return "", r.withhold(grant, "has left")
+	case grant.PauseLeft() > 0:
 		return "", r.withhold(grant, "wants no request from this host now")
 	case listed:
 		return e.Address, nil
-	case r.service.release.HasLeft(endpoint):
-		return "", r.withhold(grant, "has left")
 	case grant.Address == "":
 		return "", errUnlisted
 	}
