Send batches between hosts one way, acknowledged together

Each batch of an outbox was a call of net/rpc with a reply: another frame, a goroutine on the receiving host and a timer at the sender, for messages that need no answer.

A batch is now an ordered call, handled before the next frame is read. Once a host has answered one as such, further batches to it are sent one way; one reply acknowledges all of a third of the bound of a call. A host is unreachable within that bound as before, also if the connection ends with batches not acknowledged. Hosts of earlier versions ignore the new field and answer each call, and are sent each batch as before; their calls get the replies they know.

The counters peer.calls and peer.bytes count one-way calls too.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,19 @@
 	return fmt.Sprintf("frame of %d bytes exceeds the limit of %d; check that the other end is another godwitmoord", e.Bytes, maxFrame)
 }
 
+// delivery is how a host handles a call. In the reply to an ordered call it says that
+// the host handles calls so; hosts of earlier versions ignore and omit it.
+type delivery uint8
+
+const (
+	// concurrent calls are handled beside each other and answered.
+	concurrent delivery = iota
+	// ordered calls are handled before the next frame is read, and answered.
+	ordered
+	// oneWay calls are handled like ordered ones, and not answered.
+	oneWay
+)
+
 // framePayload is the content of a frame: the net/rpc header of a call or reply
 // and its body.
 type framePayload struct {
@@ -41,6 +55,8 @@
 	Sequence *uint64 `cbor:"2,keyasint"`
 	Failure  string  `cbor:"3,keyasint,omitempty"`
 	Body     []byte  `cbor:"4,keyasint,omitempty"`
+	// Delivery is concurrent in calls and replies of net/rpc's own.
+	Delivery delivery `cbor:"5,keyasint,omitempty"`
 }
 
 // codec encodes the calls and replies of net/rpc as frames: a length, then a CBOR
@@ -57,12 +73,17 @@
 	writeMu   sync.Mutex
 	lastRead  framePayload
 	openCalls chan struct{}
+	// takesOneWay is set once the other end has answered an ordered call as one.
+	takesOneWay atomic.Bool
+	// ended is closed when no more replies can be read.
+	ended chan struct{}
 }
 
 func newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
 	return &codec{
 		conn: conn, frameTimeout: frameTimeout,
 		reader: bufio.NewReader(conn), openCalls: make(chan struct{}, maxOpenCalls),
+		ended: make(chan struct{}),
 	}
 }
 
@@ -111,7 +132,8 @@
 	return nil
 }
 
-func (c *codec) writeFrame(payload framePayload) error {
+// writeFrame sends a frame within frameTimeout, and by the deadline unless that is zero.
+func (c *codec) writeFrame(payload framePayload, deadline time.Time) error {
 	data, err := cbor.Marshal(payload)
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
@@ -123,7 +145,10 @@
 	frame = append(frame, data...)
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	if err := c.conn.SetWriteDeadline(time.Now().Add(c.frameTimeout)); err != nil {
+	if bound := time.Now().Add(c.frameTimeout); deadline.IsZero() || bound.Before(deadline) {
+		deadline = bound
+	}
+	if err := c.conn.SetWriteDeadline(deadline); err != nil {
 		return errors.Wrap(err, "write frame")
 	}
 	if _, err := c.conn.Write(frame); err != nil {
@@ -154,6 +179,8 @@
 	switch v := value.(type) {
 	case []byte:
 		return v
+	case orderedCall:
+		return v.body
 	case *[]byte:
 		return *v
 	default:
@@ -161,9 +188,18 @@
 	}
 }
 
+// orderedCall is the argument of an ordered call, which must be sent by the deadline.
+type orderedCall struct {
+	body     []byte
+	deadline time.Time
+}
+
 // serverCodec implements rpc.ServerCodec and clientCodec rpc.ClientCodec.
 type (
-	serverCodec struct{ *codec }
+	serverCodec struct {
+		*codec
+		receive func(request []byte) ([]byte, error)
+	}
 	clientCodec struct{ *codec }
 )
 
@@ -174,27 +210,64 @@
 	if err := c.readFrame(); err != nil {
 		return err
 	}
+	for c.lastRead.Delivery != concurrent {
+		if err := c.handleInOrder(); err != nil {
+			return err
+		}
+		if err := c.readFrame(); err != nil {
+			return err
+		}
+	}
 	r.ServiceMethod, r.Seq = c.lastRead.Method, *c.lastRead.Sequence
 	return nil
 }
 
+// handleInOrder handles the last frame read, and answers it unless it is a one-way call.
+// net/rpc handles calls concurrently, so it is not used here.
+func (c serverCodec) handleInOrder() error {
+	call := c.lastRead
+	reply, err := c.receive(call.Body)
+	if call.Delivery == oneWay {
+		return nil
+	}
+	answer := framePayload{Method: call.Method, Sequence: call.Sequence, Body: reply, Delivery: ordered}
+	if err != nil {
+		answer.Body, answer.Failure = nil, err.Error()
+	}
+	return c.writeFrame(answer, time.Time{})
+}
+
 func (c serverCodec) ReadRequestBody(into any) error { return c.readBody(into) }
 
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	<-c.openCalls
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Failure: r.Error, Body: bodyBytes(body)})
+	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Failure: r.Error, Body: bodyBytes(body)}, time.Time{})
 }
 
 func (c serverCodec) Close() error { return c.conn.Close() }
 
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.writeFrame(framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Body: bodyBytes(body)})
+	call := framePayload{Method: r.ServiceMethod, Sequence: &r.Seq, Body: bodyBytes(body)}
+	var deadline time.Time
+	if o, isOrdered := body.(orderedCall); isOrdered {
+		call.Delivery, deadline = ordered, o.deadline
+	}
+	return c.writeFrame(call, deadline)
+}
+
+// writeOneWay sends a call that is not answered.
+func (c clientCodec) writeOneWay(body []byte, deadline time.Time) error {
+	return c.writeFrame(framePayload{Sequence: new(uint64), Body: body, Delivery: oneWay}, deadline)
 }
 
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	if err := c.readFrame(); err != nil {
+		close(c.ended) // net/rpc reads nothing after an error
 		return err
 	}
+	if c.lastRead.Delivery == ordered {
+		c.takesOneWay.Store(true)
+	}
 	r.ServiceMethod, r.Seq, r.Error = c.lastRead.Method, *c.lastRead.Sequence, c.lastRead.Failure
 	return nil
 }
--- a/godwitmoord/pkg/peer/outbox.go
+++ b/godwitmoord/pkg/peer/outbox.go
@@ -23,7 +23,8 @@
 
 // Outbox sends one-way messages to a service on other hosts. It keeps their order
 // for each host and combines queued messages into one call. Messages may be lost;
-// a sender that needs one to arrive must repeat it.
+// a sender that needs one to arrive must repeat it. Hosts answer some of the calls
+// only, see stream.
 type Outbox struct {
 	// TargetService is the name of the service that receives the messages.
 	TargetService string
@@ -65,23 +66,30 @@
 }
 
 func (q *peerQueue) run(ctx context.Context) {
+	st := stream{service: q.outbox.Service, target: q.outbox.TargetService}
+	timer := time.NewTimer(idleQueueTimeout)
+	defer timer.Stop()
 	var batch []any
 	for {
 		clear(batch)
 		batch = batch[:0]
+		timer.Reset(st.pause())
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(idleQueueTimeout):
-			if q.removeIfEmpty() {
+		case <-timer.C:
+			if st.acknowledged() && q.removeIfEmpty() {
 				return
 			}
-			continue
+			q.check(st.expire())
+		case <-st.ended():
+			q.check(st.fail())
+		case <-st.answered():
+			q.check(st.acknowledge())
 		case first := <-q.ring.Values():
-			batch = append(batch, first)
+			batch = q.ring.Drain(append(batch, first), maxBatch)
+			q.deliver(ctx, &st, batch)
 		}
-		batch = q.ring.Drain(batch, maxBatch)
-		q.deliver(ctx, batch)
 	}
 }
 
@@ -98,7 +106,7 @@
 }
 
 // deliver sends a batch in one call. The batch is dropped if that fails.
-func (q *peerQueue) deliver(ctx context.Context, batch []any) {
+func (q *peerQueue) deliver(ctx context.Context, st *stream, batch []any) {
 	address, found := q.outbox.Address(q.name)
 	if !found {
 		q.outbox.OnUnreachable(q.name)
@@ -108,8 +116,12 @@
 	if err != nil {
 		return
 	}
-	_, err = q.outbox.Service.Call(ctx, address, q.outbox.TargetService, body)
-	if errors.HasType(err, (*TimeoutError)(nil)) {
+	q.check(st.send(ctx, address, body))
+}
+
+// check reports the host as unreachable if err says so.
+func (q *peerQueue) check(err error) {
+	if err != nil && errors.HasType(err, (*TimeoutError)(nil)) {
 		q.outbox.OnUnreachable(q.name)
 	}
 }
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -90,7 +90,8 @@
 // client is a connection for calls to one host.
 type client struct {
 	*rpc.Client
-	used time.Time
+	codec clientCodec
+	used  time.Time
 }
 
 // New returns a service that has no handlers and does not listen yet.
@@ -195,7 +196,7 @@
 func (c *serverConn) run() {
 	codec := newCodec(c.conn, callTimeout)
 	codec.idleTimeout = acceptedIdleTimeout
-	c.service.server.ServeCodec(serverCodec{codec})
+	c.service.server.ServeCodec(serverCodec{codec: codec, receive: c.service.receive})
 	c.service.mu.Lock()
 	delete(c.service.accepted, c.conn)
 	c.service.mu.Unlock()
@@ -246,6 +247,25 @@
 
 // Call sends body to a service of the host at address and returns the reply.
 func (s *Service) Call(ctx context.Context, address, service string, body []byte) ([]byte, error) {
+	request, err := s.encodeEnvelope(service, body)
+	if err != nil {
+		return nil, err
+	}
+	connection, err := s.connect(address)
+	if err != nil {
+		return nil, &TimeoutError{Address: address, Cause: err}
+	}
+	var reply []byte
+	call := connection.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
+	if err := s.await(ctx, address, connection, call); err != nil {
+		return nil, err
+	}
+	s.countCall(len(request) + len(reply))
+	return reply, nil
+}
+
+// encodeEnvelope returns the argument of a call of this host to a service.
+func (s *Service) encodeEnvelope(service string, body []byte) ([]byte, error) {
 	request, err := cbor.Marshal(envelope{
 		Version:     protocolVersion,
 		To:          service,
@@ -253,34 +273,40 @@
 		Incarnation: s.common.Self.Incarnation,
 		Body:        body,
 	})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode the envelope")
-	}
-	connection, err := s.connect(address)
-	if err != nil {
-		return nil, &TimeoutError{Address: address, Cause: err}
-	}
+	return request, errors.Wrap(err, "encode the envelope")
+}
+
+// await waits for the reply to a call. It discards the connection if none arrives.
+func (s *Service) await(ctx context.Context, address string, connection *client, call *rpc.Call) error {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
-	var reply []byte
-	call := connection.Go(rpcMethod, request, &reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		s.discard(address, connection)
-		return nil, &TimeoutError{Address: address, Cause: ctx.Err()}
+		return &TimeoutError{Address: address, Cause: ctx.Err()}
 	case <-call.Done:
+		return s.result(address, connection, call)
+	}
+}
+
+// result returns the error of a call that has ended. It discards the connection if the
+// call got no reply.
+func (s *Service) result(address string, connection *client, call *rpc.Call) error {
+	if call.Error == nil {
+		return nil
 	}
 	var refused rpc.ServerError
 	if errors.As(call.Error, &refused) {
-		return nil, &RefusedError{Reason: string(refused)}
-	}
-	if call.Error != nil {
-		s.discard(address, connection)
-		return nil, &TimeoutError{Address: address, Cause: call.Error}
+		return &RefusedError{Reason: string(refused)}
 	}
+	s.discard(address, connection)
+	return &TimeoutError{Address: address, Cause: call.Error}
+}
+
+// countCall counts a call to another host, and its bytes in both directions.
+func (s *Service) countCall(bytes int) {
 	s.common.Count("peer.calls")
-	s.common.CountBytes("peer.bytes", len(request)+len(reply))
-	return reply, nil
+	s.common.CountBytes("peer.bytes", bytes)
 }
 
 // timeout returns the bound of a call. On the platform callers wait for an owner
@@ -311,7 +337,8 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &client{Client: rpc.NewClientWithCodec(s.clientCodec(conn)), used: time.Now()}
+	codec := s.clientCodec(conn)
+	opened := &client{Client: rpc.NewClientWithCodec(codec), codec: codec, used: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if concurrent := s.clients[address]; concurrent != nil {
