--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -22,10 +22,36 @@
 	// initialFrameBytes is the room for a frame before its bytes arrive; most frames
 	// are smaller.
 	initialFrameBytes = 4 << 10
+	// maxPooledFrameBytes bounds the buffers that are kept for later frames.
+	maxPooledFrameBytes = 16 << 10
+	// sizeBytes is the length of the size before a frame.
+	sizeBytes = 4
 	// maxOpenCalls bounds the calls of one connection that are handled at once.
 	maxOpenCalls = 32
 )
 
+var (
+	// frameEncoding encodes frames into the buffers of frameBuffers.
+	frameEncoding = newFrameEncoding()
+	frameBuffers  = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
+
+func newFrameEncoding() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// releaseFrame keeps the buffer of a sent frame for a later one.
+func releaseFrame(frame *bytes.Buffer) {
+	if frame.Cap() <= maxPooledFrameBytes {
+		frame.Reset()
+		frameBuffers.Put(frame)
+	}
+}
+
 // FrameTooLargeError reports a frame larger than maxFrame, received or about to be
 // sent.
 type FrameTooLargeError struct{ Bytes uint32 }
@@ -87,8 +113,11 @@
 	}
 }
 
-// awaitFrame waits for the first byte of a frame and sets the deadline of the rest.
+// awaitFrame waits for the first byte of a frame.
 func (c *codec) awaitFrame() error {
+	if c.reader.Buffered() > 0 {
+		return nil
+	}
 	var idleDeadline time.Time
 	if c.idleTimeout > 0 {
 		idleDeadline = time.Now().Add(c.idleTimeout)
@@ -96,17 +125,23 @@
 	if err := c.conn.SetReadDeadline(idleDeadline); err != nil {
 		return err
 	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return err
-	}
-	return c.conn.SetReadDeadline(time.Now().Add(c.frameTimeout))
+	_, err := c.reader.Peek(1)
+	return err
 }
 
 func (c *codec) readFrame() error {
 	if err := c.awaitFrame(); err != nil {
 		return err
 	}
-	var size [4]byte
+	if whole := c.bufferedFrame(); whole != nil {
+		err := c.decodeFrame(whole)
+		_, _ = c.reader.Discard(sizeBytes + len(whole)) // never fails for buffered bytes
+		return err
+	}
+	if err := c.conn.SetReadDeadline(time.Now().Add(c.frameTimeout)); err != nil {
+		return err
+	}
+	var size [sizeBytes]byte
 	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
 		return err
 	}
@@ -122,8 +157,32 @@
 	} else if err != nil {
 		return err
 	}
+	return c.decodeFrame(data.Bytes())
+}
+
+// bufferedFrame returns the next frame without its size if all of it has arrived in the
+// reader's buffer, nil otherwise. The bytes are valid until the next read.
+func (c *codec) bufferedFrame() []byte {
+	buffered := c.reader.Buffered()
+	if buffered < sizeBytes {
+		return nil
+	}
+	arrived, err := c.reader.Peek(buffered)
+	if err != nil {
+		return nil
+	}
+	n := binary.BigEndian.Uint32(arrived)
+	arrived = arrived[sizeBytes:]
+	if n > uint32(len(arrived)) {
+		return nil
+	}
+	return arrived[:n]
+}
+
+// decodeFrame stores the decoded frame in lastRead.
+func (c *codec) decodeFrame(data []byte) error {
 	c.lastRead = framePayload{}
-	if err := cbor.Unmarshal(data.Bytes(), &c.lastRead); err != nil {
+	if err := cbor.Unmarshal(data, &c.lastRead); err != nil {
 		return errors.Wrap(err, "decode frame")
 	}
 	if c.lastRead.Sequence == nil {
@@ -134,15 +193,17 @@
 
 // writeFrame sends a frame within frameTimeout, and by the deadline unless that is zero.
 func (c *codec) writeFrame(payload framePayload, deadline time.Time) error {
-	data, err := cbor.Marshal(payload)
-	if err != nil {
+	frame := frameBuffers.Get().(*bytes.Buffer)
+	defer releaseFrame(frame)
+	frame.Write(make([]byte, sizeBytes))
+	if err := frameEncoding.MarshalToBuffer(payload, frame); err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
-	if len(data) > maxFrame {
-		return errors.WithStack(&FrameTooLargeError{Bytes: uint32(len(data))})
+	n := uint32(frame.Len() - sizeBytes)
+	if n > maxFrame {
+		return errors.WithStack(&FrameTooLargeError{Bytes: n})
 	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, len(data)+4), uint32(len(data)))
-	frame = append(frame, data...)
+	binary.BigEndian.PutUint32(frame.Bytes(), n)
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	if bound := time.Now().Add(c.frameTimeout); deadline.IsZero() || bound.Before(deadline) {
@@ -151,7 +212,7 @@
 	if err := c.conn.SetWriteDeadline(deadline); err != nil {
 		return errors.Wrap(err, "write frame")
 	}
-	if _, err := c.conn.Write(frame); err != nil {
+	if _, err := c.conn.Write(frame.Bytes()); err != nil {
 		// Part of the frame may have been sent, so no other can follow.
 		_ = c.conn.Close()
 		return errors.Wrap(err, "write frame")
--- a/godwitmoord/pkg/peer/stream_test.go
+++ b/godwitmoord/pkg/peer/stream_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -266,3 +267,25 @@
 		p.hasReceived(is, 0)
 	})
 }
+
+func TestRepliesStayAsTheyWereWhenOthersArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, echo := newService(t), newService(t)
+		echo.Handle("echo", func(_ host.Identity, body []byte) ([]byte, error) { return body, nil })
+		codec := s.clientCodec(echo.accept())
+		s.clients["entry-2"] = &client{Client: rpc.NewClientWithCodec(codec), codec: codec, used: time.Now()}
+		var replies [][]byte
+		for n := range 100 {
+			// Some frames are larger than the reader's buffer.
+			reply, err := s.Call(t.Context(), "entry-2", "echo", bytes.Repeat([]byte{byte(n)}, 100*n))
+			is.NoErr(err)
+			replies = append(replies, reply)
+		}
+		for n, reply := range replies {
+			is.True(bytes.Equal(reply, bytes.Repeat([]byte{byte(n)}, 100*n)))
+		}
+		_ = s.Stop(t.Context())
+		synctest.Wait()
+	})
+}
