Keep the hosts that may own services until the table of hosts changes

TestSmallHostsOwnNoServiceBesideLargeOnes wrote into the table past the methods that change it; it now calls merge and Avoid, and expects the same.

--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -222,7 +222,7 @@
 	return &UndecidedError{Owner: owner, Sends: sends, Cause: cause}
 }
 
-func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.OwnerNames(), service) }
+func (e *Entry) ownerOf(service string) string { return e.members.OwnerOf(service) }
 
 func (e *Entry) sendAsk(p *pendingAsk, owner string) {
 	e.mu.Lock()
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -12,12 +12,11 @@
 // servicesWithNewOwner returns the services in use here whose owner has changed since
 // the last call.
 func (e *Entry) servicesWithNewOwner() []string {
-	ready := e.members.OwnerNames()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var moved []string
 	for service := range e.servicesInUse() {
-		owner := ownerOf(ready, service)
+		owner := e.members.OwnerOf(service)
 		if former := e.lastOwner[service]; former != owner {
 			e.common.Log.Info("owner of a service", zap.String("service", service), zap.String("owner", owner), zap.String("before", former))
 			e.common.Count("entry.owner.changes")
@@ -44,12 +43,11 @@
 // asksToResend returns the asks to send again: those whose owner has changed, and
 // those without a decision for too long.
 func (e *Entry) asksToResend() []*pendingAsk {
-	ready := e.members.OwnerNames()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var asks []*pendingAsk
 	for _, p := range e.waiting {
-		if ownerOf(ready, p.service) != p.owner || time.Since(p.sentAt) > p.resendAfter {
+		if e.members.OwnerOf(p.service) != p.owner || time.Since(p.sentAt) > p.resendAfter {
 			asks = append(asks, p)
 		}
 	}
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -141,9 +141,8 @@
 	if current == nil {
 		return true
 	}
-	ready := o.members.OwnerNames()
 	return slices.ContainsFunc(current.Configuration.Services, func(s configuration.Service) bool {
-		return ownerOf(ready, s.Name) == o.common.Self.Name
+		return o.members.OwnerOf(s.Name) == o.common.Self.Name
 	})
 }
 
--- a/godwitmoord/pkg/dispatch/poller.go
+++ b/godwitmoord/pkg/dispatch/poller.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/configuration"
-	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/coordination/pkg/reply"
 )
@@ -74,13 +73,7 @@
 }
 
 func (p *poller) isOwner(service string) bool {
-	return ownerOf(p.owner.members.OwnerNames(), service) == p.owner.common.Self.Name
-}
-
-// ownerOf returns the owner of a service: the ready host that ranks first by
-// rendezvous hashing.
-func ownerOf(candidates []string, service string) string {
-	return host.Ranked(candidates, service, 1)[0]
+	return p.owner.members.OwnerOf(service) == p.owner.common.Self.Name
 }
 
 // poll reads the load of one endpoint once and passes the result to the core of its
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -151,7 +151,7 @@
 // updateOwnership determines whether this host is the owner, and reports whether that
 // changed.
 func (s *serviceOwner) updateOwnership() bool {
-	isOwner := ownerOf(s.owner.members.OwnerNames(), s.service) == s.owner.common.Self.Name
+	isOwner := s.owner.members.OwnerOf(s.service) == s.owner.common.Self.Name
 	if s.isOwner.Swap(isOwner) == isOwner {
 		return false
 	}
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -55,6 +55,8 @@
 	mu    sync.Mutex
 	table map[string]*tableRow
 	self  tableRow
+	// candidates are determined from table and self.
+	candidates candidates
 	// order holds the names of the hosts still to be probed in this round.
 	order []string
 	// lastExtraProbes is when probeOthers last probed further hosts after a failed
@@ -122,6 +124,7 @@
 	if p > s.self.row.Phase {
 		s.self.row.Phase = p
 		s.self.changedAt = time.Now()
+		s.candidates.invalidate()
 		s.publishSelf(s.self.row.Revision + 1)
 	}
 }
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -75,14 +75,39 @@
 		s.common.Count("membership.avoided")
 		e.avoidedAt = time.Now()
 		e.recordFailure()
+		s.candidates.invalidate()
 	}
 }
 
 // ReadyNames returns the names of the hosts that may have a role now, sorted. It
-// is never empty: if no host qualifies, it holds this host.
+// is never empty: if no host qualifies, it holds this host. The caller must not change
+// it.
 func (s *Service) ReadyNames() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.currentCandidates().ready
+}
+
+// OwnerNames returns the names of the hosts that may own a service, sorted: of the
+// ready hosts those with at least half of the largest capacity. An owner decides for
+// all hosts, so a small one would be slow for all of them. It is never empty. The
+// caller must not change it.
+func (s *Service) OwnerNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.currentCandidates().owners
+}
+
+// OwnerOf returns the name of the host that owns a service: the one of OwnerNames that
+// ranks first for it by rendezvous hashing.
+func (s *Service) OwnerOf(service string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.currentCandidates().ownerOf(service)
+}
+
+// readyNames determines the result of ReadyNames; s.mu is held.
+func (s *Service) readyNames() []string {
 	names := make([]string, 0, len(s.table)+1)
 	for name, e := range s.table {
 		if e.isCandidate(Ready) {
@@ -101,18 +126,19 @@
 	return names
 }
 
-// OwnerNames returns the names of the hosts that may own a service, sorted: of the
-// ready hosts those with at least half of the largest capacity. An owner decides for
-// all hosts, so a small one would be slow for all of them. It is never empty.
-func (s *Service) OwnerNames() []string {
-	names := s.ReadyNames()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// ownerNames returns those of the ready hosts that may own a service; s.mu is held.
+func (s *Service) ownerNames(ready []string) []string {
 	largest := uint32(0)
-	for _, name := range names {
+	for _, name := range ready {
 		largest = max(largest, s.capacityOf(name))
 	}
-	return slices.DeleteFunc(names, func(name string) bool { return 2*s.capacityOf(name) < largest })
+	owners := make([]string, 0, len(ready))
+	for _, name := range ready {
+		if 2*s.capacityOf(name) >= largest {
+			owners = append(owners, name)
+		}
+	}
+	return owners
 }
 
 // capacityOf returns the capacity of a host; s.mu is held.
--- a/godwitmoord/pkg/membership/roles_test.go
+++ b/godwitmoord/pkg/membership/roles_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -33,8 +32,10 @@
 	isSmall := readyHost(small, append(rows, row{Name: "entry-1", Capacity: large.Capacity()})...)
 	is.Equal(isLarge.OwnerNames(), []string{"entry-1", "entry-4"})
 	is.Equal(isSmall.OwnerNames(), isLarge.OwnerNames()) // all hosts choose the same owners
-	isSmall.table["entry-1"].row.State = Dead
-	isSmall.table["entry-4"].avoidedAt = time.Now()
+	dead := isSmall.table["entry-1"].row
+	dead.State = Dead
+	isSmall.merge(dead)
+	isSmall.Avoid("entry-4")
 	is.Equal(isSmall.OwnerNames(), []string{"entry-2", "entry-3"}) // of the rest, the largest
 }
 
--- a/godwitmoord/pkg/membership/row.go
+++ b/godwitmoord/pkg/membership/row.go
@@ -100,6 +100,12 @@
 	return r.State > other.State
 }
 
+// sameCandidate reports whether r qualifies its host for the same roles as other, a row
+// of the same host.
+func (r row) sameCandidate(other row) bool {
+	return r.Phase == other.Phase && r.State == other.State && r.Capacity == other.Capacity
+}
+
 func (r row) member() Member {
 	return Member{
 		Identity:   r.identity(),
--- a/godwitmoord/pkg/membership/table.go
+++ b/godwitmoord/pkg/membership/table.go
@@ -56,6 +56,7 @@
 	if current == nil {
 		if len(s.table) < maxHosts {
 			s.table[r.Name] = &tableRow{row: r, changedAt: time.Now(), transmitsLeft: s.transmitLimit()}
+			s.candidates.invalidate()
 		}
 		return host.Identity{}, false
 	}
@@ -85,6 +86,9 @@
 	if !sameIncarnation {
 		e.unreachableSince, e.returnedAt = time.Time{}, time.Time{}
 	}
+	if !e.row.sameCandidate(r) {
+		s.candidates.invalidate()
+	}
 	e.row = r
 	e.transmitsLeft = s.transmitLimit()
 }
@@ -142,6 +146,7 @@
 		}
 		if e.row.State == Dead && elapsed > forgetFactor*deadAfter {
 			delete(s.table, name)
+			s.candidates.invalidate()
 		}
 	}
 	s.mu.Unlock()
