Name why a host counts as unreachable, and describe one-way batches

The error said that a deadline had passed when the connection had ended or a write had failed. No change in behaviour; tests of package peer pass three times under the race detector.

--- a/godwitmoord/pkg/peer/outbox.go
+++ b/godwitmoord/pkg/peer/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 			}
 			q.check(st.expire())
 		case <-st.ended():
-			q.check(st.fail())
+			q.check(st.fail(net.ErrClosed))
 		case <-st.answered():
 			q.check(st.acknowledge())
 		case first := <-q.ring.Values():
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -2,6 +2,10 @@
 // A connection on which a call timed out is closed and not reused, because it may
 // still be open although nothing reaches the other end.
 //
+// net/rpc handles the calls of a connection concurrently and answers each. The batches
+// of an Outbox need order and no answer: the codec handles them itself, before it reads
+// the next frame, and answers those only that request an acknowledgement.
+//
 // # Usage
 //
 //	peers.Handle("owner", owner.handle)
--- a/godwitmoord/pkg/peer/stream.go
+++ b/godwitmoord/pkg/peer/stream.go
@@ -92,7 +92,7 @@
 	case st.acknowledged():
 		return nil
 	case st.request != nil:
-		return st.fail()
+		return st.fail(context.DeadlineExceeded)
 	}
 	envelope, err := st.service.encodeEnvelope(st.target, emptyBatch)
 	if err != nil {
@@ -103,9 +103,9 @@
 }
 
 // fail gives up the connection, and with it the batches that are not acknowledged.
-func (st *stream) fail() error {
+func (st *stream) fail(cause error) error {
 	st.service.discard(st.address, st.connection)
-	err := &TimeoutError{Address: st.address, Cause: context.DeadlineExceeded}
+	err := &TimeoutError{Address: st.address, Cause: cause}
 	st.reset()
 	return err
 }
@@ -173,7 +173,7 @@
 func (st *stream) sendOneWay(envelope []byte) error {
 	select {
 	case <-st.connection.codec.ended:
-		return st.fail()
+		return st.fail(net.ErrClosed)
 	default:
 	}
 	deadline := st.oldest.Add(st.service.timeout())
@@ -181,7 +181,7 @@
 		deadline = st.due
 	}
 	if err := st.connection.codec.writeOneWay(envelope, deadline); err != nil {
-		return st.fail()
+		return st.fail(err)
 	}
 	st.service.countCall(len(envelope))
 	return nil
