--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -225,7 +225,7 @@
 	}
 }
 
-func (e *Entry) ownerOf(service string) string { return ownerOf(e.members.OwnerNames(), service) }
+func (e *Entry) ownerOf(service string) string { return e.members.OwnerOf(service) }
 
 func (e *Entry) sendAsk(p *pendingAsk, owner string) {
 	e.mu.Lock()
