--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		s.release.Install(version, decoded)
-		s.share(c, u)
+		s.keepConfiguration(c.Entry)
 	}
 }
 
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -39,29 +39,44 @@
 	Grace time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// share passes a change that the store told this host on to the others. The first
-// listing holds what most hosts know, and every host sees a new configuration by
-// itself, so these are only kept for hosts that turn out to lack them.
+// share passes a change of an endpoint that the store told this host on to the others.
+// The first listing holds what most hosts know, so that is only kept for hosts that turn
+// out to lack it. The caller holds s.mu.
 func (s *Service) share(c keyvalue.Change, u update) {
 	shared := sharedChange{Value: c.Entry.Value}
 	if c.Removed {
 		shared = sharedChange{Removed: true, Grace: max(s.graceLeft(u.age), 0)}
 	}
-	body, err := cbor.Marshal(shared)
-	if err != nil {
+	n, err := newStoreNotice(c.Entry, shared)
+	switch {
+	case err != nil:
 		s.common.Log.Error("change of the store cannot be encoded", zap.String("key", c.Entry.Key), zap.Error(err))
+	case u.complete && s.syncedRevision == 0:
+		s.notices.Keep(n)
+	default:
+		s.notices.Publish(n)
+	}
+}
+
+// keepConfiguration keeps the configuration that the store told this host for the others.
+// Most hosts see it by themselves.
+func (s *Service) keepConfiguration(e keyvalue.Entry) {
+	n, err := newStoreNotice(e, sharedChange{Value: e.Value})
+	if err != nil {
+		s.common.Log.Error("configuration cannot be encoded", zap.Int64("revision", e.Revision), zap.Error(err))
 		return
 	}
-	n := notice.Notice{Topic: storeTopic, Subject: c.Entry.Key, Version: c.Entry.Revision, Body: body}
-	if c.Removed {
+	s.notices.Keep(n)
+}
+
+// newStoreNotice returns the notice about a change of an entry.
+func newStoreNotice(e keyvalue.Entry, shared sharedChange) (notice.Notice, error) {
+	body, err := cbor.Marshal(shared)
+	n := notice.Notice{Topic: storeTopic, Subject: e.Key, Version: e.Revision, Body: body}
+	if shared.Removed {
 		n.Life = removalLife
 	}
-	first := u.complete && s.syncedRevision == 0
-	if first || c.Entry.Key == s.layout.ConfigurationKey() {
-		s.notices.Keep(n)
-		return
-	}
-	s.notices.Publish(n)
+	return n, err
 }
 
 // acceptChange applies a change of the store that another host was told, and reports
