Read the store with a few hosts for all others

Cause: every host watched the configuration and the endpoints itself, one in eight proved the configuration, and each start wrote an address and listed hosts, endpoints and configuration.

Change: two provers and four listeners, ranked over the data centres, read the store at any size; all others learn from notices, ask provers for proofs, and get what they lack from the hosts that they meet when they start. Hosts that rank after the provers stand in if no proof comes, in the end any host does, with a rate that the whole fleet shares. Large notices are offered before they are sent.

--- a/godwitmoord/pkg/discovery/budget.go
+++ b/godwitmoord/pkg/discovery/budget.go
@@ -12,16 +12,18 @@
 	return budget{bound: s.common.Settings.Platform.LeavingBound.Std()}
 }
 
-// shortPause is the pause of an owner or a prover after a watch that returned changes.
+// shortPause is the pause of a prover after a watch that returned changes.
 func (b budget) shortPause() time.Duration { return b.bound / 8 }
 
-// longPause is the same for other hosts. It suffices if only such hosts hear the
-// store.
-func (b budget) longPause() time.Duration { return b.bound * 3 / 8 }
+// longPause is the same for a listener. It suffices if only listeners hear the store.
+func (b budget) longPause() time.Duration { return b.bound / 4 }
 
-// spread is the time in which what one host learned reaches the others.
+// spread is the time in which what one host learned reaches nearly all others.
 func (b budget) spread() time.Duration { return b.bound / 8 }
 
+// repair is the time in which a host that a notice missed finds that out and gets it.
+func (b budget) repair() time.Duration { return b.bound / 4 }
+
 // forward is the time from the sending host's last look at an endpoint until the
 // request reaches it.
 func (b budget) forward() time.Duration { return b.bound / 16 }
@@ -29,3 +31,37 @@
 // grace is how long an endpoint stays in use after its entry was removed without a
 // word, because the entry may have lapsed in an outage of the store.
 func (b budget) grace() time.Duration { return min(b.bound*3/4, outageGrace) }
+
+// freshnessBudget divides the bound on how long a customer's key may be accepted after
+// its removal between the waits on the way of a freshness proof. A host accepts no keys
+// when its proof is nearly as old as the bound.
+type freshnessBudget struct{ bound time.Duration }
+
+// freshnessBudget returns the budget of this deployment.
+func (s *Service) freshnessBudget() freshnessBudget {
+	return freshnessBudget{bound: s.common.Settings.Platform.KeyRevocation.Std()}
+}
+
+// watch is how long a watch of the configuration lasts without changes on a prover;
+// the proof is a watch that lasted its whole time.
+func (b freshnessBudget) watch() time.Duration { return b.bound * 30 / 100 }
+
+// ask is the age of its proof from which a host asks a prover for a fresher one. The
+// hosts that rank after the provers ask earlier, to stand in only when they must.
+// askPause is the pause between two questions.
+func (b freshnessBudget) ask() time.Duration       { return b.bound * 30 / 100 }
+func (b freshnessBudget) askRanked() time.Duration { return b.bound * 20 / 100 }
+func (b freshnessBudget) askPause() time.Duration  { return b.bound * 6 / 100 }
+
+// standIn is the age from which the hosts after the provers read the store, the first
+// of them at once and each further one standInStep later.
+func (b freshnessBudget) standIn() time.Duration     { return b.bound * 47 / 100 }
+func (b freshnessBudget) standInStep() time.Duration { return b.bound * 2 / 100 }
+
+// lastResort is the age from which any host reads the store, and jitter the longest
+// further wait of a host that reaches no prover.
+func (b freshnessBudget) lastResort() time.Duration { return b.bound * 60 / 100 }
+func (b freshnessBudget) jitter() time.Duration     { return b.bound * 8 / 100 }
+
+// term is how long a host that stands in for the provers reads the store.
+func (b freshnessBudget) term() time.Duration { return 2 * b.bound }
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -1,16 +1,18 @@
 // Package discovery reads the operators' configuration, the endpoints and the
 // registered hosts from the platform's store.
 //
-// It watches the configuration and the endpoints with one watch each instead of
-// polling, because every call of the store has a cost. A watch that runs for its
-// whole time without a change proves that nothing changed. For the configuration
-// a few hosts provide this freshness proof to all others. Hosts are listed only
-// once; after that the membership protocol keeps the list current.
+// Every call of the store has a cost, so a few hosts read it for all others, and their
+// number does not grow with the fleet. The provers watch the configuration and the
+// endpoints; a watch of the configuration that runs for its whole time without a change
+// proves that nothing changed, and the others ask for this freshness proof. A few
+// listeners watch the endpoints, too, with calls that last longer. If the provers bring
+// no proof in time, the hosts that rank after them stand in, one after the other, and in
+// the end any host reads the store itself.
 //
 // What the store tells one host, that host passes on to the others as notices, and
-// so does a host that an endpoint tells that it is leaving. A host that the store
-// turns away, or whose watch is silent, therefore knows what the others know. The
-// revisions of the store decide which of two statements about a key is the newer.
+// so does a host that an endpoint tells that it is leaving. A host that starts gets all
+// of it from the hosts that it meets. The revisions of the store decide which of two
+// statements about a key is the newer.
 //
 // # Usage
 //
@@ -20,7 +22,7 @@
 
 import (
 	"context"
-	"net/netip"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,16 +41,11 @@
 	// returned changes, so that the next watch returns several changes at once. It is
 	// short because a new version must be in force within two seconds.
 	configurationBatchDelay = 100 * time.Millisecond
-	// nonOwnerWatchDuration replaces ownerWatchDuration on a host that owns no
-	// service.
-	nonOwnerWatchDuration = 10 * time.Second
-	// configurationMaxRetryPause is the longest pause after a failed read of the
-	// configuration. It is short because requests with customers' keys cannot be
-	// served until a read succeeds.
-	configurationMaxRetryPause = 300 * time.Millisecond
-	// ownerWatchDuration is how long a watch of the endpoints lasts without changes,
-	// and so the time until a dead connection is detected.
-	ownerWatchDuration = 2 * time.Second
+	// proverWatchDuration is how long a prover's watch of the endpoints lasts without
+	// changes, and so the time until a dead connection is detected.
+	proverWatchDuration = 2 * time.Second
+	// listenerWatchDuration is the same on a listener.
+	listenerWatchDuration = 10 * time.Second
 	// endpointsCheckInterval is how often loop checks the endpoints in use.
 	endpointsCheckInterval = 100 * time.Millisecond
 	// outageGrace is how long after the store is reachable again an endpoint with a
@@ -65,6 +62,26 @@
 	Put(ctx context.Context, key string, value []byte, revision int64) (keyvalue.Outcome, error)
 }
 
+// fleet is what this package needs to know of the other hosts.
+type fleet interface {
+	// StoreReaders returns the hosts that are to read the store, the first in charge
+	// first.
+	StoreReaders() []string
+	// ReadyNames returns the names of the hosts that are ready.
+	ReadyNames() []string
+	// NewestVersion returns the newest version that another host has in force, and
+	// HostAhead a host whose version is above the given one.
+	NewestVersion() int64
+	HostAhead(version int64) (string, bool)
+	// AskProof asks a host for its freshness proof.
+	AskProof(ctx context.Context, name string) error
+	// Alone reports whether no other live host is known, and FleetDiscovered whether the
+	// fleet is known well enough to take a role.
+	Alone() bool
+	FleetDiscovered() bool
+	SetListedHosts(hosts []membership.ListedHost)
+}
+
 // Layout defines the keys of the store and decodes their values.
 type Layout interface {
 	ConfigurationKey() string
@@ -92,18 +109,26 @@
 	store   Store
 	layout  Layout
 	release *release.Service
-	members *membership.Service
+	members fleet
 	notices notices
+	ctx     context.Context
+
+	// configurationFollower and endpoints watch the keys that are named so.
+	configurationFollower, endpoints *follower
+	// joined is set once this host knows which others there are, and may read the store
+	// for them; currentDuty is what it then reads.
+	joined      atomic.Bool
+	currentDuty atomic.Uint32
+	// unconfirmed is set while this host reads the store only because it stands in, and
+	// has not succeeded yet.
+	unconfirmed atomic.Bool
+	standIn     standIn
 
 	mu    sync.Mutex
 	table Table
 	// syncedRevision is the revision up to which the store told this host all changes
 	// of endpoints.
 	syncedRevision int64
-	// endpoints watches the entries of the endpoints.
-	endpoints *follower
-	// ownsNoService is true while this host owns no service.
-	ownsNoService atomic.Bool
 	// hostAddresses maps the names of the registered hosts to their addresses.
 	hostAddresses map[string]string
 	// writtenRevisions holds the revision of each key that Keep wrote. Only the
@@ -116,7 +141,7 @@
 	return &Service{common: c, notices: n, store: store, layout: layout, hostAddresses: map[string]string{}, writtenRevisions: map[string]int64{}}
 }
 
-// Start begins to watch the store and registers this host there.
+// Start begins to learn from the store or from other hosts.
 func (s *Service) Start(ctx context.Context) error {
 	var err error
 	if s.release, err = kernel.Lookup[*release.Service](s.common.Kernel, kernel.Release); err != nil {
@@ -125,17 +150,31 @@
 	if s.members, err = kernel.Lookup[*membership.Service](s.common.Kernel, kernel.Membership); err != nil {
 		return err
 	}
+	s.begin(ctx)
+	return nil
+}
+
+// begin starts the goroutines of the service.
+func (s *Service) begin(ctx context.Context) {
+	s.ctx = ctx
 	s.notices.Handle(storeTopic, s.acceptChange)
 	s.notices.Handle(leavingTopic, s.acceptLeaving)
 	s.publishHosts()
-	configurationFollower := &follower{service: s, prefix: s.layout.ConfigurationKey(), watchDuration: s.configurationWatchDuration, batchDelay: constant(configurationBatchDelay), maxPause: configurationMaxRetryPause, apply: s.installConfiguration, afterCall: s.recordProof}
-	s.endpoints = &follower{service: s, prefix: s.layout.EndpointPrefix(), watchDuration: s.endpointsWatchDuration, batchDelay: s.endpointsBatchDelay, maxPause: longRetryPause, apply: s.applyEndpoints, afterCall: s.recordSync}
-	go configurationFollower.run(ctx)
-	go (&freshnessChecker{service: s, inForce: s.release, others: s.members, configurationFollower: configurationFollower}).run(ctx)
+	s.configurationFollower = &follower{
+		service: s, prefix: s.layout.ConfigurationKey(), wanted: s.provesConfiguration, prompt: true, watchDuration: s.freshnessBudget().watch,
+		batchDelay: constant(configurationBatchDelay), maxPause: s.maxRetryPause(urgentRetryPause),
+		apply: s.installConfiguration, afterCall: s.recordProof,
+	}
+	s.endpoints = &follower{
+		service: s, prefix: s.layout.EndpointPrefix(), wanted: s.readsEndpoints, watchDuration: s.endpointsWatchDuration,
+		batchDelay: s.endpointsBatchDelay, maxPause: s.maxRetryPause(longRetryPause),
+		apply: s.applyEndpoints, afterCall: s.recordSync,
+	}
+	go s.configurationFollower.run(ctx)
 	go s.endpoints.run(ctx)
-	go s.run(ctx)
+	go (&registry{service: s}).run(ctx)
+	go (&freshnessChecker{service: s}).run(ctx)
 	go s.loop(ctx)
-	return nil
 }
 
 // Stop does nothing: the context of Start ends all goroutines.
@@ -153,60 +192,53 @@
 			continue
 		}
 		s.release.Install(version, decoded)
-		s.keepConfiguration(c.Entry)
+		s.shareConfiguration(c.Entry)
 	}
 }
 
-// recordProof records that the configuration read last was the newest one at the
-// given boot time.
-func (s *Service) recordProof(upTo time.Duration) { s.release.RecordProof(upTo) }
-
-// addHost records the address of a registered host, if it is valid.
-func (s *Service) addHost(name, address string) {
-	if _, err := netip.ParseAddrPort(address); err == nil {
-		s.hostAddresses[name] = address
+// maxRetryPause returns a function that returns the longest pause after a failed call:
+// the given one, or relaxedRetryPause while other hosts provide fresh proofs.
+func (s *Service) maxRetryPause(alone time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if age := s.release.Age(s.release.InForceVersion()); age > 0 && age < s.freshnessBudget().ask() {
+			return relaxedRetryPause
+		}
+		return alone
 	}
 }
 
-// publishHosts sends the known addresses of hosts to the membership service.
-func (s *Service) publishHosts() {
-	listed := make([]membership.ListedHost, 0, len(s.hostAddresses))
-	for name, address := range s.hostAddresses {
-		listed = append(listed, membership.ListedHost{Name: name, Address: address})
-	}
-	for _, address := range s.common.Settings.Platform.Hosts {
-		listed = append(listed, membership.ListedHost{Address: address})
-	}
-	s.members.SetListedHosts(listed)
-}
+// provesConfiguration reports whether this host watches the configuration.
+func (s *Service) provesConfiguration() bool { return s.duty() == proves }
 
-// run registers this host and lists the hosts registered so far.
-// It retries until both succeed. Hosts that start later contact this one
-// themselves.
-func (s *Service) run(ctx context.Context) {
-	for !s.register(ctx) || !s.listHosts(ctx) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(longRetryPause):
-		}
+// readsEndpoints reports whether this host watches the endpoints. One that stands in for
+// the provers does once it has read the configuration, so that a store that is away gets
+// fewer calls.
+func (s *Service) readsEndpoints() bool { return s.duty() != follows && !s.unconfirmed.Load() }
+
+// standInWait returns the shortest pause after a failed attempt of this host to stand in.
+// It spreads the attempts of a large fleet.
+func (s *Service) standInWait() time.Duration {
+	if s.rank() >= 0 {
+		return 0
 	}
+	return time.Duration(2 * rand.Float64() * float64(len(s.members.ReadyNames())) * float64(readSpacing))
 }
 
-// listHosts publishes the registered hosts and reports whether they could be read.
-func (s *Service) listHosts(ctx context.Context) bool {
-	listing, err := s.store.List(ctx, s.layout.HostKey(""))
-	if err != nil {
-		s.common.Log.Warn("hosts not listed yet", zap.Error(err))
-		return false
+// recordProof records that the configuration read last was the newest one at the
+// given boot time. After a failed call the boot time is zero.
+func (s *Service) recordProof(upTo time.Duration) {
+	now := time.Now()
+	if upTo == 0 {
+		s.standIn.fail(now, s.standInWait())
+		s.updateDuty()
+		return
 	}
-	for _, e := range listing.Entries {
-		if name, isHost := s.layout.HostName(e.Key); isHost {
-			s.addHost(name, string(e.Value))
-		}
+	s.release.RecordProof(upTo)
+	s.standIn.succeed()
+	if s.standIn.active(now) {
+		s.updateDuty()
+		go (&proofRelay{service: s}).run(s.ctx)
 	}
-	s.publishHosts()
-	return true
 }
 
 // Put writes data that must survive a restart of all hosts. It overwrites any
@@ -235,20 +267,3 @@
 	}
 	return values, nil
 }
-
-// register writes this host's address to the store and reports whether the store
-// holds it.
-func (s *Service) register(ctx context.Context) bool {
-	key := s.layout.HostKey(s.common.Self.Name)
-	address := s.common.Settings.PeerListen
-	outcome, err := s.store.Put(ctx, key, []byte(address), 0)
-	if err != nil {
-		s.common.Log.Warn("host not registered yet", zap.Error(err))
-		return false
-	}
-	if outcome.Applied || string(outcome.Current.Value) == address {
-		return true
-	}
-	_, err = s.store.Put(ctx, key, []byte(address), outcome.Current.Revision)
-	return err == nil
-}
--- a/godwitmoord/pkg/discovery/endpoints.go
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -14,6 +14,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := u.complete
+	u.initial = u.complete && s.table.Empty()
 	present := map[string]bool{}
 	for _, c := range u.changes {
 		name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
@@ -81,30 +82,22 @@
 	}
 }
 
-// SetOwner records whether this host owns a service. A host that becomes an owner
-// lists the endpoints at once instead of waiting for its long watch.
-func (s *Service) SetOwner(owner bool) {
-	if was := s.ownsNoService.Swap(!owner); was && owner {
-		s.endpoints.requestListing()
-	}
-}
-
 // endpointsWatchDuration returns how long the next watch of the endpoints lasts
 // without changes.
 func (s *Service) endpointsWatchDuration() time.Duration {
-	if s.ownsNoService.Load() {
-		return nonOwnerWatchDuration
+	if s.duty() == proves {
+		return proverWatchDuration
 	}
-	return ownerWatchDuration
+	return listenerWatchDuration
 }
 
 // endpointsBatchDelay returns the pause after a watch that returned changes of
 // endpoints.
 func (s *Service) endpointsBatchDelay() time.Duration {
-	if s.ownsNoService.Load() && !s.isProver() {
-		return s.budget().longPause()
+	if s.duty() == proves {
+		return s.budget().shortPause()
 	}
-	return s.budget().shortPause()
+	return s.budget().longPause()
 }
 
 // recordSync records up to when the changes of endpoints are known, and takes endpoints
@@ -124,11 +117,11 @@
 }
 
 // graceLeft returns how long an endpoint stays in use whose entry went missing up to
-// age ago. On a host that owns no service it does not depend on the host's own view of
-// the store, since its long watch may not have noticed an outage.
+// age ago. Except on a prover it does not depend on the host's own view of the store,
+// since a long watch may not have noticed an outage.
 func (s *Service) graceLeft(age time.Duration) time.Duration {
 	longest := s.budget().grace() - age
-	if s.endpoints.lost || s.ownsNoService.Load() {
+	if s.endpoints.lost || s.duty() != proves {
 		return longest
 	}
 	return min(longest, time.Until(s.endpoints.regainedAt.Add(outageGrace)))
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -14,11 +14,14 @@
 )
 
 const (
-	// initialRetryPause is the pause after the first failed call. It doubles with
-	// each further failure up to the follower's own limit, which is longRetryPause
-	// for reads that are not urgent.
+	// initialRetryPause is the pause after the first failed call. It doubles with each
+	// further failure: up to urgentRetryPause for the configuration, without which keys
+	// can't be accepted, up to longRetryPause for other reads, and up to
+	// relaxedRetryPause while other hosts hear the store.
 	initialRetryPause = 100 * time.Millisecond
+	urgentRetryPause  = 500 * time.Millisecond
 	longRetryPause    = time.Second
+	relaxedRetryPause = 2 * time.Second
 	// maxAnswerDelay is the longest time assumed between the moment the store ends
 	// a watch and the arrival of its answer here.
 	maxAnswerDelay = 300 * time.Millisecond
@@ -34,6 +37,8 @@
 	// complete is true for a listing of all keys: a key that is missing from it
 	// does not exist.
 	complete bool
+	// initial is true for a listing from which this host learns its first endpoints.
+	initial bool
 	// age is how long ago the changes may have been made.
 	age      time.Duration
 	unusable keyvalue.Unusable
@@ -44,13 +49,19 @@
 type follower struct {
 	service *Service
 	prefix  string
+	// wanted reports whether this host follows these keys by itself now. While it does
+	// not, run waits for wakeUp.
+	wanted func() bool
 	// watchDuration returns how long the next watch lasts without changes.
 	watchDuration func() time.Duration
 	// batchDelay returns the pause after a watch that returned changes. Changes made
 	// meanwhile arrive with the next watch in one answer, which saves calls.
 	batchDelay func() time.Duration
-	// maxPause limits the pause after a failed call.
-	maxPause time.Duration
+	// maxPause returns the longest pause after a failed call.
+	maxPause func() time.Duration
+	// prompt makes the first call after a failure or a pause a listing, which answers at
+	// once. A watch without changes would prove nothing until its end.
+	prompt bool
 	// apply processes the result of each successful call.
 	apply func(update)
 	// afterCall is called after each call with the boot time up to which all
@@ -73,6 +84,8 @@
 	unusableAt time.Time
 
 	mu sync.Mutex
+	// woken is closed by the next wakeUp; nil if nothing waits for one.
+	woken chan struct{}
 	// listingRequested is true from requestListing until the listing begins.
 	// listing is true while a listing is in progress. cancel cancels the call in
 	// progress.
@@ -125,9 +138,46 @@
 	return f.listingRequested
 }
 
-// run calls the store again and again until ctx ends.
-func (f *follower) run(ctx context.Context) {
+// wakeUp makes a follower that waits check whether it is wanted.
+func (f *follower) wakeUp() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.woken != nil {
+		close(f.woken)
+		f.woken = nil
+	}
+}
+
+// wakeChannel returns a channel that the next wakeUp closes.
+func (f *follower) wakeChannel() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.woken == nil {
+		f.woken = make(chan struct{})
+	}
+	return f.woken
+}
+
+// awaitWanted waits until the follower is wanted; false if ctx ended.
+func (f *follower) awaitWanted(ctx context.Context) bool {
 	for ctx.Err() == nil {
+		woken := f.wakeChannel()
+		if f.wanted() {
+			return true
+		}
+		f.lastEnd = time.Time{}
+		f.listed = f.listed && !f.prompt
+		select {
+		case <-ctx.Done():
+		case <-woken:
+		}
+	}
+	return false
+}
+
+// run calls the store again and again while it is wanted, until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for f.awaitWanted(ctx) {
 		started := boottime.Now()
 		callCtx, wait := f.beginCall(ctx)
 		u, err := f.call(callCtx, wait)
@@ -141,7 +191,7 @@
 			f.listed = false
 		case err != nil:
 			// A listing holds less than many changes of the same keys.
-			f.listed = f.listed && !errors.HasType(err, (*reply.TooLargeError)(nil))
+			f.listed = f.listed && !f.prompt && !errors.HasType(err, (*reply.TooLargeError)(nil))
 			f.handleFailure(ctx, err)
 		default:
 			upTo := provenUpTo(started, wait, u)
@@ -153,7 +203,7 @@
 			f.handleSuccess()
 			f.afterCall(upTo)
 			if !u.complete && len(u.changes) > 0 {
-				f.sleep(ctx, f.batchDelay())
+				sleep(ctx, f.batchDelay())
 			}
 		}
 	}
@@ -218,16 +268,8 @@
 	}
 	f.service.common.Count("store.failed")
 	f.afterCall(0)
-	f.pause = min(max(2*f.pause, initialRetryPause), f.maxPause)
-	f.sleep(ctx, f.pause)
-}
-
-// sleep waits for d or until ctx ends.
-func (f *follower) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	f.pause = min(max(2*f.pause, initialRetryPause), f.maxPause())
+	sleep(ctx, f.pause)
 }
 
 // handleSuccess records a successful call.
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -28,6 +29,8 @@
 	Publish(n notice.Notice)
 	Keep(n notice.Notice)
 	Tell(host, topic, subject string)
+	// Fetch gets the notice that a host holds about a subject.
+	Fetch(ctx context.Context, host, topic, subject string) error
 }
 
 // sharedChange is the body of a notice about a change of the store.
@@ -37,13 +40,32 @@
 	// Grace is how long the endpoint stays in use after its removal, as the host
 	// judged that the store told.
 	Grace time.Duration `cbor:"3,keyasint,omitempty"`
+	// Deflated is the value of the entry if it is large, compressed; Value is then empty.
+	Deflated []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// withValue returns a copy of c with a value, which is compressed if it is large.
+func (c sharedChange) withValue(value []byte) sharedChange {
+	c.Value, c.Deflated = value, nil
+	if len(value) >= deflatedValueBytes {
+		c.Value, c.Deflated = nil, deflate(value)
+	}
+	return c
+}
+
+// value returns the value of the entry.
+func (c sharedChange) value() ([]byte, error) {
+	if len(c.Deflated) == 0 {
+		return c.Value, nil
+	}
+	return inflate(c.Deflated)
 }
 
 // share passes a change of an endpoint that the store told this host on to the others.
-// The first listing holds what most hosts know, so that is only kept for hosts that turn
-// out to lack it. The caller holds s.mu.
+// The first endpoints of this host are those that most hosts know, so they are only kept
+// for hosts that turn out to lack them. The caller holds s.mu.
 func (s *Service) share(c keyvalue.Change, u update) {
-	shared := sharedChange{Value: c.Entry.Value}
+	shared := sharedChange{}.withValue(c.Entry.Value)
 	if c.Removed {
 		shared = sharedChange{Removed: true, Grace: max(s.graceLeft(u.age), 0)}
 	}
@@ -51,22 +73,22 @@
 	switch {
 	case err != nil:
 		s.common.Log.Error("change of the store cannot be encoded", zap.String("key", c.Entry.Key), zap.Error(err))
-	case u.complete && s.syncedRevision == 0:
+	case u.initial:
 		s.notices.Keep(n)
 	default:
 		s.notices.Publish(n)
 	}
 }
 
-// keepConfiguration keeps the configuration that the store told this host for the others.
-// Most hosts see it by themselves.
-func (s *Service) keepConfiguration(e keyvalue.Entry) {
-	n, err := newStoreNotice(e, sharedChange{Value: e.Value})
+// shareConfiguration passes the configuration that the store told this host on to the
+// others.
+func (s *Service) shareConfiguration(e keyvalue.Entry) {
+	n, err := newStoreNotice(e, sharedChange{}.withValue(e.Value))
 	if err != nil {
 		s.common.Log.Error("configuration cannot be encoded", zap.Int64("revision", e.Revision), zap.Error(err))
 		return
 	}
-	s.notices.Keep(n)
+	s.notices.Publish(n)
 }
 
 // newStoreNotice returns the notice about a change of an entry.
@@ -87,7 +109,12 @@
 		s.common.Log.Warn("change of the store from another host is malformed", zap.String("key", n.Subject), zap.Error(err))
 		return false
 	}
-	c := keyvalue.Change{Entry: keyvalue.Entry{Key: n.Subject, Value: shared.Value, Revision: n.Version}, Removed: shared.Removed}
+	value, err := shared.value()
+	if err != nil {
+		s.common.Log.Warn("value from another host cannot be read", zap.String("key", n.Subject), zap.Error(err))
+		return false
+	}
+	c := keyvalue.Change{Entry: keyvalue.Entry{Key: n.Subject, Value: value, Revision: n.Version}, Removed: shared.Removed}
 	if c.Entry.Key == s.layout.ConfigurationKey() {
 		return s.acceptConfiguration(c)
 	}
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -18,6 +18,9 @@
 	leaving map[string]int64
 }
 
+// Empty reports whether the table knows no endpoint.
+func (t *Table) Empty() bool { return len(t.observations) == 0 }
+
 // maxLeaving bounds the endpoints whose own word is held.
 const maxLeaving = 4096
 
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -46,8 +46,6 @@
 	Put(ctx context.Context, key string, value []byte) error
 	// List returns the values of all keys with the prefix.
 	List(ctx context.Context, prefix string) ([][]byte, error)
-	// SetOwner sets whether this host owns any service.
-	SetOwner(owner bool)
 }
 
 // grantPage holds the grants that one owner made for one service in the quota window.
@@ -109,7 +107,6 @@
 			return
 		case <-time.After(shareInterval):
 		}
-		w.store.SetOwner(w.owner.ownsAny())
 		shareChanged := w.updateShare()
 		for _, s := range w.owner.activeServices() {
 			if s.updateOwnership() || shareChanged {
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -13,12 +13,10 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/common"
@@ -134,18 +132,6 @@
 	}
 }
 
-// ownsAny reports whether this host owns any service according to its own list of
-// ready hosts. Without a configuration it returns true.
-func (o *Owner) ownsAny() bool {
-	current := o.release.Current()
-	if current == nil {
-		return true
-	}
-	return slices.ContainsFunc(current.Configuration.Services, func(s configuration.Service) bool {
-		return o.members.OwnerOf(s.Name) == o.common.Self.Name
-	})
-}
-
 // activeServices returns the services for which this host has received a message.
 func (o *Owner) activeServices() []*serviceOwner {
 	o.mu.Lock()
--- a/godwitmoord/pkg/membership/candidates.go
+++ b/godwitmoord/pkg/membership/candidates.go
@@ -14,6 +14,8 @@
 type candidates struct {
 	ready, owners []string
 	ownerByName   map[string]string
+	// readers are the hosts that read the platform's store, in their order.
+	readers []string
 	// until is when an avoidance ends that the names depend on; zero if none does.
 	until time.Time
 }
@@ -49,7 +51,7 @@
 	// An avoidance that ends meanwhile makes the names be determined once more.
 	until := s.firstAvoidanceEnd()
 	ready := s.readyNames()
-	s.candidates = candidates{ready: ready, owners: s.ownerNames(ready), until: until}
+	s.candidates = candidates{ready: ready, owners: s.largeHosts(ready), until: until}
 	return &s.candidates
 }
 
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -9,7 +9,7 @@
 // bad link does not cause a suspicion. If none of them gets an answer, the host
 // is suspected and gets no role. A role is a task that the fleet assigns by the
 // names of its ready hosts: to own a service, that is, to decide on the permits
-// for its endpoints, or to prove the freshness of the configuration. A
+// for its endpoints, or to read the platform's store for all others. A
 // suspected host can refute the suspicion itself; if it does not within the
 // setting dead-after, it counts as dead. Changed rows are disseminated with the
 // probes, each a number of times that grows with the logarithm of the fleet
@@ -31,6 +31,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwitmoor.example/coordination/pkg/host"
@@ -63,9 +64,13 @@
 	// probe.
 	lastExtraProbes time.Time
 	listed          []hostListItem
-	lostCallbacks   []func(host.Identity)
-	proof           FreshnessProof
-	notices         NoticeDigests
+	// contacts records the latest contact attempts to hosts that are unknown or dead.
+	contacts      contacts
+	lostCallbacks []func(host.Identity)
+	proof         FreshnessProof
+	// askingBack is set while this host asks another one for its fresher proof.
+	askingBack atomic.Bool
+	notices    NoticeDigests
 	// differingProbes is the number of probes in a row that found a different
 	// table.
 	differingProbes int
--- a/godwitmoord/pkg/membership/message.go
+++ b/godwitmoord/pkg/membership/message.go
@@ -93,6 +93,9 @@
 		return nil, err
 	}
 	s.recordVersion(from, m.Version)
+	if m.Kind == probeKind {
+		s.askBack(context.Background(), from, m)
+	}
 	reply := message{Kind: m.Kind}
 	switch m.Kind {
 	case probeKind:
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -74,22 +76,29 @@
 	return row{}, false
 }
 
-// unknownHosts returns the addresses of a few random listed hosts that are unknown
-// or dead in this host's table. Contacting them admits new hosts, and rejoins the
-// two halves of the fleet after a network partition.
+// unknownHosts returns the addresses of a few random hosts that are listed and unknown
+// here, or dead here. Contacting them admits new hosts, and rejoins the two halves of
+// the fleet after a network partition. It records the attempts.
 func (s *Service) unknownHosts() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var addresses []string
+	now := time.Now()
+	pauses := map[string]time.Duration{}
 	for _, l := range s.listed {
-		if l.Role != entryRole || l.Name == s.self.row.Name {
-			continue
+		if l.Role == entryRole && l.Name != s.self.row.Name && s.isUnknown(l) && s.contacts.due(l.Address, now) {
+			pauses[l.Address] = contactPause
 		}
-		if s.isUnknown(l) {
-			addresses = append(addresses, l.Address)
+	}
+	for _, e := range s.table {
+		if e.row.State == Dead && e.row.Phase != Leaving && s.contacts.due(e.row.Address, now) {
+			pauses[e.row.Address] = deadContactPause
 		}
 	}
-	return sample(addresses, maxHandshakes)
+	chosen := sample(slices.Collect(maps.Keys(pauses)), maxHandshakes)
+	for _, address := range chosen {
+		s.contacts.begin(address, now, pauses[address])
+	}
+	return chosen
 }
 
 // isUnknown reports whether a listed host is missing from the table or dead
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"godwitmoor.example/coordination/pkg/host"
 )
 
 const (
@@ -15,6 +17,10 @@
 	// propagationHeartbeats is the number of heartbeats in which a new phase
 	// reaches the other hosts.
 	propagationHeartbeats = 5
+	// maxStoreReaders is the number of hosts that StoreReaders ranks.
+	maxStoreReaders = 12
+	// storeReaderRankingKey is the key of the rendezvous ranking of these hosts.
+	storeReaderRankingKey = "configuration"
 )
 
 // FleetDiscovered reports whether this host knows the fleet well enough to take
@@ -106,6 +112,56 @@
 	return s.currentCandidates().ownerOf(service)
 }
 
+// StoreReaders returns the hosts that are to read the platform's store for all others,
+// the first in charge first, and maxStoreReaders at most. They are alive, but need not
+// be ready. Of those with at least half of the largest capacity, the one that ranks first
+// in each data centre comes before the rest, so that the first few don't share a fault
+// of one data centre. It is never empty unless this host is leaving and alone. The caller
+// must not change it.
+func (s *Service) StoreReaders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.currentCandidates()
+	if c.readers == nil {
+		able := s.largeHosts(s.liveNames())
+		c.readers = s.spreadOverDataCentres(host.Ranked(able, storeReaderRankingKey, len(able)))
+		c.readers = c.readers[:min(maxStoreReaders, len(c.readers))]
+	}
+	return c.readers
+}
+
+// liveNames returns the names of this host and of the others that are alive, without
+// those that are leaving; s.mu is held.
+func (s *Service) liveNames() []string {
+	var names []string
+	if s.self.row.Phase != Leaving {
+		names = append(names, s.self.row.Name)
+	}
+	for name, e := range s.table {
+		if e.row.State == Alive && e.row.Phase != Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// spreadOverDataCentres moves the first host of each data centre before all others and
+// keeps the order otherwise; s.mu is held.
+func (s *Service) spreadOverDataCentres(ranked []string) []string {
+	seen := map[string]bool{}
+	var first, rest []string
+	for _, name := range ranked {
+		dataCentre := s.rowOf(name).DataCentre
+		if seen[dataCentre] {
+			rest = append(rest, name)
+			continue
+		}
+		seen[dataCentre] = true
+		first = append(first, name)
+	}
+	return append(first, rest...)
+}
+
 // readyNames determines the result of ReadyNames; s.mu is held.
 func (s *Service) readyNames() []string {
 	names := make([]string, 0, len(s.table)+1)
@@ -126,30 +182,34 @@
 	return names
 }
 
-// ownerNames returns those of the ready hosts that may own a service; s.mu is held.
-func (s *Service) ownerNames(ready []string) []string {
+// largeHosts returns those of the hosts that have at least half of the largest capacity
+// among them; s.mu is held.
+func (s *Service) largeHosts(names []string) []string {
 	largest := uint32(0)
-	for _, name := range ready {
+	for _, name := range names {
 		largest = max(largest, s.capacityOf(name))
 	}
-	owners := make([]string, 0, len(ready))
-	for _, name := range ready {
+	large := make([]string, 0, len(names))
+	for _, name := range names {
 		if 2*s.capacityOf(name) >= largest {
-			owners = append(owners, name)
+			large = append(large, name)
 		}
 	}
-	return owners
+	return large
 }
 
 // capacityOf returns the capacity of a host; s.mu is held.
-func (s *Service) capacityOf(name string) uint32 {
+func (s *Service) capacityOf(name string) uint32 { return s.rowOf(name).Capacity }
+
+// rowOf returns the row of a host, which is empty if the host is unknown; s.mu is held.
+func (s *Service) rowOf(name string) row {
 	if name == s.self.row.Name {
-		return s.self.row.Capacity
+		return s.self.row
 	}
 	if e := s.table[name]; e != nil {
-		return e.row.Capacity
+		return e.row
 	}
-	return 0
+	return row{}
 }
 
 // startingNames returns the names of this host and of the others that are
@@ -170,15 +230,27 @@
 	return e.row.Phase == p && e.row.State == Alive && time.Since(e.avoidedAt) >= avoidInterval
 }
 
-// Isolated reports whether this host has lost contact with the fleet: other hosts
-// are known or listed, and none of them is alive.
-func (s *Service) Isolated() bool {
+// Alone reports whether this host knows no other that is alive.
+func (s *Service) Alone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return !s.knowsLiveHost()
+}
+
+// knowsLiveHost reports whether another host is alive in the table; s.mu is held.
+func (s *Service) knowsLiveHost() bool {
 	for _, e := range s.table {
 		if e.row.State == Alive {
-			return false
+			return true
 		}
 	}
-	return len(s.table) > 0 || s.othersListed()
+	return false
+}
+
+// Isolated reports whether this host has lost contact with the fleet: other hosts
+// are known or listed, and none of them is alive.
+func (s *Service) Isolated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.knowsLiveHost() && (len(s.table) > 0 || s.othersListed())
 }
--- a/godwitmoord/pkg/membership/table.go
+++ b/godwitmoord/pkg/membership/table.go
@@ -55,6 +55,7 @@
 	current := s.table[r.Name]
 	if current == nil {
 		if len(s.table) < maxHosts {
+			s.contacts.forget(r.Address)
 			s.table[r.Name] = &tableRow{row: r, changedAt: time.Now(), transmitsLeft: s.transmitLimit()}
 			s.candidates.invalidate()
 		}
@@ -89,6 +90,9 @@
 	if !e.row.sameCandidate(r) {
 		s.candidates.invalidate()
 	}
+	if r.State == Alive {
+		s.contacts.forget(r.Address)
+	}
 	e.row = r
 	e.transmitsLeft = s.transmitLimit()
 }
--- a/godwitmoord/pkg/membership/version.go
+++ b/godwitmoord/pkg/membership/version.go
@@ -1,6 +1,17 @@
 package membership
 
-import "time"
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"godwitmoor.example/coordination/pkg/host"
+)
+
+// fresherBy is by how much another host's proof must be fresher than the one here for
+// this host to ask for it.
+const fresherBy = time.Second
 
 // FreshnessProof holds this host's freshness proof: the time at which its
 // configuration was last known to be the newest. Hosts exchange the ages of their
@@ -43,6 +54,66 @@
 	return newest
 }
 
+// HostAhead returns the name of a random live host that has a newer version in force
+// than the given one; false if there is none.
+func (s *Service) HostAhead(version int64) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ahead []string
+	for name, e := range s.table {
+		if e.row.Version > version && e.row.State == Alive {
+			ahead = append(ahead, name)
+		}
+	}
+	if len(ahead) == 0 {
+		return "", false
+	}
+	return ahead[rand.IntN(len(ahead))], true
+}
+
+// AskProof asks a host for its freshness proof. An error means that the host did not
+// answer; an answer may hold no proof.
+func (s *Service) AskProof(ctx context.Context, name string) error {
+	address, known := s.Address(name)
+	if !known {
+		return errors.Newf("host %s is not known here", name)
+	}
+	_, err := s.exchange(ctx, address, message{Kind: probeKind}, directProbeTimeout)
+	return err
+}
+
+// askBack asks the sender of a request for its freshness proof if that is fresher than
+// the one of this host. The age in the request itself can't be used: it is not known how
+// long the request was under way.
+func (s *Service) askBack(ctx context.Context, from host.Identity, m message) {
+	s.mu.Lock()
+	sameVersion := m.Version == s.self.row.Version
+	s.mu.Unlock()
+	if s.proof == nil || m.ProofAge <= 0 || !sameVersion {
+		return
+	}
+	age := s.proof.Age(m.Version)
+	fresher := age == 0 || age > m.ProofAge+fresherBy
+	if !fresher || !s.askingBack.CompareAndSwap(false, true) {
+		return
+	}
+	q := &proofQuestion{service: s, host: from.Name}
+	go q.run(ctx)
+}
+
+// proofQuestion asks one host for its freshness proof.
+type proofQuestion struct {
+	service *Service
+	host    string
+}
+
+func (q *proofQuestion) run(ctx context.Context) {
+	defer q.service.askingBack.Store(false)
+	if err := q.service.AskProof(ctx, q.host); err != nil {
+		q.service.common.Count("membership.proofs.unanswered")
+	}
+}
+
 // NoticeDigests compares the notices of this host with those of others.
 type NoticeDigests interface {
 	// Digest returns the digest of this host's notices.
--- a/godwitmoord/pkg/notice/board.go
+++ b/godwitmoord/pkg/notice/board.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// emptyDigest is the digest of an empty board.
+const emptyDigest = 0
+
 // digest returns a hash over subjects and versions, regardless of their order.
 func (b *board) digest(now time.Time) uint64 {
 	var sum uint64
--- a/godwitmoord/pkg/notice/notice.go
+++ b/godwitmoord/pkg/notice/notice.go
@@ -6,10 +6,11 @@
 // host and more than once. A board holds the newest notice about each subject.
 //
 // A host that publishes a notice, or receives one that is new to it, sends it to a
-// few random hosts after a short pause. One that publishes does not, if enough others
-// sent it the same in the meantime. What is lost on the way is repaired: hosts exchange digests of their
-// boards with the membership probes, and two hosts whose boards differ compare
-// them. So a host learns what any host knows, also while it can't ask the source
+// few random hosts after a short pause; a large one it offers first, so that each host
+// receives it about once. One that publishes does not, if enough others sent it the same
+// in the meantime. What is lost on the way is repaired: hosts exchange digests of their
+// boards with the membership probes, and two hosts whose boards differ compare them. So
+// a host learns what any host knows, also while it can't ask the source
 // itself, and no path of its own is needed for each kind of fact.
 //
 // # Usage
@@ -70,6 +71,8 @@
 	board board
 	// pending holds the subjects to send.
 	pending map[key]pendingSend
+	// awaited holds until when this host waits for offered notices that it wanted.
+	awaited map[key]time.Time
 	// wake has a value while pending may hold subjects.
 	wake   chan struct{}
 	repair repairState
@@ -78,7 +81,7 @@
 // New returns a service with an empty board.
 func New(c *common.Common) *Service {
 	return &Service{
-		common: c, handlers: map[string]func(Notice) bool{}, pending: map[key]pendingSend{}, wake: make(chan struct{}, 1),
+		common: c, handlers: map[string]func(Notice) bool{}, pending: map[key]pendingSend{}, awaited: map[key]time.Time{}, wake: make(chan struct{}, 1),
 		ctx: context.Background(),
 	}
 }
--- a/godwitmoord/pkg/notice/repair.go
+++ b/godwitmoord/pkg/notice/repair.go
@@ -7,7 +7,8 @@
 
 const (
 	// differenceGrace is how long boards may differ before they are compared: until
-	// then notices are on their way.
+	// then notices are on their way. A host whose board is empty just started, and
+	// compares it at once.
 	differenceGrace = 300 * time.Millisecond
 	// minRepairPause is the shortest time between two comparisons that this host
 	// asks for. With a host whose board, like the one here, does not change, it doubles
@@ -42,7 +43,8 @@
 
 // dueFor reports whether a comparison with a host is due whose digest differs.
 func (r *repairState) dueFor(address string, digest, own uint64, now time.Time) bool {
-	if r.running || now.Sub(r.differingSince) < differenceGrace || now.Sub(r.lastStarted) < minRepairPause {
+	onTheirWay := now.Sub(r.differingSince) < differenceGrace && own != emptyDigest
+	if r.running || onTheirWay || now.Sub(r.lastStarted) < minRepairPause {
 		return false
 	}
 	p, compared := r.peers[address]
@@ -96,9 +98,8 @@
 	s := c.service
 	answer, err := s.call(ctx, c.address, message{Compare: true, Held: s.held()})
 	s.merge(answer.Notices, c.address)
-	if notices := s.wanted(answer.Wanted); err == nil && len(notices) > 0 {
-		// What is lost is found again by the next comparison.
-		_, _ = s.call(ctx, c.address, message{Notices: notices})
+	if err == nil {
+		s.sendWanted(ctx, c.address, answer.Wanted)
 	}
 	s.common.Count("notices.compared")
 	s.mu.Lock()
--- a/godwitmoord/pkg/notice/spread.go
+++ b/godwitmoord/pkg/notice/spread.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/host"
@@ -29,6 +31,12 @@
 	maxMessageNotices = 512
 	maxMessageBytes   = 768 << 10
 	sendTimeout       = 750 * time.Millisecond
+	// offeredBodyBytes is the size of a body from which a notice is offered to others
+	// first, so that each host receives it about once.
+	offeredBodyBytes = 4 << 10
+	// offerWait is how long a host that wants an offered notice waits for it before it
+	// wants it from another host.
+	offerWait = 500 * time.Millisecond
 )
 
 // wireNotice is a notice as hosts exchange it.
@@ -50,8 +58,11 @@
 	// sender's board holds.
 	Compare bool      `cbor:"2,keyasint,omitempty"`
 	Held    []heldKey `cbor:"3,keyasint,omitempty"`
-	// Wanted lists, in the answer to a comparison, what the sender lacks.
+	// Wanted lists what the sender lacks: in the answer to a comparison or to an offer,
+	// and in a request that the receiver answers with these notices.
 	Wanted []heldKey `cbor:"4,keyasint,omitempty"`
+	// Offered lists large notices that the receiver may want.
+	Offered []heldKey `cbor:"5,keyasint,omitempty"`
 }
 
 // heldKey names a subject and the version that a board holds about it.
@@ -99,23 +110,24 @@
 
 // sendPending sends the pending notices to fanOut random hosts.
 func (s *Service) sendPending(ctx context.Context) {
-	notices := s.takePending()
-	if len(notices) == 0 {
+	m := s.takePending()
+	if len(m.Notices) == 0 && len(m.Offered) == 0 {
 		return
 	}
 	for _, name := range s.targets() {
-		t := &transmission{service: s, host: name, message: message{Notices: notices}}
+		t := &transmission{service: s, host: name, message: m}
 		go t.run(ctx)
 	}
 }
 
-// takePending returns the pending notices that not enough other hosts have sent, as
-// many as one message holds. The rest stays pending.
-func (s *Service) takePending() []wireNotice {
+// takePending returns a message with the pending notices that not enough other hosts
+// have sent, as many as one message holds, and offers the large ones. The rest stays
+// pending.
+func (s *Service) takePending() message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var notices []wireNotice
+	var m message
 	size := 0
 	for k, p := range s.pending {
 		n, known := s.board.get(k, now)
@@ -123,15 +135,20 @@
 			delete(s.pending, k)
 			continue
 		}
-		if len(notices) >= maxMessageNotices || (len(notices) > 0 && size+len(n.Body) > maxMessageBytes) {
+		if len(n.Body) >= offeredBodyBytes {
+			delete(s.pending, k)
+			m.Offered = append(m.Offered, heldKey{Topic: k.topic, Subject: k.subject, Version: n.Version})
+			continue
+		}
+		if len(m.Notices) >= maxMessageNotices || (len(m.Notices) > 0 && size+len(n.Body) > maxMessageBytes) {
 			s.queue(k, p)
 			continue
 		}
 		delete(s.pending, k)
-		notices = append(notices, newWireNotice(n))
+		m.Notices = append(m.Notices, newWireNotice(n))
 		size += len(n.Body)
 	}
-	return notices
+	return m
 }
 
 // targets returns the names of fanOut random hosts that are alive.
@@ -159,9 +176,24 @@
 	if !known {
 		return
 	}
-	if _, err := s.call(ctx, address, t.message); err != nil {
+	answer, err := s.call(ctx, address, t.message)
+	if err != nil {
 		// The host learns the notices from another one, or by comparing boards.
 		s.common.Count("notices.unsent")
+		return
+	}
+	s.sendWanted(ctx, address, answer.Wanted)
+}
+
+// sendWanted sends the notices that the host at address wants, if there are any.
+func (s *Service) sendWanted(ctx context.Context, address string, wanted []heldKey) {
+	notices := s.wanted(wanted)
+	if len(notices) == 0 {
+		return
+	}
+	if _, err := s.call(ctx, address, message{Notices: notices}); err != nil {
+		// The next comparison of boards finds what the host lacks.
+		s.common.Count("notices.unsent")
 	}
 }
 
@@ -192,10 +224,49 @@
 		return nil, &peer.RefusedError{Reason: "malformed notices"}
 	}
 	s.merge(m.Notices, from.Name)
-	if !m.Compare {
+	switch {
+	case m.Compare:
+		return cbor.Marshal(s.compare(m.Held))
+	case len(m.Offered) > 0:
+		return cbor.Marshal(message{Wanted: s.choose(m.Offered)})
+	case len(m.Wanted) > 0:
+		return cbor.Marshal(message{Notices: s.wanted(m.Wanted)})
+	default:
 		return nil, nil
 	}
-	return cbor.Marshal(s.compare(m.Held))
+}
+
+// choose returns the offered notices that this host lacks and waits for from no other
+// host.
+func (s *Service) choose(offered []heldKey) []heldKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(s.awaited, func(_ key, until time.Time) bool { return !now.Before(until) })
+	var chosen []heldKey
+	for _, h := range offered {
+		version, known := s.board.version(h.key(), now)
+		if (known && version >= h.Version) || !s.awaited[h.key()].IsZero() || len(s.awaited) >= maxNotices {
+			continue
+		}
+		s.awaited[h.key()] = now.Add(offerWait)
+		chosen = append(chosen, h)
+	}
+	return chosen
+}
+
+// Fetch gets the notice that a host holds about a subject.
+func (s *Service) Fetch(ctx context.Context, host, topic, subject string) error {
+	address, known := s.members.Address(host)
+	if !known {
+		return errors.Newf("host %s is not known here", host)
+	}
+	answer, err := s.call(ctx, address, message{Wanted: []heldKey{{Topic: topic, Subject: subject}}})
+	if err != nil {
+		return err
+	}
+	s.merge(answer.Notices, host)
+	return nil
 }
 
 // merge applies the notices received from a host and schedules the new ones to be
@@ -217,6 +288,7 @@
 		return
 	}
 	s.mu.Lock()
+	delete(s.awaited, n.key())
 	isNew := s.board.put(n, time.Now())
 	if isNew {
 		s.queue(n.key(), pendingSend{})
