--- a/godwitmoord/pkg/discovery/freshness_test.go
+++ b/godwitmoord/pkg/discovery/freshness_test.go
@@ -76,7 +76,7 @@
 	prover := freshness{duty: proves}
 	is.Equal(at(prover, 2*time.Second), rest)
 	is.Equal(at(prover, 2500*time.Millisecond), askStep) // another host may stand in for it
-	is.Equal(at(prover, 4*time.Second), listStep) // its own watch is silent
+	is.Equal(at(prover, 4*time.Second), listStep)        // its own watch is silent
 }
 
 func TestHostFetchesANewerConfigurationFromAnother(t *testing.T) {
