Refuse at once what all endpoints pause for, and ask seldom for another endpoint

Cause: a request of a host that all endpoints of a service had asked for a pause waited to its end, as nothing compared the pause with its time; and a request at a silent endpoint asked its owner every 200 ms for another, also where there was none (40 asks in 9 s).

The monitor of a silent endpoint asks only while the service has another one, and half as often each time.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -26,6 +26,9 @@
 	OwnerLate Reason = "owner-late"
 	// OwnerSilent means that no owner said in time that it has the ask.
 	OwnerSilent Reason = "owner-silent"
+	// AllPaused means that each endpoint wants no request of the request's host until it
+	// is too late to start it.
+	AllPaused Reason = "all-paused"
 	// Held means that a part of the request's prompt, or the request itself, crashes
 	// endpoints.
 	Held Reason = "crashes-endpoints"
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -129,13 +129,25 @@
 	}
 	c.assignSlots(event)
 	c.interrupt()
-	if asked, isAsk := event.(Asked); isAsk && c.waiting[asked.Ask.ID] != nil {
-		// Refuse at once a request that cannot be served in time.
-		c.shed()
+	if asked, isAsk := event.(Asked); isAsk {
+		c.refuseAtOnce(asked.Ask.ID)
 	}
 	return c.actions
 }
 
+// refuseAtOnce refuses a request that just arrived and waits, if it cannot be served in
+// time, and others like it.
+func (c *Core) refuseAtOnce(id string) {
+	w := c.waiting[id]
+	switch {
+	case w == nil:
+	case c.pausedTooLong(w):
+		c.refusePaused(w)
+	default:
+		c.shed()
+	}
+}
+
 // Load returns the number of waiting requests and the number of permits held.
 func (c *Core) Load() (waiting, held int) { return len(c.waiting), len(c.held) }
 
--- a/coordination/pkg/permit/pause.go
+++ b/coordination/pkg/permit/pause.go
@@ -1,6 +1,10 @@
 package permit
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxCommonPause is the longest time for which an endpoint that wants no request from
 // one host gets none from the others either: it may be in need, or mean just that host.
@@ -19,6 +23,48 @@
 		return
 	}
 	target.pauseHost(e.Host, e.Pause.Left, c.now)
+	c.refusePausedWaiters(e.Host)
+}
+
+// refusePausedWaiters refuses the waiting requests of a host that have no time to wait
+// until an endpoint wants requests of it again.
+func (c *Core) refusePausedWaiters(host string) {
+	var paused []*waiter
+	for _, w := range c.waiting {
+		if w.ask.Host == host && c.pausedTooLong(w) {
+			paused = append(paused, w)
+		}
+	}
+	slices.SortFunc(paused, func(a, b *waiter) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, w := range paused {
+		c.refusePaused(w)
+	}
+}
+
+// refusePaused refuses a request of a host that all endpoints asked for a pause. Other
+// hosts may have one sooner, so the caller need not wait for the end of the pause.
+func (c *Core) refusePaused(w *waiter) {
+	c.dequeue(w)
+	c.refund(w)
+	c.refuseWithRetryAfter(w, AllPaused, maxCommonPause)
+}
+
+// pausedTooLong reports whether each open endpoint wants no request of the request's
+// host until it is too late to start it there. Without an open endpoint it returns false.
+func (c *Core) pausedTooLong(w *waiter) bool {
+	until := Instant(-1)
+	for _, e := range c.endpointOrder {
+		if !e.open() {
+			continue
+		}
+		if !e.isPausedFor(w.ask.Host, c.now) {
+			return false
+		}
+		if until < 0 || e.hostPauses[w.ask.Host] < until {
+			until = e.hostPauses[w.ask.Host]
+		}
+	}
+	return until >= 0 && until > c.latestLateStart(w.ask)
 }
 
 // pauseHost keeps the endpoint from getting requests of a host.
--- a/coordination/pkg/permit/returned_test.go
+++ b/coordination/pkg/permit/returned_test.go
@@ -53,7 +53,7 @@
 	is.True(granted <= 1000)
 }
 
-func TestRequestOfAHostThatItsOnlyEndpointPausesIsHeldToItsEnd(t *testing.T) {
+func TestRequestOfAHostThatItsOnlyEndpointPausesForTooLongIsRefused(t *testing.T) {
 	is := is.New(t)
 	core := newCore(permit.EndpointRules{Name: "only", Limit: 2, DecodeSpeed: 100})
 	core.Step(permit.Paused{At: at(0), Host: "entry-1", Pause: permit.Pause{Endpoint: "only", Left: time.Minute}})
--- a/godwitmoord/pkg/app/pause_test.go
+++ b/godwitmoord/pkg/app/pause_test.go
@@ -26,7 +26,7 @@
 	s.is.True(s.workers["desk-1"].Arrivals(during) <= 2)
 }
 
-func TestRequestIsHeldWhileAllEndpointsAskForAPause(t *testing.T) {
+func TestRequestIsRefusedSoonWhileAllEndpointsAskForAPause(t *testing.T) {
 	t.Parallel()
 	s := startPlatformDeployment(t)
 	s.injectFaults("desk", platformtest.WorkerFaults{Reject: true, RetryAfter: "60"})
--- a/godwitmoord/pkg/app/silent_endpoint_test.go
+++ b/godwitmoord/pkg/app/silent_endpoint_test.go
@@ -10,7 +10,7 @@
 	"godwitmoor.example/platform/platformtest"
 )
 
-func TestRequestWhoseOnlyEndpointIsSilentAsksItsOwnerAgainAndAgain(t *testing.T) {
+func TestRequestWhoseOnlyEndpointIsSilentAsksItsOwnerOnlyForItsAttempts(t *testing.T) {
 	s := newPlatformDeployment(t)
 	core, seen := observer.New(zap.InfoLevel)
 	s.log = zap.New(core)
--- a/godwitmoord/pkg/serving/inactivity.go
+++ b/godwitmoord/pkg/serving/inactivity.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
 	"godwitmoor.example/godwitmoord/pkg/dispatch"
 )
@@ -33,19 +35,33 @@
 	ctx   context.Context
 	// lastReported is the time without data at the last report to the owner.
 	lastReported time.Duration
+	// nextTry is the time without data at which a permit for another endpoint is asked
+	// for again, after the owner had none.
+	nextTry time.Duration
 }
 
 // check examines an attempt without data once and reports whether to abandon it.
 func (w *inactivityMonitor) check(s attempt.Inactivity) bool {
 	if s.Duration < w.lastReported {
 		// The endpoint sent data since the last report.
-		w.lastReported = 0
+		w.lastReported, w.nextTry = 0, 0
 	}
 	if !s.EndpointAlive && s.Duration-w.lastReported > max(minStallDelay, w.grant.Estimate) {
 		w.lastReported = s.Duration
 		w.grant.Stalled()
 	}
-	return s.Duration > w.moveDelay(s.EndpointAlive) && w.reserveOtherEndpoint()
+	if s.Duration <= max(w.moveDelay(s.EndpointAlive), w.nextTry) {
+		return false
+	}
+	w.nextTry = 2 * s.Duration
+	return w.hasOtherEndpoint() && w.reserveOtherEndpoint()
+}
+
+// hasOtherEndpoint reports whether the service has an endpoint beside the current one.
+func (w *inactivityMonitor) hasOtherEndpoint() bool {
+	return slices.ContainsFunc(w.run.request.Service.Endpoints, func(e configuration.Endpoint) bool {
+		return e.Name != w.run.endpoint && !e.Leaving
+	})
 }
 
 // moveDelay returns the time without data after which the request should run at
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -169,6 +169,8 @@
 		return text.NoEndpoint
 	case permit.QueueFull, permit.Crowded:
 		return text.QueueFull
+	case permit.AllPaused:
+		return text.AllPaused
 	case permit.OwnerLate:
 		return text.OwnerLate
 	case permit.OwnerSilent:
--- a/godwitmoord/pkg/text/text.go
+++ b/godwitmoord/pkg/text/text.go
@@ -48,6 +48,7 @@
 	KeysUnconfirmed   Reason = "keys-unconfirmed"
 	BadHeader         Reason = "bad-header"
 	CrashesEndpoints  Reason = "crashes-endpoints"
+	AllPaused         Reason = "all-paused"
 	OwnerLate         Reason = "owner-late"
 	OwnerSilent       Reason = "owner-silent"
 )
@@ -88,6 +89,7 @@
 	KeyConflict:       {"the Idempotency-Key was used for another request", "make a new key for each new request"},
 	KeyWithdrawn:      {"the request was withdrawn before it ran", "send it again with a new Idempotency-Key"},
 	Deadline:          {"the request could not be finished in time", "send it again later, or with a longer Request-Timeout"},
+	AllPaused:         {"every endpoint of the service asked this host for a pause", "send it again after Retry-After, to another host"},
 	OwnerLate:         {"the host that decides for the service is behind with its decisions", "send it again after Retry-After"},
 	OwnerSilent:       {"no host decided for the service in time", "send it again after Retry-After"},
 	QueueFull:         {"too many requests of this tier wait", "send it again after Retry-After"},
