--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -246,12 +246,17 @@
 func (d *Daemon) Stop() error {
 	started := time.Now()
 	d.status.BeginStop()
-	d.front.BeginStop()
+	bound := d.stopBound()
+	end := time.Time{}
+	if bound > 0 {
+		end = started.Add(bound)
+	}
+	d.front.BeginStop(end)
 	d.members.SetPhase(membership.Leaving)
 	time.Sleep(d.common.Settings.StopNotice.Std())
 	ctx, cancel := context.WithCancel(context.Background())
-	if bound := d.stopBound(); bound > 0 {
-		ctx, cancel = context.WithDeadline(context.Background(), started.Add(bound))
+	if bound > 0 {
+		ctx, cancel = context.WithDeadline(context.Background(), end)
 	}
 	defer cancel()
 	err := d.front.Stop(ctx)
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -1,6 +1,7 @@
 package app_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,10 +23,12 @@
 // platformDeployment is a deployment on the platform: one daemon, a stand-in for
 // the store and two workers of each service.
 type platformDeployment struct {
-	t       *testing.T
-	is      *is.I
-	store   *platformtest.Store
-	workers map[string]*platformtest.Worker
+	// stopNotice is how long a host that stops still accepts requests; default 10 ms.
+	stopNotice time.Duration
+	t          *testing.T
+	is         *is.I
+	store      *platformtest.Store
+	workers    map[string]*platformtest.Worker
 	// workerAddresses holds the address of each worker by its name.
 	workerAddresses  map[string]string
 	daemon           *app.Daemon
@@ -121,10 +124,10 @@
 	hosts, err := json.Marshal(peers)
 	s.is.NoErr(err)
 	text := fmt.Sprintf(`{"name": %q, "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
-		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": "10ms",
+		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": %q,
 		"platform": {"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": "3s", "stop-grace": "5s",
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts)
+		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), cmp.Or(s.stopNotice, 10*time.Millisecond).String(), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts)
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
