Keep shares of quotas within the bounds of a start and of the setting

Hosts whose names a starting host doesn't know were not counted as possible owners. The shares beside an owner were constants made for an overshoot of 0.1.

Change: a host waits for those in its settings again, however it starts. Listed hosts that it has not met lower its share of a quota by address as well as by name. Model services grant what the setting of the overshoot leaves them.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -119,9 +119,6 @@
 	// for them; currentDuty is what it then reads.
 	joined      atomic.Bool
 	currentDuty atomic.Uint32
-	// bootstrapping is set while this host, which just started, reads the store because
-	// it has met no other.
-	bootstrapping atomic.Bool
 	// unconfirmed is set while this host reads the store only because it stands in, and
 	// has not succeeded yet.
 	unconfirmed atomic.Bool
--- a/godwitmoord/pkg/discovery/duty.go
+++ b/godwitmoord/pkg/discovery/duty.go
@@ -62,10 +62,7 @@
 // updateDuty determines the duty of this host, and wakes the followers that it starts.
 func (s *Service) updateDuty() {
 	d, unconfirmed := follows, false
-	switch {
-	case s.bootstrapping.Load():
-		d = proves
-	case s.joined.Load():
+	if s.joined.Load() {
 		rank, now := s.rank(), time.Now()
 		d = dutyOf(rank, s.standIn.active(now))
 		unconfirmed = dutyOf(rank, false) == follows && !s.standIn.confirmedNow(now)
--- a/godwitmoord/pkg/discovery/registry.go
+++ b/godwitmoord/pkg/discovery/registry.go
@@ -19,9 +19,6 @@
 	// looks for hosts in the store.
 	joinWait   = time.Second
 	joinJitter = 500 * time.Millisecond
-	// bootstrapWait is how long a host that starts again waits for others, and up to as
-	// long again, before it reads the store alone.
-	bootstrapWait = 100 * time.Millisecond
 	// registerCheckInterval is how often a host checks whether it must register.
 	registerCheckInterval = 500 * time.Millisecond
 )
@@ -35,7 +32,6 @@
 func (r *registry) run(ctx context.Context) {
 	s := r.service
 	if !s.isListed() {
-		r.bootstrap(ctx)
 		r.awaitOthers(ctx, joinWait+rand.N(joinJitter))
 		for s.members.Alone() && ctx.Err() == nil && !s.listHosts(ctx) {
 			sleep(ctx, longRetryPause)
@@ -43,7 +39,7 @@
 		r.awaitOthers(ctx, joinWait)
 	}
 	s.joined.Store(true)
-	s.bootstrapping.Store(false)
+	s.updateDuty()
 	for s.duty() != proves && ctx.Err() == nil {
 		sleep(ctx, registerCheckInterval)
 	}
@@ -52,21 +48,6 @@
 	}
 }
 
-// bootstrap makes a host that starts again and soon meets nobody read the store at once:
-// all hosts may have been lost together, and callers wait. At the first start of the
-// deployment there is time to meet the others first.
-func (r *registry) bootstrap(ctx context.Context) {
-	s := r.service
-	if s.common.Settings.Platform.FirstStart {
-		return
-	}
-	sleep(ctx, bootstrapWait+rand.N(bootstrapWait))
-	if s.members.Alone() {
-		s.bootstrapping.Store(true)
-		s.updateDuty()
-	}
-}
-
 // awaitOthers waits until this host knows others and they had time to tell it of the
 // rest, but no longer than longest.
 func (r *registry) awaitOthers(ctx context.Context, longest time.Duration) {
--- a/godwitmoord/pkg/dispatch/limits.go
+++ b/godwitmoord/pkg/dispatch/limits.go
@@ -14,10 +14,8 @@
 	// owners use. The rest is reserved for repeats that two owners both admit
 	// during a change of owners.
 	repeatShare = 0.7
-	// Nearly all tokens of a customer go to model services, which may grant the
-	// whole quota. Plain services may grant a small share in addition, which the
-	// platform's tolerance for exceeding quotas covers.
-	modelQuotaShare = 1.0
+	// plainQuotaShare is the share of a quota that plain services may grant in addition
+	// to the model services, to which nearly all tokens of a customer go.
 	plainQuotaShare = 0.04
 	// partialFleetFactor is the factor applied to the quota share of an owner that
 	// cannot reach all hosts.
@@ -51,7 +49,7 @@
 	}
 	share := plainQuotaShare
 	if service.Kind == configuration.Model {
-		share = modelQuotaShare
+		share = modelQuotaShare(p.QuotaOvershoot)
 	}
 	for _, customer := range c.Customers {
 		if customer.Quota == nil || !customer.Quota.Bounded() {
@@ -69,6 +67,13 @@
 	event.Partial = quotaShare < 1
 }
 
+// modelQuotaShare returns the share of a quota that model services may grant: all of it,
+// or less if the platform tolerates less beyond a quota than plain services and a host
+// beside the owner grant in addition.
+func modelQuotaShare(overshoot float64) float64 {
+	return min(1, (1+overshoot)/(1+nonOwnerShare)-plainQuotaShare)
+}
+
 // tolerance returns the tokens that an owner may grant beyond a limit: none for plain
 // services, and none if the owner cannot reach the whole fleet.
 func tolerance(p *settings.Platform, service *configuration.Service, quotaShare float64) float64 {
--- a/godwitmoord/pkg/dispatch/limits_test.go
+++ b/godwitmoord/pkg/dispatch/limits_test.go
@@ -69,6 +69,20 @@
 	is.True(granted-quotaSlackShare*1000 <= 1.1*1000) // also where the slack is small beside the quota
 }
 
+func TestSharesOfAQuotaFollowTheOvershootThatThePlatformTolerates(t *testing.T) {
+	is := is.New(t)
+	for _, overshoot := range []float64{0, 0.03, 0.1, 0.3} {
+		o := ownerOnPlatform()
+		o.common.Settings.Platform.QuotaOvershoot, o.common.Settings.Platform.QuotaSlack = overshoot, 0
+		granted := 0.0
+		for _, kind := range []configuration.Kind{configuration.Model, configuration.Application} {
+			granted += quotaOf(o, kind, 1).Limit + quotaOf(o, kind, nonOwnerShare).Limit
+		}
+		is.True(granted <= (1+overshoot)*1000+0.001)
+		is.True(granted >= 1000-0.001) // no more is withheld than must be
+	}
+}
+
 func TestHostThatIsNotTheOwnerGrantsASmallShare(t *testing.T) {
 	is := is.New(t)
 	s := &serviceOwner{owner: ownerOnPlatform(), service: "pool"}
--- a/godwitmoord/pkg/membership/share.go
+++ b/godwitmoord/pkg/membership/share.go
@@ -47,16 +47,29 @@
 	return 0
 }
 
-// countUnknownListed returns the number of listed hosts that are not in the table
-// yet; s.mu is held.
+// countUnknownListed returns the number of listed hosts that are not in the table yet;
+// s.mu is held.
 func (s *Service) countUnknownListed() int {
-	count := 0
+	unknown := map[string]bool{}
 	for _, l := range s.listed {
-		if l.Name != "" && l.Name != s.self.row.Name && s.table[l.Name] == nil {
-			count++
+		if l.Role == entryRole && l.Name != s.self.row.Name && l.Address != s.self.row.Address && !s.isInTable(l) {
+			unknown[l.Address] = true
 		}
 	}
-	return count
+	return len(unknown)
+}
+
+// isInTable reports whether a listed host has a row, whatever its state; s.mu is held.
+func (s *Service) isInTable(l hostListItem) bool {
+	if l.Name != "" {
+		return s.table[l.Name] != nil
+	}
+	for _, e := range s.table {
+		if e.row.Address == l.Address {
+			return true
+		}
+	}
+	return false
 }
 
 // recordFailure records that a call to the host got no answer.
--- a/godwitmoord/pkg/notice/notice_test.go
+++ b/godwitmoord/pkg/notice/notice_test.go
@@ -27,6 +27,7 @@
 	// cutOff holds the names of hosts that nothing reaches.
 	cutOff map[string]bool
 	calls  atomic.Int64
+	bytes  atomic.Int64
 }
 
 // newNetwork returns a network of running hosts that ends with the test.
@@ -66,6 +67,7 @@
 
 func (l *link) Call(_ context.Context, address, _ string, body []byte) ([]byte, error) {
 	l.network.calls.Add(1)
+	l.network.bytes.Add(int64(len(body)))
 	time.Sleep(latency)
 	if l.network.cutOff[address] || l.network.cutOff[l.from] {
 		return nil, errors.New("cut off")
@@ -233,3 +235,29 @@
 		is.Equal(n.knowing("i-1", 1), 2)
 	})
 }
+
+func TestLargeNoticeGoesToEachHostAboutOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 70)
+		large := fact("i-1", 1)
+		large.Body = make([]byte, 20*offeredBodyBytes)
+		n.hosts["entry-0"].Publish(large)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(n.knowing("i-1", 1) >= 65) // comparing boards brings it to the rest
+		is.True(n.bytes.Load() < int64(80*len(large.Body)))
+	})
+}
+
+func TestHostFetchesWhatAnotherHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(t, 2)
+		n.hosts["entry-0"].Keep(fact("i-1", 3))
+		is.NoErr(n.hosts["entry-1"].Fetch(t.Context(), "entry-0", "fact", "i-1"))
+		is.Equal(n.knowing("i-1", 3), 2)
+		is.NoErr(n.hosts["entry-1"].Fetch(t.Context(), "entry-0", "fact", "i-2")) // it holds none
+		is.True(n.hosts["entry-1"].Fetch(t.Context(), "entry-9", "fact", "i-1") != nil)
+	})
+}
