Ask callers to come back soon when only an owner's share of a quota is used up

For 0.1 to 0.4 s the next owner of a service is asked before it knows that it is the owner, may grant a twentieth of each quota, and refused 27 requests as over quota with the time until the whole window has room: callers came back after up to 5 s, late.

Change: a request that fits the customer's quota, but not the part that this owner may grant, is refused with a Retry-After of half a second at most.

--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -12,6 +12,10 @@
 	// totalQuotaShare is the share of a customer's total quota from which an owner is
 	// taken to grant all of it.
 	totalQuotaShare = 0.99
+	// divisionRetryAfter is the longest wait advised to a caller whose request fits the
+	// quota, but not the part of it that this owner may grant: while the ownership of a
+	// service changes, it may grant the rest a moment later.
+	divisionRetryAfter = 500 * time.Millisecond
 )
 
 // Quota bounds the tokens that one owner grants to a customer in any window. It is
@@ -137,6 +141,10 @@
 	return 0, true
 }
 
+// fitsTotal reports whether an ask would fit the whole quota, of which this owner may
+// grant a part only.
+func (k *account) fitsTotal(a Ask) bool { return k.sum()+float64(a.QuotaTokens) <= k.total }
+
 // detectLowering detects that the operators lowered a quota. A smaller share of an
 // unchanged quota does not count, because other owners then grant the rest.
 func (k *account) detectLowering(q Quota, now Instant, window time.Duration) {
--- a/coordination/pkg/permit/limits_test.go
+++ b/coordination/pkg/permit/limits_test.go
@@ -242,3 +242,22 @@
 	_, granted := b.ask(repeat).(permit.Granted)
 	is.True(granted)
 }
+
+func TestCallerComesBackSoonWhenOnlyTheOwnersShareIsUsedUp(t *testing.T) {
+	is := is.New(t)
+	b := newBoundedCore()
+	quota := permit.Quota{Customer: "tower", Limit: 50, Total: 1000}
+	b.configure(permit.Configured{Quotas: []permit.Quota{quota}, EarlierGrants: permit.EarlierGrants{NoEarlierOwner: true}})
+	is.True(b.admits("tower", 40))
+	refused, isRefused := b.ask(permit.Ask{Customer: "tower", QuotaTokens: 40}).(permit.Refused)
+	is.True(isRefused)
+	is.Equal(refused.Reason, permit.OverQuota)
+	is.True(refused.RetryAfter <= 500*time.Millisecond) // another owner grants the rest, or this one soon
+	b.advance(500 * time.Millisecond)
+	quota.Limit = 1000 // all hosts know the new owner
+	b.configure(permit.Configured{Quotas: []permit.Quota{quota}})
+	is.True(b.admits("tower", 900))
+	refused, isRefused = b.ask(permit.Ask{Customer: "tower", QuotaTokens: 100}).(permit.Refused)
+	is.True(isRefused)
+	is.True(refused.RetryAfter > 2*time.Second) // the customer's own quota is used up
+}
