Correct two comments of package discovery

The usage named an old argument list, and a test's constant did not say where its number comes from. Comments only; go vet and the package's tests pass.

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -16,8 +16,8 @@
 //
 // # Usage
 //
-//	follower := discovery.New(common, store, layout)
-//	kernel.Register(kernel.Discovery, follower)
+//	service := discovery.New(common, notices, store, layout)
+//	kernel.Register(kernel.Discovery, service)
 package discovery
 
 import (
--- a/godwitmoord/pkg/discovery/freshness_test.go
+++ b/godwitmoord/pkg/discovery/freshness_test.go
@@ -103,7 +103,8 @@
 	}
 }
 
-// maxRankedStandIns is the number of hosts that rank after the provers.
+// maxRankedStandIns is the number of hosts that rank after the provers, of the twelve that
+// package membership ranks.
 const maxRankedStandIns = 12 - provers
 
 func TestStandInPausesLongerAfterEachFailure(t *testing.T) {
