--- a/review/harness/fleet/fleet.go
+++ b/review/harness/fleet/fleet.go
@@ -21,6 +21,9 @@
 	template = "deploy/settings.jsonc"
 )
 
+// zones are the zones of the sheet.
+var zones = []string{"taipei-a", "taipei-b", "taipei-c"}
+
 // Host is one machine and its process.
 type Host struct {
 	Name, Front, Readiness, Control string
@@ -35,23 +38,26 @@
 	Hosts []*Host
 	// root is the root of the repository, folder that of the settings and the logs.
 	root, folder, store string
-	limits              map[string]any
-	first               bool
+	// ip is the loopback address of all hosts.
+	ip    string
+	first bool
 }
 
-// New returns a fleet of the given size in three zones that is not started. Root is the
-// root of the repository, store the address of the platform's store.
+// New returns a fleet of the given size in three zones that is not started; its machines
+// have the names of the sheet's. Root is the root of the repository, store the address of
+// the platform's store.
 func New(root, folder, store string, size int) (*Fleet, error) {
 	f := &Fleet{root: root, folder: folder, store: store, first: true}
+	f.ip = ownAddress()
 	for n := range size {
-		ports, err := freePorts(4)
+		ports, err := freePorts(f.ip, 4)
 		if err != nil {
 			return nil, err
 		}
-		address := func(i int) string { return "127.0.0.1:" + strconv.Itoa(ports[i]) }
+		address := func(i int) string { return f.ip + ":" + strconv.Itoa(ports[i]) }
 		f.Hosts = append(f.Hosts, &Host{
-			Name: fmt.Sprintf("edge-%d", n+1), Front: address(0), Readiness: address(1), Control: address(2), status: ports[3],
-			zone: "zone-" + string(rune('a'+n%3)),
+			Name: fmt.Sprintf("edge-%s-%d", zones[n%len(zones)], n/len(zones)+1), zone: zones[n%len(zones)],
+			Front: address(0), Readiness: address(1), Control: address(2), status: ports[3],
 		})
 	}
 	return f, nil
@@ -156,7 +162,7 @@
 		seeds = append(seeds, other.Control)
 	}
 	values := map[string]any{
-		"NodeName": h.Name, "Zone": h.zone, "Ip": "127.0.0.1", "Listen.Front": h.Front, "Listen.Control": h.Control, "Listen.Readiness": h.Readiness,
+		"NodeName": h.Name, "Zone": h.zone, "Ip": f.ip, "Listen.Front": h.Front, "Listen.Control": h.Control, "Listen.Readiness": h.Readiness,
 		"InternalPorts.0": h.status, "Limits.CpuShare": 0.4, "Limits.Cores": 1, "Platform.Address": f.store, "Seeds": seeds, "FirstStart": f.first,
 		"Bounds.RevokeMs": 5000, "Bounds.DrainMs": 2000, "Bounds.GraceS": 8, "Bounds.RetryBudgetRatio": 0.2, "Bounds.RetrySlack": 58,
 		"Bounds.BudgetWindowS": 10, "Bounds.QuotaWindowS": 8, "Bounds.QuotaOvershoot": 0.1, "Bounds.QuotaSlack": 140000,
@@ -180,11 +186,18 @@
 	return filled, nil
 }
 
-// freePorts returns ports that nothing listens on.
-func freePorts(count int) ([]int, error) {
+// ownAddress returns a loopback address that other runs at the same time don't use.
+func ownAddress() string {
+	const lowest, count = 2, 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", lowest+pid/count%count, lowest+pid%count)
+}
+
+// freePorts returns ports of an address that nothing listens on.
+func freePorts(ip string, count int) ([]int, error) {
 	var ports []int
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
--- a/review/harness/platform/worker.go
+++ b/review/harness/platform/worker.go
@@ -27,12 +27,16 @@
 	Record *record.Record
 
 	address string
+	cancel  context.CancelFunc
 	store   *Store
 	born    int64
 	slots   chan struct{}
 	mu      sync.Mutex
 	present int
 	runs    map[string]int
+	ended   chan struct{}
+	// lastArrival is when the latest request arrived.
+	lastArrival time.Time
 }
 
 // Start listens on a free loopback port and registers the worker.
@@ -42,7 +46,8 @@
 		return err
 	}
 	w.address, w.store, w.born = listener.Addr().String(), store, time.Now().UnixMilli()
-	w.slots, w.runs = make(chan struct{}, w.Slots), map[string]int{}
+	w.slots, w.runs, w.ended = make(chan struct{}, w.Slots), map[string]int{}, make(chan struct{})
+	ctx, w.cancel = context.WithCancel(ctx)
 	go w.run(ctx)
 	go func() { _ = http.Serve(listener, w) }()
 	return nil
@@ -50,6 +55,7 @@
 
 // run writes the worker's entry at every beat until ctx ends.
 func (w *Worker) run(ctx context.Context) {
+	defer close(w.ended)
 	for sequence := 1; ; sequence++ {
 		w.store.Set("servers/"+w.ID, map[string]any{
 			"Service": w.Service, "Address": w.address, "Zone": w.Zone, "Version": "v1", "Slots": w.Slots,
@@ -63,6 +69,22 @@
 	}
 }
 
+// Leave removes the worker's entry without a word before, as some workers do, and returns
+// when the store acknowledged that. The worker continues to serve.
+func (w *Worker) Leave() time.Time {
+	w.cancel()
+	<-w.ended
+	w.store.Remove("servers/" + w.ID)
+	return time.Now()
+}
+
+// LastArrival returns when the latest request arrived, rejected ones included.
+func (w *Worker) LastArrival() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastArrival
+}
+
 // Runs returns how often the worker has run a request.
 func (w *Worker) Runs(id string) int {
 	w.mu.Lock()
@@ -80,6 +102,9 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	w.mu.Lock()
+	w.lastArrival = arrived
+	w.mu.Unlock()
 	w.Record.Line("worker %s: %s arrives", w.ID, id)
 	if !w.enter() {
 		header.Set("Godwitmoor-Not-Executed", "1")
