--- a/review/harness/fleet/fleet.go
+++ b/review/harness/fleet/fleet.go
@@ -49,11 +49,13 @@
 func New(root, folder, store string, size int) (*Fleet, error) {
 	f := &Fleet{root: root, folder: folder, store: store, first: true}
 	f.ip = ownAddress()
+	last := 0
 	for n := range size {
-		ports, err := freePorts(f.ip, 4)
+		ports, err := freePorts(f.ip, 4, last)
 		if err != nil {
 			return nil, err
 		}
+		last = ports[len(ports)-1]
 		address := func(i int) string { return f.ip + ":" + strconv.Itoa(ports[i]) }
 		f.Hosts = append(f.Hosts, &Host{
 			Name: fmt.Sprintf("edge-%s-%d", zones[n%len(zones)], n/len(zones)+1), zone: zones[n%len(zones)],
@@ -73,12 +75,28 @@
 	f.first = false
 	for _, h := range f.Hosts {
 		if err := h.AwaitReady(20 * time.Second); err != nil {
-			return err
+			return fmt.Errorf("%w; %s", err, f.lastLine(h))
 		}
 	}
 	return nil
 }
 
+// lastLine says whether a host's process runs, and returns the last line of its log.
+func (f *Fleet) lastLine(h *Host) string {
+	state := "its process runs"
+	select {
+	case <-h.exited:
+		state = "its process has ended"
+	default:
+	}
+	log, err := os.ReadFile(filepath.Join(f.folder, h.Name+".log"))
+	if err != nil {
+		return state
+	}
+	lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+	return fmt.Sprintf("%s; last line of its log: %s", state, lines[len(lines)-1])
+}
+
 // StartHost starts the process of one host.
 func (f *Fleet) StartHost(h *Host) error {
 	settings := filepath.Join(f.folder, h.Name+".json")
@@ -193,18 +211,27 @@
 	return fmt.Sprintf("127.%d.%d.1", lowest+pid/count%count, lowest+pid%count)
 }
 
-// freePorts returns ports of an address that nothing listens on.
-func freePorts(ip string, count int) ([]int, error) {
+// firstPort and lastPort bound the ports of hosts. They lie below those that connections
+// get from the system: one of these could take the port of a host that isn't up yet.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+// freePorts returns ports of an address that nothing listens on, after the given one.
+func freePorts(ip string, count, after int) ([]int, error) {
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", ip+":0")
+	for port := max(firstPort, after+1); port <= lastPort; port++ {
+		listener, err := net.Listen("tcp", ip+":"+strconv.Itoa(port))
 		if err != nil {
-			return nil, err
+			continue
+		}
+		listener.Close()
+		if ports = append(ports, port); len(ports) == count {
+			return ports, nil
 		}
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("%s has no %d free ports", ip, count)
 }
 
 // MemoryMB returns the resident memory of the process in MB; zero if it has ended.
