Answer requests in progress before a host's stop ends

Cause: the end of a stop shortened the deadline of requests that arrive after SIGTERM only. Those inside kept theirs, and neither they nor the owner that they waited for knew that there was less time.

Change: package serving bounds every request in progress by the stop. One that waits for a slot is asked for again with the time left; 0.3 s before the end it is refused as not-run, or, if it may have run, reported as unknown. An answer that has begun goes on. The same bound ends the waits of the product's own interface: for a claim, after a suspension.

TestRequestsInProgressWhenTheirHostStopsAreAnsweredBeforeItsEnd failed before with EOF.

--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -86,6 +86,7 @@
 		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota,
 		Routes: []platformtest.Route{
 			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
+			{Name: "patient-order", Kind: "unsafe", Service: "desk", Timeout: 9 * time.Second},
 			{Name: "lookup", Kind: "safe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true},
 			{Name: "long-chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true, MaxAttempts: 3},
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -43,9 +43,6 @@
 	maxAnswerTokens     = 1 << 20
 	// defaultBodyLimit is the largest body in bytes if the service sets no limit.
 	defaultBodyLimit = 8 << 20
-	// stopAnswerReserve is how long before the end of a stop the requests that arrived
-	// in it have their answers.
-	stopAnswerReserve = 300 * time.Millisecond
 )
 
 // Headers of callers' requests.
@@ -63,8 +60,6 @@
 	server  *http.Server
 	// stopping is true once this host stops: each answer then closes its connection.
 	stopping atomic.Bool
-	// stopEnd is when requests still in progress are cut off; nil if they are not.
-	stopEnd atomic.Pointer[time.Time]
 }
 
 // New returns a service that serves nothing until Start.
@@ -114,27 +109,13 @@
 }
 
 // BeginStop makes each answer close its connection, so that callers connect to other
-// hosts. Requests that arrive from now on get their answers by end, when those still in
-// progress are cut off; the zero time means never.
+// hosts. Requests in progress, and those that arrive from now on, get their answers by
+// end, when those still in progress are cut off; the zero time means never.
 func (s *Service) BeginStop(end time.Time) {
-	if !end.IsZero() {
-		s.stopEnd.Store(&end)
-	}
 	s.stopping.Store(true)
-}
-
-// limitByStop returns the request with a deadline that leaves time for its answer before
-// this host ends. A request that can't finish by then is refused, and its caller can send
-// it to another host; without the limit it would be cut off without an answer.
-func (s *Service) limitByStop(request serving.Request) serving.Request {
-	end := s.stopEnd.Load()
-	if end == nil {
-		return request
-	}
-	if latest := end.Add(-stopAnswerReserve); request.Deadline.After(latest) {
-		request.Deadline = latest
-	}
-	return request
+	if s.serving != nil && !end.IsZero() {
+		s.serving.BeginStop(end)
+	}
 }
 
 // Stop accepts no new connections and waits for the requests in progress. If ctx
@@ -178,7 +159,6 @@
 		s.refuse(w, request.ID, rejected.status, serving.Refused{Outcome: text.NotRun, Reason: rejected.reason, RetryAfter: rejected.retryAfter})
 		return
 	}
-	request = s.limitByStop(request)
 	writer := &answerWriter{writer: w, control: http.NewResponseController(w), request: request.ID, host: s.common.Self.Name}
 	finished := resetUnfinished(r)
 	switch result := s.serving.Serve(r.Context(), request, writer).(type) {
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -105,7 +105,7 @@
 
 // attemptRequest returns the message for the granted endpoint.
 func (r *requestRun) attemptRequest(ctx context.Context, grant *dispatch.Grant) attempt.Request {
-	message := r.request.attemptRequest(grant.Permit.ID, grant.Permit.Endpoint)
+	message := r.request.WithDeadline(r.deadline()).attemptRequest(grant.Permit.ID, grant.Permit.Endpoint)
 	message.EndpointRequest.Offset = r.relay.position.events
 	message.EndpointRequest.LastEvent = r.relay.position.lastEvent
 	if slices.Contains(r.avoid, grant.Permit.Endpoint) {
@@ -205,6 +205,6 @@
 	if !r.request.Idempotent {
 		return timeout
 	}
-	spare := time.Until(r.request.Deadline) - estimate
+	spare := time.Until(r.deadline()) - estimate
 	return min(timeout, max(spare/2, minDataTimeout))
 }
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -97,6 +97,8 @@
 	firstByteAt time.Time
 	// onFirstByte, if set, is called when an attempt returns its first byte.
 	onFirstByte func()
+	// onHeadSent, if set, is called when the head of the answer was sent.
+	onHeadSent func()
 	// readsToEnd says that the answer is read to its end even if the caller
 	// disconnects; callerGone is set when that happens.
 	readsToEnd bool
@@ -188,6 +190,9 @@
 	r.contentType, r.contentEncoding = a.Header.Get("Content-Type"), a.Header.Get("Content-Encoding")
 	r.caller.WriteHead(a.Status, header)
 	r.headSent = true
+	if r.onHeadSent != nil {
+		r.onHeadSent()
+	}
 }
 
 // forwardBytes forwards a body as it arrives.
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -113,29 +113,58 @@
 		// wait may take the request's whole time once more.
 		deadline = time.Now().Add(r.request.Deadline.Sub(r.request.Arrived))
 	}
-	id := uuid.NewString()
-	r.attempts = append(r.attempts, id)
-	waitCtx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	askedAt := time.Now()
-	grant, err := r.service.entry.Acquire(waitCtx, r.request.Service.Name, r.newAsk(id), r.times(deadline))
+	grant, err := r.ask(ctx, deadline)
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		// The host began to stop. The owner must know that there is less time.
+		grant, err = r.ask(ctx, deadline)
+	}
 	r.queueTime += time.Since(askedAt)
 	if err == nil {
 		r.recordGrant(grant)
 		return grant, nil
 	}
 	errors.As(err, &r.undecided)
+	return nil, r.unpermittedResult(err, deadline)
+}
+
+// ask asks the owner for a permit, under a new id, and waits for it until the deadline or
+// until this host's stop leaves less time than that. The error is context.Canceled if a
+// stop that begins meanwhile does.
+func (r *requestRun) ask(ctx context.Context, deadline time.Time) (*dispatch.Grant, error) {
+	id := uuid.NewString()
+	r.attempts = append(r.attempts, id)
+	stop := r.service.stop
+	limited := stop.limit(deadline)
+	ctx, cancel := context.WithDeadline(ctx, limited)
+	defer cancel()
+	if limited.Equal(deadline) {
+		unregister := context.AfterFunc(stop.begun, func() {
+			if stop.shortens(deadline) {
+				cancel()
+			}
+		})
+		defer unregister()
+	}
+	return r.service.entry.Acquire(ctx, r.request.Service.Name, r.newAsk(id), r.times(limited))
+}
+
+// unpermittedResult returns the result of a request that got no permit until its
+// deadline.
+func (r *requestRun) unpermittedResult(err error, deadline time.Time) Result {
 	if r.relay.headSent {
-		return nil, Broken{Reason: text.AnswerLost}
+		return Broken{Reason: text.AnswerLost}
 	}
-	refused := Refused{Outcome: r.refusalOutcome(), Reason: text.Deadline, RetryAfter: time.Second}
+	reason, retryAfter := permit.TooLate, time.Second
 	var rejection *dispatch.RefusedError
 	if errors.As(err, &rejection) {
-		refused.Reason = refusalReason(rejection.Reason)
-		refused.RetryAfter = rejection.RetryAfter
+		reason, retryAfter = rejection.Reason, rejection.RetryAfter
 		r.heldParts, r.owner = rejection.Held, rejection.Owner
 	}
-	return nil, refused
+	if lacksTime(reason) && r.service.stop.shortens(deadline) {
+		return r.stopResult()
+	}
+	return Refused{Outcome: r.refusalOutcome(), Reason: refusalReason(reason), RetryAfter: retryAfter}
 }
 
 // recordGrant records the permit that the next attempt uses.
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -38,11 +38,12 @@
 	record  *record.Service
 	// endpoints is nil where endpoints report that they are leaving in other ways.
 	endpoints endpointStates
+	stop      *stop
 }
 
 // New returns the service, which must be started before it serves requests.
 func New(c *common.Common) *Service {
-	s := &Service{common: c}
+	s := &Service{common: c, stop: newStop()}
 	s.sender.Dialect = c.Dialect
 	return s
 }
@@ -103,9 +104,9 @@
 	case r.Keyless:
 		deadlineCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadlinePassed)
 		defer cancel()
-		result = run.serveWithoutClaim(deadlineCtx)
+		result = run.serveBeforeStopEnds(deadlineCtx)
 	case r.Idempotent:
-		result = run.serveWithoutClaim(ctx)
+		result = run.serveBeforeStopEnds(ctx)
 	default:
 		run.relay.storeLimit = r.Claims.StoredAnswerLimit
 		run.relay.readsToEnd = true
--- a/godwitmoord/pkg/serving/with_claim.go
+++ b/godwitmoord/pkg/serving/with_claim.go
@@ -32,6 +32,8 @@
 	claimRequest := r.request.newClaimRequest(uuid.NewString())
 	waitCtx, cancel := context.WithDeadline(ctx, r.request.Deadline)
 	defer cancel()
+	waitCtx, _, cancelDue := r.service.stop.withDue(waitCtx)
+	defer cancelDue()
 	for {
 		claimResult, err := r.readClaim(waitCtx, claimRequest)
 		if err != nil {
@@ -152,7 +154,9 @@
 // endpoints only while the request cannot have run.
 func (r *requestRun) sendClaimed(ctx, waitCtx context.Context, holding claim.Holding, grant *dispatch.Grant) Result {
 	// A caller that disconnects must not cancel a request that may have run.
-	ctx = context.WithoutCancel(ctx)
+	ctx, detach, cancel := r.service.stop.withDue(context.WithoutCancel(ctx))
+	defer cancel()
+	r.relay.onHeadSent = detach
 	for tries := 1; ; tries++ {
 		err := r.sendAttempt(ctx, grant)
 		if err == nil {
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -29,6 +29,15 @@
 	maxWithheld = 8
 )
 
+// serveBeforeStopEnds serves a request that needs no claim, and answers it when answers
+// are due because this host stops.
+func (r *requestRun) serveBeforeStopEnds(ctx context.Context) Result {
+	ctx, detach, cancel := r.service.stop.withDue(ctx)
+	defer cancel()
+	r.relay.onHeadSent = detach
+	return r.serveWithoutClaim(ctx)
+}
+
 // serveWithoutClaim serves a request that needs no claim. When an attempt fails,
 // a request that may run again is sent to another endpoint, and a stream resumes
 // where it stopped. A request that may not run twice is sent again only while it
@@ -53,7 +62,7 @@
 		case errors.Is(err, errCallerDisconnected) || errors.Is(context.Cause(ctx), context.Canceled):
 			return Broken{Reason: text.AnswerLost}
 		case ctx.Err() != nil:
-			return r.deadlineResult()
+			return r.timeOverResult(ctx)
 		case errors.HasType(err, (*WithheldError)(nil)) && r.withheld < maxWithheld:
 			r.withheld++
 			sends--
@@ -112,8 +121,11 @@
 	}
 }
 
-// deadlineResult returns the result for the caller when the request's time is over.
-func (r *requestRun) deadlineResult() Result {
+// timeOverResult returns the result for the caller when the request's context has ended.
+func (r *requestRun) timeOverResult(ctx context.Context) Result {
+	if errors.Is(context.Cause(ctx), errStopEnds) {
+		return r.stopResult()
+	}
 	if r.relay.headSent {
 		return Broken{Reason: text.Deadline}
 	}
