Let the cost of decisions follow the ranks in use, not their numbers

Cause: the core kept three queues, a window and counters for each number up to the largest rank of a route, also where no route has it, and sorted all of them at each event.

Change: a tier for each rank that requests use, begun with the first of them and forgotten at a change of the configuration once none came for long. Order, weights and giving way go by the rank.

--- a/coordination/pkg/configuration/routes.go
+++ b/coordination/pkg/configuration/routes.go
@@ -152,13 +152,3 @@
 	c.Services = services
 	return c
 }
-
-// TierCount returns the number of ranks: the number of tiers, or one more than the
-// highest rank number of a route if that is larger.
-func (c *Configuration) TierCount() int {
-	count := len(c.Tiers)
-	for _, r := range c.Routes {
-		count = max(count, r.Rank+1)
-	}
-	return count
-}
--- a/coordination/pkg/configuration/routes_test.go
+++ b/coordination/pkg/configuration/routes_test.go
@@ -55,5 +55,5 @@
 	with := c.WithEndpoints(map[string][]configuration.Endpoint{"desk": {{Name: "i-1"}}})
 	is.Equal(len(with.Services[0].Endpoints), 1)
 	is.Equal(len(c.Services[0].Endpoints), 0) // the original is unchanged
-	is.Equal(c.TierCount(), 3)
+	is.Equal(with.Routes, c.Routes)
 }
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -1,6 +1,9 @@
 package permit
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 func (c *Core) ask(a Ask) {
 	if c.waiting == nil || c.waiting[a.ID] != nil {
@@ -13,7 +16,7 @@
 		})
 		return
 	}
-	a.Tier = min(max(a.Tier, 0), c.lowestTier())
+	a.Tier = max(a.Tier, 0)
 	a.Goal = c.refusedGoals.originalGoal(a, c.now)
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
 	c.sequence++
@@ -28,8 +31,9 @@
 	}
 	c.estimateWork(w)
 	c.countAsked(w)
-	c.offeredWork[a.Tier].advance(c.now)
-	c.offeredWork[a.Tier].add(c.now, w.work)
+	offered := &c.tierOf(a.Tier).offeredWork
+	offered.advance(c.now)
+	offered.add(c.now, w.work)
 	if len(c.waiting) >= c.queueLimit && !c.makeRoom(a.Tier) {
 		c.refuse(w, QueueFull)
 		return
@@ -79,12 +83,15 @@
 	return c.chargeQuota(w)
 }
 
-// makeRoom refuses one waiting request of a tier below the given one, and reports
+// makeRoom refuses one waiting request of a tier below the given rank, and reports
 // whether it found one.
-func (c *Core) makeRoom(tier int) bool {
-	for lowest := c.lowestTier(); lowest > tier; lowest-- {
+func (c *Core) makeRoom(rank int) bool {
+	for _, t := range slices.Backward(c.tiers) {
+		if t.rank <= rank {
+			return false
+		}
 		for _, kind := range []int{lateQueue, onTimeQueue} {
-			q := c.queues[queuesPerTier*lowest+kind]
+			q := t.queues[kind]
 			if len(q) == 0 {
 				continue
 			}
--- a/coordination/pkg/permit/announce.go
+++ b/coordination/pkg/permit/announce.go
@@ -16,12 +16,9 @@
 // announce tells the hosts which of their requests wait.
 func (c *Core) announce() {
 	waiting := map[string][]string{}
-	for _, q := range c.queues {
-		for _, w := range q {
-			if !w.announced && c.now.Since(w.since) >= w.announceDelay() {
-				w.announced = true
-				waiting[w.ask.Host] = append(waiting[w.ask.Host], w.ask.ID)
-			}
+	for _, t := range c.tiers {
+		for _, q := range t.queues {
+			c.announceQueue(q, waiting)
 		}
 	}
 	for _, host := range slices.Sorted(maps.Keys(waiting)) {
@@ -29,6 +26,16 @@
 	}
 }
 
+// announceQueue adds the requests of a queue whose hosts are to be told now, by host.
+func (c *Core) announceQueue(q queue, waiting map[string][]string) {
+	for _, w := range q {
+		if !w.announced && c.now.Since(w.since) >= w.announceDelay() {
+			w.announced = true
+			waiting[w.ask.Host] = append(waiting[w.ask.Host], w.ask.ID)
+		}
+	}
+}
+
 // announceDelay returns how long a request waits before its host is told so.
 func (w *waiter) announceDelay() time.Duration {
 	if w.ask.Goal == 0 || w.late {
--- a/coordination/pkg/permit/announce_test.go
+++ b/coordination/pkg/permit/announce_test.go
@@ -22,7 +22,7 @@
 func TestHostIsToldOnceWhichOfItsRequestsWait(t *testing.T) {
 	is := is.New(t)
 	var core permit.Core
-	core.Step(permit.Configured{At: start, Tiers: 1, QueueLimit: 10, Endpoints: []permit.EndpointRules{{Name: "engine-1", Limit: 1}}})
+	core.Step(permit.Configured{At: start, QueueLimit: 10, Endpoints: []permit.EndpointRules{{Name: "engine-1", Limit: 1}}})
 	for _, id := range []string{"a", "b", "c"} {
 		goal := start.After(400 * time.Millisecond)
 		core.Step(permit.Asked{At: start, Ask: permit.Ask{ID: id, Host: "entry-" + id, Deadline: start.After(time.Minute), Goal: goal, Patience: start.After(10 * time.Second)}})
--- a/coordination/pkg/permit/configure.go
+++ b/coordination/pkg/permit/configure.go
@@ -1,7 +1,5 @@
 package permit
 
-import "container/heap"
-
 func (c *Core) configure(e Configured) {
 	isFirst := c.waiting == nil
 	if isFirst {
@@ -13,7 +11,7 @@
 	c.queueLimit = e.QueueLimit
 	c.weights, c.worstWeight = e.Weights, e.WorstWeight
 	c.goodputWeight = e.GoodputWeight
-	c.resizeQueues(e.Tiers)
+	c.dropIdleTiers()
 	c.setQuotas(e.Quotas, e.QuotaWindow)
 	if isFirst {
 		c.replaceEarlierGrants(e.EarlierGrants)
@@ -43,28 +41,3 @@
 		}
 	}
 }
-
-// resizeQueues sets the number of tiers. Requests of a removed tier move to the
-// lowest remaining one.
-func (c *Core) resizeQueues(tiers int) {
-	tiers = max(tiers, 1)
-	wanted := queuesPerTier * tiers
-	for len(c.queues) < wanted {
-		c.queues = append(c.queues, queue{})
-	}
-	for len(c.queues) > wanted {
-		last := len(c.queues) - 1
-		orphans := c.queues[last]
-		c.queues = c.queues[:last]
-		for _, w := range orphans {
-			w.ask.Tier = tiers - 1
-			heap.Push(c.queueOf(w), w)
-		}
-	}
-	for len(c.meanWork) < tiers {
-		c.meanWork = append(c.meanWork, 0)
-		c.tierCounts = append(c.tierCounts, tierCount{})
-		c.offeredWork = append(c.offeredWork, slidingWindow{bucketWidth: int64(offeredWindow) / windowBuckets})
-	}
-	c.meanWork, c.offeredWork, c.tierCounts = c.meanWork[:tiers], c.offeredWork[:tiers], c.tierCounts[:tiers]
-}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -27,7 +27,7 @@
 // # Usage
 //
 //	var core permit.Core
-//	core.Step(permit.Configured{At: now, Tiers: 2, QueueLimit: 100, Endpoints: endpoints})
+//	core.Step(permit.Configured{At: now, QueueLimit: 100, Endpoints: endpoints})
 //	for _, action := range core.Step(permit.Asked{At: now, Ask: ask}) {
 //		switch a := action.(type) {
 //		case permit.Granted: // send the request to a.Endpoint, then Step(Finished)
@@ -50,28 +50,23 @@
 	goodputWeight   float64
 	suspendingCount int
 	settledAt       Instant
-	// queues holds queuesPerTier queues for each tier; serveOrder lists their
-	// indices in the order in which they are served.
-	queues     []queue
-	serveOrder []int
+	// tiers holds a tier for each rank in use, the highest first; serveOrder lists their
+	// queues in the order in which they are served.
+	tiers      []*tier
+	serveOrder []servedQueue
 	weights    []float64
 	// worstWeight is Configured.WorstWeight. worstTier is the tier with the
-	// smallest share of requests served in time; worstTierFactor multiplies its weight.
+	// smallest share of requests served in time, or nil; worstTierFactor multiplies its
+	// weight.
 	worstWeight     float64
-	worstTier       int
+	worstTier       *tier
 	worstTierFactor float64
-	tierCounts      []tierCount
-	// meanWork is the moving average of the work of each tier's requests, in
-	// slot-seconds.
-	meanWork []float64
-	// offeredWork is the work that arrived recently, by tier, in slot-seconds.
-	offeredWork   []slidingWindow
-	waiting       map[string]*waiter
-	held          map[string]*heldPermit
-	endpoints     map[string]*endpoint
-	endpointOrder []*endpoint
-	sequence      uint64
-	accounts      map[string]*account
+	waiting         map[string]*waiter
+	held            map[string]*heldPermit
+	endpoints       map[string]*endpoint
+	endpointOrder   []*endpoint
+	sequence        uint64
+	accounts        map[string]*account
 	// completeFrom is the time from which this owner made all the grants in the
 	// quota window itself.
 	completeFrom Instant
@@ -178,8 +173,10 @@
 	for _, e := range c.endpointOrder {
 		c.concludeCrash(e)
 	}
-	for i := range c.queues {
-		c.expire(&c.queues[i])
+	for _, t := range c.tiers {
+		for kind := range t.queues {
+			c.expire(&t.queues[kind])
+		}
 	}
 	c.shed()
 	c.announce()
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	var core permit.Core
-	core.Step(permit.Configured{At: start, Tiers: 3, QueueLimit: 4, Endpoints: endpoints})
+	core.Step(permit.Configured{At: start, QueueLimit: 4, Endpoints: endpoints})
 	return &core
 }
 
@@ -89,7 +89,7 @@
 func TestSlowSlotGoesToAPatientRequestBeforeALowerTier(t *testing.T) {
 	is := is.New(t)
 	var core permit.Core
-	core.Step(permit.Configured{At: start, Tiers: 2, QueueLimit: 100, Endpoints: []permit.EndpointRules{
+	core.Step(permit.Configured{At: start, QueueLimit: 100, Endpoints: []permit.EndpointRules{
 		{Name: "fast", Limit: 1, DecodeSpeed: 100}, {Name: "slow", Limit: 1, DecodeSpeed: 10},
 	}})
 	core.Step(askAt(0, "x", 0, 100, time.Minute))
@@ -160,7 +160,7 @@
 	is := is.New(t)
 	var core permit.Core
 	rules := []permit.EndpointRules{{Name: "only", Limit: 4}}
-	core.Step(permit.Configured{At: start, Tiers: 1, QueueLimit: 100, Endpoints: rules, Settle: time.Second})
+	core.Step(permit.Configured{At: start, QueueLimit: 100, Endpoints: rules, Settle: time.Second})
 	core.Step(permit.Listed{At: at(1), Host: "entry-2", Permits: []permit.Permit{
 		{ID: "old-1", Endpoint: "only"}, {ID: "old-2", Endpoint: "only"},
 	}})
@@ -261,7 +261,7 @@
 	is := is.New(t)
 	var core permit.Core
 	core.Step(permit.Configured{
-		At: start, Tiers: 2, QueueLimit: 9, GoodputWeight: 1,
+		At: start, QueueLimit: 9, GoodputWeight: 1,
 		Endpoints: []permit.EndpointRules{{Name: "only", Limit: 1, PrefillSpeed: 1e6, DecodeSpeed: 100}},
 	})
 	core.Step(askSuspendable("plan", 1, 10))
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -40,7 +40,6 @@
 	Configured struct {
 		At         Instant `json:"at"`
 		Version    int64   `json:"version"`
-		Tiers      int     `json:"tiers"`
 		QueueLimit int     `json:"queue-limit"`
 		// Weights are the relative values of an answer of each tier, the highest tier
 		// first. Without weights a higher tier is always served first.
--- a/coordination/pkg/permit/example_test.go
+++ b/coordination/pkg/permit/example_test.go
@@ -14,7 +14,7 @@
 	now := permit.Instant(0)
 	// Tier 0 is the highest. Limit is the number of requests at a time, DecodeSpeed
 	// is in tokens per second.
-	core.Step(permit.Configured{At: now, Tiers: 2, QueueLimit: 10, Endpoints: []permit.EndpointRules{
+	core.Step(permit.Configured{At: now, QueueLimit: 10, Endpoints: []permit.EndpointRules{
 		{Name: "engine", Limit: 1, DecodeSpeed: 50},
 	}})
 	show := func(actions []permit.Action) {
--- a/coordination/pkg/permit/goals_test.go
+++ b/coordination/pkg/permit/goals_test.go
@@ -29,7 +29,7 @@
 // newEnginePool returns a pool of the given endpoints, with three tiers.
 func newEnginePool(t *testing.T, endpoints ...permit.EndpointRules) *enginePool {
 	p := &enginePool{is: is.New(t), now: permit.Instant(time.Hour), grantedTo: map[string]string{}, refused: map[string]permit.Refused{}, reportsFirstPart: map[string]bool{}}
-	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 1000, Weights: tierWeights, Endpoints: endpoints})
+	p.step(permit.Configured{At: p.now, QueueLimit: 1000, Weights: tierWeights, Endpoints: endpoints})
 	return p
 }
 
@@ -149,14 +149,14 @@
 			Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second),
 		}})
 	}
-	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 1, Weights: tierWeights, Endpoints: []permit.EndpointRules{engine(1)}})
+	p.step(permit.Configured{At: p.now, QueueLimit: 1, Weights: tierWeights, Endpoints: []permit.EndpointRules{engine(1)}})
 	p.askWithGoal("running", 400*time.Millisecond)
 	p.askWithGoal("waiting", time.Second)
 	ask("refused", "tower") // the queue is full
 	_, refused := p.refused["refused"]
 	p.is.True(refused)
 	p.step(permit.Withdrawn{At: p.now, ID: "waiting"})
-	p.step(permit.Configured{At: p.now, Tiers: 3, QueueLimit: 9, Weights: tierWeights, Endpoints: []permit.EndpointRules{engine(1)}})
+	p.step(permit.Configured{At: p.now, QueueLimit: 9, Weights: tierWeights, Endpoints: []permit.EndpointRules{engine(1)}})
 	p.advance(1100 * time.Millisecond) // the goal of the refused request has passed
 	ask("back", "tower")
 	ask("first", "shop")
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -34,6 +34,7 @@
 	h.expected = e.expectedTime(a) + e.promptBacklog(c.now)
 	h.expectedEnd = c.now.After(h.estimate)
 	e.addPermit(h, c.now)
+	c.tierOf(a.Tier) // so that requests of higher tiers can interrupt it
 	c.held[a.ID] = h
 	return h
 }
--- a/coordination/pkg/permit/interrupt.go
+++ b/coordination/pkg/permit/interrupt.go
@@ -19,11 +19,14 @@
 // otherwise miss their deadlines. It runs after all free slots have been assigned.
 func (c *Core) interrupt() {
 	beingFreed := c.suspendingCount
-	for tier := 0; tier < c.lowestTier(); tier++ {
-		q := c.queues[queuesPerTier*tier+onTimeQueue]
+	for i, t := range c.tiers {
+		if i == len(c.tiers)-1 {
+			return // no lower tier has requests
+		}
+		q := t.queues[onTimeQueue]
 		urgent := c.countUrgent(q)
 		// Slots that are already being freed serve some of the urgent requests.
-		c.freeSlots(q, tier, urgent-beingFreed)
+		c.freeSlots(q, t.rank, urgent-beingFreed)
 		beingFreed = max(0, beingFreed-urgent)
 	}
 }
@@ -42,11 +45,11 @@
 // request of the queue can use. That request need not be an urgent one: a slow
 // endpoint may be too slow for the urgent ones, and still it must not serve a lower
 // tier while others of this tier wait.
-func (c *Core) freeSlots(q queue, tier, wanted int) {
+func (c *Core) freeSlots(q queue, rank, wanted int) {
 	if wanted <= 0 {
 		return
 	}
-	for _, victim := range c.victims(tier) {
+	for _, victim := range c.victims(rank) {
 		if w := c.waiterFor(q, victim.endpoint); w != nil {
 			c.suspend(victim, w.ask.ID)
 			wanted--
@@ -57,17 +60,17 @@
 	}
 }
 
-// victims returns the running requests that may be suspended for a tier: the lowest
+// victims returns the running requests that may be suspended for a rank: the lowest
 // tier first, and within a tier those with the shortest prompt first, because it must
 // be processed again.
-func (c *Core) victims(tier int) []*heldPermit {
+func (c *Core) victims(rank int) []*heldPermit {
 	var victims []*heldPermit
 	for _, e := range c.endpointOrder {
 		if !e.open() || !e.pacer.allows(c.now) {
 			continue
 		}
 		for _, h := range e.permits {
-			if h.maySuspendFor(tier) {
+			if h.maySuspendFor(rank) {
 				victims = append(victims, h)
 			}
 		}
@@ -102,9 +105,9 @@
 	return w.latestStart.After(-max(lead, interruptLead))
 }
 
-func (h *heldPermit) maySuspendFor(tier int) bool {
+func (h *heldPermit) maySuspendFor(rank int) bool {
 	running := !h.suspending && h.lostAt == 0
-	return running && h.ask.Tier > tier && h.ask.Suspendable && h.ask.Suspensions < maxSuspensions
+	return running && h.ask.Tier > rank && h.ask.Suspendable && h.ask.Suspensions < maxSuspensions
 }
 
 func (c *Core) suspend(h *heldPermit, waitingID string) {
--- a/coordination/pkg/permit/invariants_test.go
+++ b/coordination/pkg/permit/invariants_test.go
@@ -145,7 +145,7 @@
 			asks: map[string]permit.Ask{}, held: map[string]string{}, ended: map[string]bool{},
 		}
 		c.step(permit.Configured{
-			At: start, Tiers: 3, QueueLimit: 6, GoodputWeight: rapid.Float64Range(0, 1).Draw(t, "weight"),
+			At: start, QueueLimit: 6, GoodputWeight: rapid.Float64Range(0, 1).Draw(t, "weight"),
 			Endpoints: []permit.EndpointRules{
 				{Name: "a", Limit: 3, PrefillSpeed: 4000, DecodeSpeed: 60}, {Name: "b", Limit: 1, DecodeSpeed: 15},
 			},
--- a/coordination/pkg/permit/limits_test.go
+++ b/coordination/pkg/permit/limits_test.go
@@ -22,7 +22,7 @@
 // configure sends a new version of the configuration, with the settings that all
 // these tests share.
 func (b *boundedCore) configure(e permit.Configured) {
-	e.At, e.Tiers, e.QueueLimit, e.QuotaWindow = b.now, 3, 100, quotaWindow
+	e.At, e.QueueLimit, e.QuotaWindow = b.now, 100, quotaWindow
 	if e.Endpoints == nil {
 		e.Endpoints = []permit.EndpointRules{{Name: "i-1", Limit: 10_000}}
 	}
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -172,7 +172,7 @@
 	}
 	s.drawCalls(rand.New(rand.NewPCG(20261204, 8)))
 	s.step(permit.Configured{
-		At: start, Tiers: len(kinds), QueueLimit: 2000, Weights: tierWeights, WorstWeight: p.worstWeight, Endpoints: rules,
+		At: start, QueueLimit: 2000, Weights: tierWeights, WorstWeight: p.worstWeight, Endpoints: rules,
 		Quotas: p.quotas(), QuotaWindow: 8 * time.Second,
 	})
 	for ; s.now < loadSpan+20*time.Second; s.now += tick {
--- a/coordination/pkg/permit/owner_load_test.go
+++ b/coordination/pkg/permit/owner_load_test.go
@@ -85,7 +85,7 @@
 // waiting requests that can wait for minutes.
 func fullCore(waiting int) *permit.Core {
 	core := &permit.Core{}
-	configured := permit.Configured{At: start, Tiers: 3, QueueLimit: 2 * waiting, Weights: tierWeights, WorstWeight: 0.2}
+	configured := permit.Configured{At: start, QueueLimit: 2 * waiting, Weights: tierWeights, WorstWeight: 0.2}
 	for i := range 60 {
 		speed := []float64{1, 1, 0.22}[i%3]
 		configured.Endpoints = append(configured.Endpoints, permit.EndpointRules{
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -29,37 +29,41 @@
 	smallWorkShare = 0.5
 )
 
-// rankQueues sorts the queues into the order in which they are served. Without weights
+// rankQueues sorts the queues of the tiers with present or recent requests into the order in which they are served. Without weights
 // the higher tier goes first, and within a tier the requests that have begun. With
 // weights it is the c-mu rule: first the queue with the highest value for each
 // second that a request occupies a slot.
 func (c *Core) rankQueues() {
 	c.serveOrder = c.serveOrder[:0]
-	for i := range c.queues {
-		c.serveOrder = append(c.serveOrder, i)
+	for _, t := range c.tiers {
+		if !t.isOffered(c.now) {
+			continue
+		}
+		for kind := range t.queues {
+			c.serveOrder = append(c.serveOrder, servedQueue{tier: t, kind: kind})
+		}
 	}
 	if len(c.weights) == 0 {
 		return
 	}
 	c.findWorstTier()
-	slices.SortStableFunc(c.serveOrder, func(a, b int) int { return cmp.Compare(c.valuePerSecond(b), c.valuePerSecond(a)) })
+	slices.SortStableFunc(c.serveOrder, func(a, b servedQueue) int { return cmp.Compare(c.valuePerSecond(b), c.valuePerSecond(a)) })
 }
 
 // valuePerSecond returns the value of serving a request of a queue, for each second
 // that it occupies a slot.
-func (c *Core) valuePerSecond(index int) float64 {
-	tier := index / queuesPerTier
-	weight := c.weightOf(tier)
-	if tier == c.worstTier {
+func (c *Core) valuePerSecond(served servedQueue) float64 {
+	weight := c.weightOf(served.tier.rank)
+	if served.tier == c.worstTier {
 		weight *= c.worstTierFactor
 	}
-	switch index % queuesPerTier {
+	switch served.kind {
 	case begunQueue:
 		weight *= begunValue
 	case lateQueue:
 		weight *= lateValue
 	}
-	return weight / c.meanWorkOf(tier)
+	return weight / served.tier.meanWorkOrDefault()
 }
 
 // assignSlots assigns free slots to waiting requests. What no waiting request could use
@@ -93,11 +97,11 @@
 		return
 	}
 	c.rankQueues()
-	for _, index := range c.serveOrder {
+	for _, served := range c.serveOrder {
 		if len(c.freeEndpoints) == 0 {
 			return
 		}
-		c.assignFromQueue(&c.queues[index])
+		c.assignFromQueue(served.queue())
 	}
 }
 
@@ -214,12 +218,9 @@
 // than most.
 func (c *Core) hasLargerWaiters() bool {
 	typical := c.typicalWork()
-	for i, q := range c.queues {
-		if len(q) > 0 && c.meanWorkOf(i/queuesPerTier) >= typical {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.tiers, func(t *tier) bool {
+		return t.meanWorkOrDefault() >= typical && slices.ContainsFunc(t.queues[:], func(q queue) bool { return len(q) > 0 })
+	})
 }
 
 // mustStartNow reports whether a request with a goal must start now to meet it.
--- a/coordination/pkg/permit/quarantine_test.go
+++ b/coordination/pkg/permit/quarantine_test.go
@@ -31,7 +31,7 @@
 	for i := range rules {
 		rules[i] = permit.EndpointRules{Name: fmt.Sprintf("i-%03d", i), Limit: 12, PrefillSpeed: 1000, DecodeSpeed: 100}
 	}
-	p.step(permit.Configured{At: p.now, Tiers: 2, QueueLimit: 1000, Endpoints: rules})
+	p.step(permit.Configured{At: p.now, QueueLimit: 1000, Endpoints: rules})
 	return p
 }
 
@@ -263,7 +263,7 @@
 func TestEndpointThatLeavesEndsItsConnectionsWithoutACrash(t *testing.T) {
 	p := newCrashingPool(t, 1)
 	id := p.ask("s-1", "menu")
-	p.step(permit.Configured{At: p.now, Tiers: 2, QueueLimit: 10, Endpoints: []permit.EndpointRules{{Name: "i-000", Limit: 12, Leaving: true}}})
+	p.step(permit.Configured{At: p.now, QueueLimit: 10, Endpoints: []permit.EndpointRules{{Name: "i-000", Limit: 12, Leaving: true}}})
 	p.crash(id)
 	p.is.Equal(len(p.crashes), 0)
 }
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -84,9 +84,7 @@
 }
 
 // queueOf returns the queue in which a request waits.
-func (c *Core) queueOf(w *waiter) *queue { return &c.queues[queuesPerTier*w.ask.Tier+w.kind()] }
-
-func (c *Core) lowestTier() int { return len(c.queues)/queuesPerTier - 1 }
+func (c *Core) queueOf(w *waiter) *queue { return &c.tierOf(w.ask.Tier).queues[w.kind()] }
 
 func (c *Core) dequeue(w *waiter) {
 	heap.Remove(c.queueOf(w), w.position)
--- a/coordination/pkg/permit/rate_limit_test.go
+++ b/coordination/pkg/permit/rate_limit_test.go
@@ -42,7 +42,7 @@
 	for i, name := range endpoints {
 		rules[i] = permit.EndpointRules{Name: name, Limit: 20, PrefillSpeed: 1e5, DecodeSpeed: 1e4}
 	}
-	p.step(permit.Configured{At: p.now, Tiers: 2, QueueLimit: 1000, Weights: []float64{5, 1}, Endpoints: rules, RateShare: share})
+	p.step(permit.Configured{At: p.now, QueueLimit: 1000, Weights: []float64{5, 1}, Endpoints: rules, RateShare: share})
 }
 
 func (p *limitedPool) step(event permit.Event) []permit.Action {
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -11,7 +11,7 @@
 func TestEveryEventCanBeReadFromItsRecord(t *testing.T) {
 	at := permit.Instant(5)
 	events := []permit.Event{
-		permit.Configured{At: at, Tiers: 2},
+		permit.Configured{At: at},
 		permit.Regained{At: at, EarlierGrants: permit.EarlierGrants{Unread: true}},
 		permit.Asked{At: at, Ask: permit.Ask{ID: "a"}},
 		permit.Withdrawn{At: at, ID: "a"},
--- a/coordination/pkg/permit/share.go
+++ b/coordination/pkg/permit/share.go
@@ -12,8 +12,6 @@
 	// minAsked is how many requests of a tier must have been counted before its
 	// share is compared.
 	minAsked = 5
-	// noTier means that no tier is served worse than the others.
-	noTier = -1
 )
 
 // tierCount counts the recent requests of one tier, and those that were served in time.
@@ -37,7 +35,7 @@
 
 // countAsked counts an arriving request that can still meet its goal.
 func (c *Core) countAsked(w *waiter) {
-	if s := &c.tierCounts[w.ask.Tier]; w.countsForShare() {
+	if s := &c.tierOf(w.ask.Tier).count; w.countsForShare() {
 		s.decay(c.now)
 		s.asked++
 	}
@@ -45,7 +43,7 @@
 
 // countServed counts a request that was granted a slot in time.
 func (c *Core) countServed(w *waiter) {
-	if s := &c.tierCounts[w.ask.Tier]; w.countsForShare() {
+	if s := &c.tierOf(w.ask.Tier).count; w.countsForShare() {
 		s.decay(c.now)
 		s.served++
 	}
@@ -59,27 +57,27 @@
 // factor for the weight of its requests. Raising the share of the worst-served tier
 // has a value of its own, in addition to the value of all that is served.
 func (c *Core) findWorstTier() {
-	c.worstTier, c.worstTierFactor = noTier, 1
+	c.worstTier, c.worstTierFactor = nil, 1
 	if c.worstWeight == 0 {
 		return
 	}
 	totalValue, smallest := 0.0, 0.0
-	for tier := range c.tierCounts {
-		s := &c.tierCounts[tier]
+	for _, t := range c.tiers {
+		s := &t.count
 		s.decay(c.now)
 		if s.asked < minAsked {
 			continue
 		}
-		totalValue += s.asked * c.weightOf(tier)
-		if c.worstTier == noTier || s.share() < smallest {
-			c.worstTier, smallest = tier, s.share()
+		totalValue += s.asked * c.weightOf(t.rank)
+		if c.worstTier == nil || s.share() < smallest {
+			c.worstTier, smallest = t, s.share()
 		}
 	}
-	if c.worstTier != noTier {
-		own := c.tierCounts[c.worstTier].asked * c.weightOf(c.worstTier)
+	if c.worstTier != nil {
+		own := c.worstTier.count.asked * c.weightOf(c.worstTier.rank)
 		c.worstTierFactor = 1 + c.worstWeight*totalValue/own
 	}
 }
 
-// weightOf returns the relative value of an answer of a tier.
-func (c *Core) weightOf(tier int) float64 { return c.weights[min(tier, len(c.weights)-1)] }
+// weightOf returns the relative value of an answer of a rank.
+func (c *Core) weightOf(rank int) float64 { return c.weights[min(rank, len(c.weights)-1)] }
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -127,22 +127,16 @@
 	}
 	c.rankQueues()
 	workAhead, slotsLeft := 0.0, slots
-	for _, index := range c.serveOrder {
-		workAhead = c.shedQueue(&c.queues[index], workAhead, slotsLeft)
-		if index%queuesPerTier == onTimeQueue {
+	for _, served := range c.serveOrder {
+		workAhead = c.shedQueue(served.queue(), workAhead, slotsLeft)
+		if served.kind == onTimeQueue {
 			// Further requests of this queue keep arriving and are served before
 			// those of the queues after it.
-			slotsLeft = max(minSlotShare*slots, slotsLeft-c.offeredSlots(index/queuesPerTier))
+			slotsLeft = max(minSlotShare*slots, slotsLeft-served.tier.offeredSlots(c.now))
 		}
 	}
 }
 
-// offeredSlots returns the number of slots that the arriving work of a tier fills.
-func (c *Core) offeredSlots(tier int) float64 {
-	c.offeredWork[tier].advance(c.now)
-	return c.offeredWork[tier].sum() / offeredWindow.Seconds()
-}
-
 // shedQueue refuses the requests of one queue that cannot be served in time. It takes
 // the work queued ahead of the queue, in slot-seconds, and returns it including the
 // work of the queue.
--- a/coordination/pkg/permit/work.go
+++ b/coordination/pkg/permit/work.go
@@ -15,7 +15,7 @@
 		return
 	}
 	w.work = work
-	smoothOrSet(&c.meanWork[w.ask.Tier], work)
+	smoothOrSet(&c.tierOf(w.ask.Tier).meanWork, work)
 }
 
 // expectedWork returns the mean work, in slot-seconds, of a request over the open
@@ -45,20 +45,12 @@
 // typicalWork returns the mean work of the requests of all tiers.
 func (c *Core) typicalWork() float64 {
 	work, asked := 0.0, 0.0
-	for tier := range c.tierCounts {
-		work += c.tierCounts[tier].asked * c.meanWorkOf(tier)
-		asked += c.tierCounts[tier].asked
+	for _, t := range c.tiers {
+		work += t.count.asked * t.meanWorkOrDefault()
+		asked += t.count.asked
 	}
 	if asked == 0 {
 		return 0
 	}
 	return work / asked
 }
-
-// meanWorkOf returns the mean work of the requests of a tier.
-func (c *Core) meanWorkOf(tier int) float64 {
-	if work := c.meanWork[tier]; work > 0 {
-		return work
-	}
-	return defaultWork
-}
--- a/godwitmoor/pkg/commands/commands_test.go
+++ b/godwitmoor/pkg/commands/commands_test.go
@@ -104,7 +104,7 @@
 func TestExplainPrintsDecisionsAndOutcomeOfARequest(t *testing.T) {
 	w := newWorkspace(t)
 	var core permit.Core
-	core.Step(permit.Configured{At: 1, Tiers: 1, QueueLimit: 1, Endpoints: []permit.EndpointRules{{Name: "engine-1", Limit: 1}}})
+	core.Step(permit.Configured{At: 1, QueueLimit: 1, Endpoints: []permit.EndpointRules{{Name: "engine-1", Limit: 1}}})
 	asked := permit.Asked{At: 2, Ask: permit.Ask{ID: "attempt-1", Host: "entry-2", Deadline: 1e12}}
 	decision, err := permit.Line{Service: "atelier", Owner: "entry-1", Number: 2}.WithDecision(asked, core.Step(asked))
 	w.is.NoErr(err)
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -37,6 +37,8 @@
 	version          int
 	// customerKey is the customer's key in the next configuration that is written.
 	customerKey string
+	// extraRoutes are routes of the next configuration beside the usual ones.
+	extraRoutes []platformtest.Route
 	// quota is the customer's quota in tokens per second; zero means that of the stand-in.
 	quota int
 	// log is the log of the hosts that start next; nil for none.
@@ -84,7 +86,7 @@
 	s.version++
 	s.store.SetConfiguration(platformtest.Configuration{
 		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota,
-		Routes: []platformtest.Route{
+		Routes: append([]platformtest.Route{
 			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "patient-order", Kind: "unsafe", Service: "desk", Timeout: 9 * time.Second},
 			{Name: "lookup", Kind: "safe", Service: "desk", Timeout: 3 * time.Second},
@@ -92,7 +94,7 @@
 			{Name: "long-chat", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second, Resumable: true, MaxAttempts: 3},
 			{Name: "plan", Kind: "streaming", Service: "pool", Timeout: 9 * time.Second},
 			{Name: "short", Kind: "unsafe", Service: "desk", Timeout: 200 * time.Millisecond},
-		},
+		}, s.extraRoutes...),
 	})
 }
 
--- a/godwitmoord/pkg/dispatch/late_owner_test.go
+++ b/godwitmoord/pkg/dispatch/late_owner_test.go
@@ -41,7 +41,7 @@
 // host.
 func (o *slowOwner) run() {
 	o.service.step(permit.Configured{
-		At: instantNow(), Tiers: 1, QueueLimit: defaultQueueLimit, Weights: []float64{1},
+		At: instantNow(), QueueLimit: defaultQueueLimit, Weights: []float64{1},
 		Endpoints: []permit.EndpointRules{{Name: "i-1", Limit: 1000, PrefillSpeed: 125_000, DecodeSpeed: 100}},
 	})
 	ticker := time.NewTicker(tickInterval)
--- a/godwitmoord/pkg/dispatch/limits_test.go
+++ b/godwitmoord/pkg/dispatch/limits_test.go
@@ -130,7 +130,7 @@
 	s.owner.grantWriter.store = &emptyStore{}
 	s.setInherited([]permit.QuotaUsage{{Customer: "tower", Tokens: 900, Age: 2 * time.Second}})
 	s.core.Step(permit.Configured{
-		At: instantNow(), Tiers: 1, QueueLimit: 1, QuotaWindow: 8 * time.Second, Quotas: []permit.Quota{{Customer: "tower", Limit: 1000}},
+		At: instantNow(), QueueLimit: 1, QuotaWindow: 8 * time.Second, Quotas: []permit.Quota{{Customer: "tower", Limit: 1000}},
 		EarlierGrants: permit.EarlierGrants{QuotaUsed: s.inheritedInWindow()}, Endpoints: []permit.EndpointRules{{Name: "i-1", Limit: 1}},
 	})
 	s.rereadEarlierGrants()
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -77,7 +77,6 @@
 	event = permit.Configured{
 		At:            instantNow(),
 		Version:       current.Version,
-		Tiers:         current.Configuration.TierCount(),
 		QueueLimit:    service.QueueLimit,
 		GoodputWeight: current.Configuration.GoodputWeight,
 		Endpoints:     endpointRules(service),
--- a/replay/pkg/measure/decide.go
+++ b/replay/pkg/measure/decide.go
@@ -52,7 +52,7 @@
 		rules[i] = permit.EndpointRules{Name: fmt.Sprint("e", i), Limit: decideLimit, PrefillSpeed: 4000 * speed, DecodeSpeed: 35 * speed}
 	}
 	now := permit.Instant(time.Hour)
-	core.Step(permit.Configured{At: now, Tiers: decideTiers, QueueLimit: 2 * (waiting + 1), Endpoints: rules})
+	core.Step(permit.Configured{At: now, QueueLimit: 2 * (waiting + 1), Endpoints: rules})
 	d := coreDriver{core: &core, now: now}
 	for range endpoints*decideLimit + waiting {
 		d.ask()
--- a/replay/pkg/recheck/recheck_test.go
+++ b/replay/pkg/recheck/recheck_test.go
@@ -35,7 +35,7 @@
 		is.NoErr(err)
 		is.NoErr(json.NewEncoder(&out).Encode(map[string]any{"record": map[string]any{"decision": line}}))
 	}
-	step(1, permit.Configured{At: now, Tiers: 3, QueueLimit: 20, GoodputWeight: 0.5, Endpoints: []permit.EndpointRules{
+	step(1, permit.Configured{At: now, QueueLimit: 20, GoodputWeight: 0.5, Endpoints: []permit.EndpointRules{
 		{Name: "a", Limit: 3, PrefillSpeed: 2000, DecodeSpeed: 50}, {Name: "b", Limit: 2, PrefillSpeed: 900, DecodeSpeed: 20},
 	}})
 	for n := int64(2); n < 3000; n++ {
