Tell the hosts that may own a service next what was granted

Cause: the store was the one carrier of grants between owners. Without it a quota was taken as used evenly over the window, although the owner before had granted it in the last two seconds; and a host beside the owner, which may grant a twentieth, kept a twentieth as its guess when it became the owner.

Change: an owner reports its grants, and those it knows of, to the first three other hosts of the service's ranking, as often as it would write them to the store and once a second. A successor that was told all of them needs no page; owners that act at once count each other's grants. One that knows nothing takes the quotas of a model service as used a moment ago and reads again each second. What is assumed is a share of the limit in force.

TestAssumedUsageGrowsWithTheShareThatAnOwnerMayGrant failed before.

--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -65,7 +65,7 @@
 func (c *Core) chargeQuota(w *waiter) bool {
 	wait, charged := c.charge(w.ask)
 	if !charged {
-		if c.accounts[w.ask.Customer].fitsTotal(w.ask) {
+		if c.fitsTotal(w.ask) {
 			wait = min(wait, divisionRetryAfter)
 		}
 		c.refuseWithRetryAfter(w, OverQuota, wait)
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -93,6 +93,8 @@
 		c.configure(e)
 	case Regained:
 		c.regain(e.EarlierGrants)
+	case Shared:
+		c.share(e.QuotaUsed)
 	case Asked:
 		c.ask(e.Ask)
 	case Withdrawn:
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -16,8 +16,10 @@
 type EarlierGrants struct {
 	// NoEarlierOwner is set if the service had no owner before.
 	NoEarlierOwner bool `json:"first,omitempty"`
-	// Unread is set if the persisted grants could not be read.
+	// Unread is set if the persisted grants could not be read. Quotas are then assumed
+	// to be used: at the last moment if AtOnce is set, otherwise evenly over the window.
 	Unread bool `json:"unread,omitempty"`
+	AtOnce bool `json:"at-once,omitempty"`
 	// Assumed is the share of its quota that a customer is assumed to have used if
 	// no persisted grants were found for it.
 	Assumed float64 `json:"assumed,omitempty"`
@@ -25,7 +27,7 @@
 	QuotaUsed []QuotaUsage `json:"spent,omitempty"`
 }
 
-// Event is an input of the core. It is one of Configured, Regained, Asked, Withdrawn,
+// Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
 // Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Reported,
 // Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
@@ -72,6 +74,11 @@
 		At            Instant       `json:"at"`
 		EarlierGrants EarlierGrants `json:"before"`
 	}
+	// Shared reports the grants that other owners make while this owner decides.
+	Shared struct {
+		At        Instant      `json:"at"`
+		QuotaUsed []QuotaUsage `json:"spent,omitempty"`
+	}
 	// Asked adds a waiting request. It is idempotent: if the request is already
 	// granted, the core repeats the grant.
 	Asked struct {
@@ -169,6 +176,7 @@
 
 func (e Configured) at() Instant { return e.At }
 func (e Regained) at() Instant   { return e.At }
+func (e Shared) at() Instant     { return e.At }
 func (e Asked) at() Instant      { return e.At }
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -16,6 +16,8 @@
 	// quota, but not the part of it that this owner may grant: while the ownership of a
 	// service changes, it may grant the rest a moment later.
 	divisionRetryAfter = 500 * time.Millisecond
+	// minQuotaRetryAfter is the shortest wait advised to a caller beyond its quota.
+	minQuotaRetryAfter = 10 * time.Millisecond
 )
 
 // Quota bounds the tokens that one owner grants to a customer in any window. It is
@@ -49,8 +51,9 @@
 	formerLimit float64
 	loweredAt   Instant
 	// ownGrants counts the grants of this owner, otherGrants the known grants of
-	// other owners.
+	// other owners. assumed stands for those that are not known.
 	ownGrants, otherGrants slidingWindow
+	assumed                assumption
 	// unwritten is what was granted since the last call of QuotaUsed that returned
 	// the grants of the customer to write them to the store.
 	unwritten float64
@@ -61,8 +64,14 @@
 	k.otherGrants.advance(now)
 }
 
+// sum returns the known grants in the window.
 func (k *account) sum() float64 { return k.ownGrants.sum() + k.otherGrants.sum() }
 
+// used returns the known grants in the window and those that are assumed.
+func (c *Core) used(k *account) float64 {
+	return k.sum() + k.assumed.tokens(k.limit, c.now, c.quotaWindow)
+}
+
 // combined returns the grants of all owners.
 func (k *account) combined() slidingWindow {
 	all := k.ownGrants
@@ -92,7 +101,7 @@
 	}
 	for customer, k := range c.accounts {
 		k.advance(c.now)
-		if !listed[customer] && k.sum() <= 0 {
+		if !listed[customer] && c.used(k) <= 0 {
 			// Do not delete it earlier: one version may omit a customer that the
 			// next one names again.
 			delete(c.accounts, customer)
@@ -115,7 +124,7 @@
 	k.advance(c.now)
 	k.endLowering(c.now, c.quotaWindow)
 	tokens := float64(a.QuotaTokens)
-	if wait, fits := k.roomFor(tokens, limit, c.now); !fits {
+	if wait := c.timeUntilRoom(k, tokens, limit); wait > 0 {
 		return wait, false
 	}
 	k.ownGrants.add(c.now, tokens)
@@ -123,27 +132,40 @@
 	return 0, true
 }
 
-// roomFor reports whether tokens fit a limit, or returns how long until they do.
-// After a limit was lowered, the former one applies to the whole window, and the
-// lower one to the grants since then.
-func (k *account) roomFor(tokens, limit float64, now Instant) (wait time.Duration, fits bool) {
-	counted := k.combined()
+// timeUntilRoom returns how long until tokens fit a limit; zero if they do. After a limit
+// was lowered, the former one applies to the whole window, and the lower one to the grants
+// since then.
+func (c *Core) timeUntilRoom(k *account, tokens, limit float64) time.Duration {
+	counted, assumed := k.combined(), k.assumed
 	if k.formerLimit > 0 {
-		if room := k.formerLimit - min(tokens, k.formerLimit); counted.sum() > room {
-			return counted.timeUntilSum(room, now), false
+		if wait := c.timeUntilFree(&counted, assumed, tokens, k.formerLimit); wait > 0 {
+			return wait
 		}
 		counted.clearBefore(k.loweredAt)
+		if assumed.at <= k.loweredAt {
+			assumed = assumption{}
+		}
 	}
+	return c.timeUntilFree(&counted, assumed, tokens, limit)
+}
+
+// timeUntilFree returns how long until tokens fit a limit of which grants and an assumption
+// leave out a part; zero if they do.
+func (c *Core) timeUntilFree(counted *slidingWindow, assumed assumption, tokens, limit float64) time.Duration {
 	room := limit - min(tokens, limit)
-	if counted.sum() > room {
-		return counted.timeUntilSum(room, now), false
+	if counted.sum()+assumed.tokens(limit, c.now, c.quotaWindow) <= room {
+		return 0
 	}
-	return 0, true
+	wait := max(counted.timeUntilSum(room, c.now), assumed.timeUntilTokens(room-counted.sum(), limit, c.now, c.quotaWindow))
+	return max(wait, minQuotaRetryAfter)
 }
 
 // fitsTotal reports whether an ask would fit the whole quota, of which this owner may
 // grant a part only.
-func (k *account) fitsTotal(a Ask) bool { return k.sum()+float64(a.QuotaTokens) <= k.total }
+func (c *Core) fitsTotal(a Ask) bool {
+	k := c.accounts[a.Customer]
+	return c.used(k)+float64(a.QuotaTokens) <= k.total
+}
 
 // detectLowering detects that the operators lowered a quota. A smaller share of an
 // unchanged quota does not count, because other owners then grant the rest.
@@ -165,8 +187,7 @@
 }
 
 // replaceEarlierGrants replaces the known grants of other owners by the given ones. A
-// customer without any is assumed to have used a share of its quota, evenly over the
-// window.
+// customer without any is assumed to have used a share of its quota.
 func (c *Core) replaceEarlierGrants(b EarlierGrants) {
 	found := map[string]bool{}
 	for _, s := range b.QuotaUsed {
@@ -175,24 +196,37 @@
 	for customer, k := range c.accounts {
 		k.advance(c.now)
 		k.otherGrants = slidingWindow{bucketWidth: k.otherGrants.bucketWidth, newest: k.otherGrants.newest}
-		if found[customer] || b.assumedShare() == 0 {
-			continue
-		}
-		for i := range windowBuckets {
-			k.otherGrants.add(c.now.After(-time.Duration(int64(i)*k.otherGrants.bucketWidth)), b.assumedShare()*k.limit/windowBuckets)
+		k.assumed = assumption{}
+		if !found[customer] {
+			k.assumed = assumption{share: b.assumedShare(), at: c.now, atOnce: b.Unread && b.AtOnce}
 		}
 	}
-	for _, s := range b.QuotaUsed {
+	c.addOtherGrants(b.QuotaUsed)
+}
+
+func (c *Core) addOtherGrants(usage []QuotaUsage) {
+	for _, s := range usage {
 		if k := c.accounts[s.Customer]; k != nil {
 			k.otherGrants.add(c.now.After(-s.Age), s.Tokens)
 		}
 	}
 }
 
+// share replaces the known grants of other owners while this owner decides. What is
+// assumed beside them stays.
+func (c *Core) share(usage []QuotaUsage) {
+	c.completeFrom = c.now.After(c.quotaWindow)
+	for _, k := range c.accounts {
+		k.advance(c.now)
+		k.otherGrants = slidingWindow{bucketWidth: k.otherGrants.bucketWidth, newest: k.otherGrants.newest}
+	}
+	c.addOtherGrants(usage)
+}
+
 // regain applies the grants that other owners made while this owner did not decide.
 func (c *Core) regain(b EarlierGrants) {
 	c.completeFrom = c.now.After(c.quotaWindow)
-	if b.Unread {
+	if b.Unread && !b.AtOnce {
 		// The grants recorded earlier are better than none.
 		return
 	}
@@ -226,7 +260,7 @@
 	share = c.writeThreshold(share)
 	largest := 0.0
 	for _, k := range c.accounts {
-		if k.limit > 0 && k.unwritten > 0 && k.sum() > share*k.limit {
+		if k.limit > 0 && k.unwritten > 0 && c.used(k) > share*k.limit {
 			largest = max(largest, k.unwritten/k.limit)
 		}
 	}
@@ -242,7 +276,7 @@
 	for _, customer := range slices.Sorted(maps.Keys(c.accounts)) {
 		k := c.accounts[customer]
 		k.advance(c.now)
-		if k.sum() > share*k.limit {
+		if c.used(k) > share*k.limit {
 			k.unwritten = 0
 			usage = append(usage, k.ownGrants.usageByAge(customer, c.now)...)
 		}
--- a/coordination/pkg/permit/limits_test.go
+++ b/coordination/pkg/permit/limits_test.go
@@ -261,3 +261,55 @@
 	is.True(isRefused)
 	is.True(refused.RetryAfter > 2*time.Second) // the customer's own quota is used up
 }
+
+// Guards against a quota that is granted twice: what an earlier owner granted in the last
+// moments, unknown to this one, counts for a whole window.
+func TestNewOwnerThatKnowsNoGrantsTakesQuotasAsUsedAMomentAgo(t *testing.T) {
+	is := is.New(t)
+	b := newBoundedCore()
+	b.configure(permit.Configured{Quotas: towerQuota(1000), EarlierGrants: permit.EarlierGrants{Unread: true, AtOnce: true}})
+	b.advance(quotaWindow - time.Second)
+	refused, isRefusal := b.ask(permit.Ask{Customer: "tower", QuotaTokens: 10}).(permit.Refused)
+	is.True(isRefusal)
+	is.Equal(refused.RetryAfter, time.Second)
+	b.advance(time.Second)
+	is.True(b.admits("tower", 1000))
+}
+
+// What is assumed is a share of the quota, not tokens: a host beside the owner may grant a
+// small part, and more once it becomes the owner itself.
+func TestAssumedUsageGrowsWithTheShareThatAnOwnerMayGrant(t *testing.T) {
+	for _, atOnce := range []bool{false, true} {
+		is := is.New(t)
+		b := newBoundedCore()
+		small := []permit.Quota{{Customer: "tower", Limit: 50, Total: 1000}}
+		b.configure(permit.Configured{Quotas: small, EarlierGrants: permit.EarlierGrants{Unread: true, AtOnce: atOnce}})
+		b.advance(time.Second)
+		b.configure(permit.Configured{Quotas: []permit.Quota{{Customer: "tower", Limit: 1000, Total: 1000}}})
+		is.True(!b.admits("tower", 200))
+	}
+}
+
+func TestGrantsReadLaterEndWhatIsAssumed(t *testing.T) {
+	is := is.New(t)
+	b := newBoundedCore()
+	b.configure(permit.Configured{Quotas: towerQuota(1000), EarlierGrants: permit.EarlierGrants{Unread: true, AtOnce: true}})
+	is.True(!b.admits("tower", 10))
+	found := []permit.QuotaUsage{{Customer: "tower", Tokens: 600, Age: time.Second}}
+	b.core.Step(permit.Regained{At: b.now, EarlierGrants: permit.EarlierGrants{Assumed: 0.5, QuotaUsed: found}})
+	is.True(!b.admits("tower", 500))
+	is.True(b.admits("tower", 400))
+}
+
+func TestGrantsOfAnOwnerBesideCountAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBoundedCore()
+	tolerant := []permit.Quota{{Customer: "tower", Limit: 1000, Tolerance: 200}}
+	b.configure(permit.Configured{Quotas: tolerant, EarlierGrants: permit.EarlierGrants{NoEarlierOwner: true}})
+	is.True(b.admits("tower", 300))
+	for _, tokens := range []float64{200, 500} { // the later report replaces the earlier one
+		b.core.Step(permit.Shared{At: b.now, QuotaUsed: []permit.QuotaUsage{{Customer: "tower", Tokens: tokens}}})
+	}
+	is.True(!b.admits("tower", 300)) // nor is the tolerance used while another owner grants
+	is.True(b.admits("tower", 200))
+}
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -73,6 +73,8 @@
 		return decode[Stalled](l.Event)
 	case "regained":
 		return decode[Regained](l.Event)
+	case "shared":
+		return decode[Shared](l.Event)
 	case "warned":
 		return decode[Warned](l.Event)
 	case "limited":
@@ -116,6 +118,8 @@
 		return "failed"
 	case Stalled:
 		return "stalled"
+	case Shared:
+		return "shared"
 	case Regained:
 		return "regained"
 	case Warned:
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -13,6 +13,7 @@
 	events := []permit.Event{
 		permit.Configured{At: at},
 		permit.Regained{At: at, EarlierGrants: permit.EarlierGrants{Unread: true}},
+		permit.Shared{At: at, QuotaUsed: []permit.QuotaUsage{{Customer: "tower", Tokens: 1}}},
 		permit.Asked{At: at, Ask: permit.Ask{ID: "a"}},
 		permit.Withdrawn{At: at, ID: "a"},
 		permit.Finished{At: at, ID: "a", Usage: permit.Usage{Total: time.Second}},
--- a/godwitmoord/pkg/app/leaving_test.go
+++ b/godwitmoord/pkg/app/leaving_test.go
@@ -36,6 +36,7 @@
 type platformFleet struct {
 	*platformDeployment
 	hosts    []platformHost
+	peers    []string
 	accesses []*platformtest.Access
 }
 
@@ -47,23 +48,31 @@
 	f.writeConfiguration()
 	f.registerWorker("desk-1", false)
 	f.registerWorker("desk-2", false)
-	var names, peers []string
+	f.startHosts("desk")
+	return f
+}
+
+// startHosts starts the hosts, of which the first owns a service, and waits until all of
+// them serve.
+func (f *platformFleet) startHosts(service string) {
+	t := f.t
+	t.Helper()
+	var names []string
 	for i := range fleetSize {
-		names, peers = append(names, fmt.Sprint("entry-", i+1)), append(peers, freeAddress(t))
+		names, f.peers = append(names, fmt.Sprint("entry-", i+1)), append(f.peers, freeAddress(t))
 	}
-	for i, name := range host.Ranked(names, "desk", fleetSize) {
+	for i, name := range host.Ranked(names, service, fleetSize) {
 		access := platformtest.NewAccess(f.store)
 		server := httptest.NewServer(access)
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		f.accesses = append(f.accesses, access)
-		f.hosts = append(f.hosts, f.startHostAt(platformHost{name: name, store: server.URL, peerAddress: peers[i]}, peers))
+		f.hosts = append(f.hosts, f.startHostAt(platformHost{name: name, store: server.URL, peerAddress: f.peers[i]}, f.peers))
 	}
 	for _, h := range f.hosts {
 		f.eventually("the host is ready", func() bool { return readinessStatusAt(h.readinessAddress) == http.StatusOK })
 		f.eventually("the host serves", func() bool { return f.lookUpAt(h).Status == http.StatusOK })
 	}
 	time.Sleep(time.Second) // hosts without a service begin their long watches
-	return f
 }
 
 func (f *platformFleet) lookUpAt(h platformHost) platformtest.Answer {
--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -25,10 +25,12 @@
 type platformDeployment struct {
 	// stopNotice is how long a host that stops still accepts requests; default 10 ms.
 	stopNotice time.Duration
-	t          *testing.T
-	is         *is.I
-	store      *platformtest.Store
-	workers    map[string]*platformtest.Worker
+	// keyRevocation is how long a removed key may be accepted; default 3 s.
+	keyRevocation time.Duration
+	t             *testing.T
+	is            *is.I
+	store         *platformtest.Store
+	workers       map[string]*platformtest.Worker
 	// workerAddresses holds the address of each worker by its name.
 	workerAddresses  map[string]string
 	daemon           *app.Daemon
@@ -39,6 +41,8 @@
 	customerKey string
 	// extraRoutes are routes of the next configuration beside the usual ones.
 	extraRoutes []platformtest.Route
+	// engines are the services whose endpoints are model engines.
+	engines []string
 	// quota is the customer's quota in tokens per second; zero means that of the stand-in.
 	quota int
 	// log is the log of the hosts that start next; nil for none.
@@ -85,7 +89,7 @@
 func (s *platformDeployment) writeConfiguration() {
 	s.version++
 	s.store.SetConfiguration(platformtest.Configuration{
-		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota,
+		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota, Engines: s.engines,
 		Routes: append([]platformtest.Route{
 			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "patient-order", Kind: "unsafe", Service: "desk", Timeout: 9 * time.Second},
@@ -126,14 +130,15 @@
 	h.frontAddress, h.readinessAddress = freeAddress(s.t), freeAddress(s.t)
 	hosts, err := json.Marshal(peers)
 	s.is.NoErr(err)
+	keyRevocation := cmp.Or(s.keyRevocation, 3*time.Second)
 	text := fmt.Sprintf(`{"name": %q, "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
 		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": %q,
-		"platform": {"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": "3s", "stop-grace": "5s",
+		"platform": {"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": %q, "stop-grace": "5s",
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), cmp.Or(s.stopNotice, 10*time.Millisecond).String(), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts)
+		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), cmp.Or(s.stopNotice, 10*time.Millisecond).String(), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts, keyRevocation.String())
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
-	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(3*time.Second))
+	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(keyRevocation))
 	if s.log == nil {
 		s.log = zap.NewNop()
 	}
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/ring"
 )
@@ -59,6 +60,8 @@
 	Incarnation int64  `cbor:"5,keyasint"`
 	// Held are the parts of prompts that the owner holds.
 	Held []permit.HeldParts `cbor:"6,keyasint,omitempty"`
+	// Number rises with each page of the process for the service.
+	Number int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // grantsKey returns the key prefix of the pages of a service.
@@ -156,7 +159,9 @@
 	held []permit.HeldParts
 }
 
-// readEarlierGrants reads what earlier owners of a service persisted.
+// readEarlierGrants reads what earlier owners of a service persisted, and adds what other
+// hosts reported of their grants. Without an answer of the store that is enough if they
+// reported all.
 func (w *grantWriter) readEarlierGrants(service string) persisted {
 	if w.store == nil {
 		return persisted{}
@@ -164,30 +169,39 @@
 	platform := w.owner.common.Settings.Platform
 	ctx, cancel := context.WithTimeout(w.owner.ctx, readTimeout)
 	defer cancel()
+	known, window := w.owner.knownGrants(service), platform.QuotaWindow.Std()
 	pages, err := w.readPages(ctx, service)
-	if err != nil {
+	if err != nil && !known.isComplete(window) {
 		w.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
 		return persisted{grants: permit.EarlierGrants{Unread: true}}
 	}
-	if platform.FirstStart && len(pages) == 0 {
+	if err == nil && platform.FirstStart && len(pages) == 0 && known.isEmpty() {
 		// Every owner writes a page when it starts, so without pages there was no
 		// earlier owner.
+		known.learn(nil, true, window)
 		return persisted{grants: permit.EarlierGrants{NoEarlierOwner: true}}
 	}
 	found := persisted{grants: permit.EarlierGrants{Assumed: assumedUsedShare}}
+	var reports []knownReport
 	for _, page := range pages {
-		usage := page.inWindow(platform.QuotaWindow.Std())
-		found.grants.QuotaUsed = append(found.grants.QuotaUsed, usage...)
+		reports = append(reports, page.known(window))
 		found.held = append(found.held, page.heldNow()...)
-		if page.Host == w.owner.common.Self.Name {
-			found.inherited = append(found.inherited, usage...)
-		}
 	}
-	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)),
+	known.learn(reports, err == nil, window)
+	ofSelf, ofOthers := known.usage(w.owner.common.Self.Name, window)
+	found.inherited, found.grants.QuotaUsed = ofSelf, slices.Concat(ofSelf, ofOthers)
+	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Bool("store-read", err == nil),
 		zap.Int("lines", len(found.grants.QuotaUsed)), zap.Int("held-parts", len(found.held)))
 	return found
 }
 
+// known returns what the page says of its writer's grants.
+func (p grantPage) known(window time.Duration) knownReport {
+	return knownReport{
+		process: host.Identity{Name: p.Host, Incarnation: p.Incarnation}, number: p.Number, usage: p.inWindow(window), at: time.Now(),
+	}
+}
+
 // heldNow returns the parts of prompts that the writer of the page still holds.
 func (p grantPage) heldNow() []permit.HeldParts {
 	age := max(0, time.Since(time.Unix(0, p.Written)))
@@ -244,7 +258,10 @@
 		return
 	}
 	s.lastWrite = time.Now()
-	if usage := s.core.QuotaUsed(persistThreshold); len(usage) > 0 {
+	usage := s.core.QuotaUsed(persistThreshold)
+	s.pageNumber++
+	s.shareGrants(usage)
+	if len(usage) > 0 {
 		s.queuePage(usage)
 	}
 }
@@ -273,7 +290,7 @@
 	self := s.owner.common.Self
 	usage = append(s.inheritedInWindow(), usage...)
 	page := grantPage{
-		Service: s.service, Usage: usage, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation,
+		Service: s.service, Usage: usage, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation, Number: s.pageNumber,
 		Held: s.core.HeldParts(),
 	}
 	if !w.pages.Offer(page) {
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -40,6 +40,10 @@
 	// ownerChangeTime is how long after a change of owners entries may still send
 	// asks to the former owner.
 	ownerChangeTime = 1200 * time.Millisecond
+	// rereadInterval is how often an owner without all earlier grants reads them again.
+	rereadInterval = time.Second
+	// maxKnownServices bounds the services of which the grants of other hosts are known.
+	maxKnownServices = 4096
 )
 
 // Owner runs the decision cores of the services that this host owns.
@@ -53,9 +57,13 @@
 	deliverLocal func(from host.Identity, m ownerMessage)
 	ctx          context.Context
 	grantWriter  grantWriter
+	// toOwners sends messages to the owners on other hosts.
+	toOwners peer.Outbox
 
 	mu       sync.Mutex
 	services map[string]*serviceOwner
+	// known holds what is known of the grants of other hosts, by service.
+	known map[string]*knownGrants
 
 	shareMu sync.Mutex
 	share   float64
@@ -63,7 +71,7 @@
 
 // NewOwner creates an Owner without any services; Start looks up its dependencies.
 func NewOwner(c *common.Common) *Owner {
-	return &Owner{common: c, services: map[string]*serviceOwner{}}
+	return &Owner{common: c, services: map[string]*serviceOwner{}, known: map[string]*knownGrants{}}
 }
 
 // Start begins to handle messages from entries, and to write grants to the store
@@ -89,6 +97,7 @@
 	}
 	o.ctx = ctx
 	o.outbox = peer.Outbox{TargetService: kernel.Dispatch, Service: peers, Address: o.members.Address, OnUnreachable: o.members.Avoid}
+	o.toOwners = peer.Outbox{TargetService: kernel.Owner, Service: peers, Address: o.members.Address, OnUnreachable: o.members.Avoid}
 	peers.Handle(kernel.Owner, peer.Inbox(o.receive))
 	if o.common.Settings.Platform != nil {
 		if o.grantWriter.store, err = kernel.Lookup[grantStore](o.common.Kernel, kernel.Discovery); err != nil {
@@ -153,6 +162,9 @@
 }
 
 func (o *Owner) handle(from host.Identity, m entryMessage) error {
+	if m.Kind == grantsKind {
+		return o.learnGrants(m)
+	}
 	events := m.events(from.Name)
 	if len(events) == 0 {
 		return &peer.RefusedError{Reason: "message to an owner has an unknown kind or lacks a field of its kind"}
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -19,6 +19,8 @@
 	progressKind
 	limitKind
 	pauseKind
+	// grantsKind is a message from one owner to others.
+	grantsKind
 )
 
 // entryMessage is a message from an entry to the owner of a service.
@@ -53,6 +55,10 @@
 	// Pauses holds how long endpoints want no request from the entry's host. A message
 	// of pauseKind has one.
 	Pauses []permit.Pause `cbor:"17,keyasint,omitempty"`
+	// Reports holds what processes granted. Complete is set if it is all that was granted
+	// in the quota window. A message of grantsKind has them.
+	Reports  []grantReport `cbor:"18,keyasint,omitempty"`
+	Complete bool          `cbor:"19,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -112,6 +112,18 @@
 	return s.currentCandidates().ownerOf(service)
 }
 
+// Successors returns the hosts that may own a service next, or do already, without this one:
+// of the live hosts that are large enough those that rank first for it, at most count. They
+// need not be ready.
+func (s *Service) Successors(service string, count int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	able := s.largeHosts(s.liveNames())
+	ranked := host.Ranked(able, service, min(count+1, len(able)))
+	others := slices.DeleteFunc(ranked, func(name string) bool { return name == s.self.row.Name })
+	return others[:min(count, len(others))]
+}
+
 // StoreReaders returns the hosts that are to read the platform's store for all others,
 // the first in charge first, and maxStoreReaders at most. They are alive, but need not
 // be ready. Of those with at least half of the largest capacity, the one that ranks first
