Read the store soon when none of its readers answers

Cause: every wait that the budget of the bound adds up begins with a reader that lives. A host that learns from others can't tell readers with nothing to say from readers that are gone, and had no time by which it must find out.

Change: answers to probes and questions say whether their host reads the store. A host that none has told so for 0.35 of the bound asks one reader, then all of them, and reads the store itself after 0.55 of it, for twice the bound.

--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -210,7 +210,9 @@
 	notices := notice.New(d.common)
 	d.members.SetNoticeDigests(notices)
 	d.kernel.Register(kernel.Release, d.release)
-	d.kernel.Register(kernel.Discovery, discovery.New(d.common, notices, platform.NewStore(p.Store), platform.Layout{}))
+	found := discovery.New(d.common, notices, platform.NewStore(p.Store), platform.Layout{})
+	d.members.SetStoreReader(found)
+	d.kernel.Register(kernel.Discovery, found)
 	// Discovery handles notices, so none may arrive before it has started.
 	d.kernel.Register(kernel.Notice, notices)
 }
--- a/godwitmoord/pkg/discovery/budget.go
+++ b/godwitmoord/pkg/discovery/budget.go
@@ -32,6 +32,16 @@
 // word, because the entry may have lapsed in an outage of the store.
 func (b budget) grace() time.Duration { return min(b.bound*3/4, outageGrace) }
 
+// silence is how long no reader of the store may have answered a host that doesn't read it
+// before the host asks one of them, and answer how long it then waits for that one, and as
+// long again for all of them, before it reads the store itself. contactCheck is the interval
+// at which it looks, and replaceTerm how long it reads the store: until the lost readers are
+// known as lost, and others take over.
+func (b budget) silence() time.Duration      { return b.bound * 35 / 100 }
+func (b budget) answer() time.Duration       { return b.bound * 10 / 100 }
+func (b budget) contactCheck() time.Duration { return b.bound * 25 / 1000 }
+func (b budget) replaceTerm() time.Duration  { return 2 * b.bound }
+
 // freshnessBudget divides the bound on how long a customer's key may be accepted after
 // its removal between the waits on the way of a freshness proof. A host accepts no keys
 // when its proof is nearly as old as the bound.
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -73,8 +73,11 @@
 	// HostAhead a host whose version is above the given one.
 	NewestVersion() int64
 	HostAhead(version int64) (string, bool)
-	// AskProof asks a host for its freshness proof.
+	// AskProof asks a host for its freshness proof, and whether it reads the store.
+	// LastReader returns when a host last told this one that it does; zero if none ever
+	// did.
 	AskProof(ctx context.Context, name string) error
+	LastReader() time.Time
 	// Alone reports whether no other live host is known, and FleetDiscovered whether the
 	// fleet is known well enough to take a role.
 	Alone() bool
@@ -174,6 +177,7 @@
 	go s.endpoints.run(ctx)
 	go (&registry{service: s}).run(ctx)
 	go (&freshnessChecker{service: s}).run(ctx)
+	go (&readerContact{service: s}).run(ctx)
 	go s.loop(ctx)
 }
 
@@ -241,6 +245,17 @@
 	}
 }
 
+// ReadsStore reports whether this host watches the endpoints in the store, and has listed
+// them.
+func (s *Service) ReadsStore() bool {
+	if !s.readsEndpoints() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.syncedRevision > 0
+}
+
 // Put writes data that must survive a restart of all hosts. It overwrites any
 // earlier value of the key.
 func (s *Service) Put(ctx context.Context, key string, value []byte) error {
--- a/godwitmoord/pkg/discovery/discovery_test.go
+++ b/godwitmoord/pkg/discovery/discovery_test.go
@@ -89,6 +89,8 @@
 		is.True(b.longPause()+b.spread()+b.repair()+b.forward() <= bound*7/10)
 		// The pause and the age of the notice are taken off the grace.
 		is.True(b.grace()+b.spread()+b.forward() < bound)
+		// All readers are lost, and this host reads the store itself.
+		is.True(b.silence()+2*b.answer()+3*b.contactCheck()+b.forward() <= bound*7/10)
 	}
 }
 
--- a/godwitmoord/pkg/discovery/fleet_test.go
+++ b/godwitmoord/pkg/discovery/fleet_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -84,6 +85,17 @@
 	return nil
 }
 
+// turnAwayAll makes the store refuse the calls of hosts.
+func (s *fleetStore) turnAwayAll(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.turnedAway[name] = true
+	}
+	close(s.changed) // the watches that wait end, too
+	s.changed = make(chan struct{})
+}
+
 // callsIn returns how many calls the store gets in a span.
 func (s *fleetStore) callsIn(span time.Duration) int {
 	s.mu.Lock()
@@ -161,6 +173,12 @@
 	store *fleetStore
 	names []string
 	hosts map[string]*Service
+
+	mu sync.Mutex
+	// lost holds the hosts without power, and told when each host was last told by another
+	// one that it reads the store.
+	lost map[string]bool
+	told map[string]time.Time
 }
 
 // jsonLayout is a plainLayout whose configuration is its version.
@@ -186,7 +204,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := &simulatedFleet{
 			store: &fleetStore{entries: map[string]keyvalue.Entry{}, changed: make(chan struct{}), turnedAway: map[string]bool{}},
-			hosts: map[string]*Service{},
+			hosts: map[string]*Service{}, lost: map[string]bool{}, told: map[string]time.Time{},
 		}
 		f.store.write("configuration", []byte("1"))
 		f.store.write("endpoints/i-1", []byte("{}"))
@@ -268,15 +286,7 @@
 }
 
 // turnAway makes the store refuse the calls of the first readers.
-func (f *simulatedFleet) turnAway(readers int) {
-	f.store.mu.Lock()
-	defer f.store.mu.Unlock()
-	for _, name := range f.ranked()[:readers] {
-		f.store.turnedAway[name] = true
-	}
-	close(f.store.changed) // the watches that wait end, too
-	f.store.changed = make(chan struct{})
-}
+func (f *simulatedFleet) turnAway(readers int) { f.store.turnAwayAll(f.ranked()[:readers]) }
 
 func (f *simulatedFleet) ranked() []string { return host.Ranked(f.names, "readers", 12) }
 
@@ -311,9 +321,44 @@
 	return "", false
 }
 
+// unansweredAfter is how long a question to a host without power is waited for.
+const unansweredAfter = 400 * time.Millisecond
+
+// isLost reports whether one of the hosts has no power.
+func (f *simulatedFleet) isLost(names ...string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(names, func(name string) bool { return f.lost[name] })
+}
+
+// lose takes the power of hosts. They stay in the lists of the others, which don't know it
+// yet.
+func (f *simulatedFleet) lose(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.lost[name] = true
+	}
+}
+
+func (v *fleetView) LastReader() time.Time {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	return v.fleet.told[v.self]
+}
+
 // AskProof exchanges proofs, and the host that is asked asks back, as membership does.
 func (v *fleetView) AskProof(_ context.Context, name string) error {
+	if v.fleet.isLost(name, v.self) {
+		time.Sleep(unansweredAfter)
+		return errors.New("no answer")
+	}
 	v.pull(name)
+	if v.fleet.hosts[name].ReadsStore() {
+		v.fleet.mu.Lock()
+		v.fleet.told[v.self] = time.Now()
+		v.fleet.mu.Unlock()
+	}
 	(&fleetView{fleet: v.fleet, self: name}).pull(v.self)
 	return nil
 }
@@ -357,7 +402,7 @@
 		if rand.IntN(100) == 0 {
 			delay = 600 * time.Millisecond
 		}
-		go (&delivery{to: g.fleet.hosts[name].notices.(*gossip), notice: n, delay: delay}).run()
+		go (&delivery{from: g.self, to: g.fleet.hosts[name].notices.(*gossip), notice: n, delay: delay}).run()
 	}
 }
 
@@ -390,6 +435,7 @@
 
 // delivery brings one notice to one host.
 type delivery struct {
+	from   string
 	to     *gossip
 	notice notice.Notice
 	delay  time.Duration
@@ -397,6 +443,9 @@
 
 func (d *delivery) run() {
 	time.Sleep(d.delay)
+	if d.to.fleet.isLost(d.from, d.to.self) {
+		return
+	}
 	if d.to.put(d.notice) {
 		d.to.handlers[d.notice.Topic](d.notice)
 	}
@@ -474,6 +523,29 @@
 	}
 }
 
+// Guards against requests to an endpoint that has left from a host that doesn't read the
+// store, when all that read it are lost at the moment of the leaving.
+func TestHostsLearnOfALeavingInTimeThoughAllReadersAreLost(t *testing.T) {
+	for _, size := range fleetSizes {
+		for _, lost := range []int{provers + listeners, size - 1} {
+			playFleet(t, size, func(is *is.I, f *simulatedFleet) {
+				f.store.write("endpoints/i-2", []byte("{}"))
+				f.timeUntil(func(s *Service) bool { return len(s.presentNames()) == 2 })
+				time.Sleep(10 * time.Second)
+				ranked := host.Ranked(f.names, "readers", size)
+				f.lose(ranked[:lost])
+				f.store.turnAwayAll(ranked[:lost])
+				f.store.write("endpoints/i-2", nil)
+				took := f.timeUntil(func(s *Service) bool { return f.isLost(s.common.Self.Name) || s.release.HasLeft("i-2") })
+				t.Logf("%d hosts, %d lost: the others know after %v", size, lost, took)
+				is.True(took <= leavingBound-budget{bound: leavingBound}.forward())
+				calls := f.store.callsIn(10 * time.Second)
+				t.Logf("%d hosts, %d lost: %d calls in 10 s after it", size, lost, calls)
+			})
+		}
+	}
+}
+
 func TestAllStartTogetherWithFewCalls(t *testing.T) {
 	for _, size := range fleetSizes {
 		playFleet(t, size, func(is *is.I, f *simulatedFleet) {
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -71,6 +71,10 @@
 	// askingBack is set while this host asks another one for its fresher proof.
 	askingBack atomic.Bool
 	notices    NoticeDigests
+	// storeReader is nil where hosts don't read a platform's store.
+	storeReader StoreReader
+	// lastReader is when a host last answered that it reads the store, or may do.
+	lastReader time.Time
 	// differingProbes is the number of probes in a row that found a different
 	// table.
 	differingProbes int
--- a/godwitmoord/pkg/membership/message.go
+++ b/godwitmoord/pkg/membership/message.go
@@ -34,6 +34,8 @@
 	// ProofAge is the time since the sender's version was last proven to be the
 	// newest (the age of its freshness proof); zero if it never was.
 	ProofAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// Reads says in the reply to a probe whether the sender reads the platform's store.
+	Reads storeReading `cbor:"10,keyasint,omitempty"`
 	// Notices is the digest of the sender's notices, nil if it has none.
 	Notices *uint64 `cbor:"9,keyasint,omitempty"`
 }
@@ -99,6 +101,7 @@
 	reply := message{Kind: m.Kind}
 	switch m.Kind {
 	case probeKind:
+		reply.Reads = s.storeReading()
 	case indirectProbeKind:
 		_, err := s.exchange(context.Background(), m.Target, message{Kind: probeKind}, directProbeTimeout)
 		reply.Reached = err == nil
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -136,6 +136,7 @@
 		}
 		return
 	}
+	s.recordReader(reply.Reads)
 	if s.syncDue(reply.Digest) {
 		s.sync(ctx, p.target.Address)
 	}
--- a/godwitmoord/pkg/membership/version.go
+++ b/godwitmoord/pkg/membership/version.go
@@ -71,15 +71,19 @@
 	return ahead[rand.IntN(len(ahead))], true
 }
 
-// AskProof asks a host for its freshness proof. An error means that the host did not
-// answer; an answer may hold no proof.
+// AskProof asks a host for its freshness proof, and whether it reads the store. An error
+// means that the host did not answer; an answer may hold no proof.
 func (s *Service) AskProof(ctx context.Context, name string) error {
 	address, known := s.Address(name)
 	if !known {
 		return errors.Newf("host %s is not known here", name)
 	}
-	_, err := s.exchange(ctx, address, message{Kind: probeKind}, directProbeTimeout)
-	return err
+	reply, err := s.exchange(ctx, address, message{Kind: probeKind}, directProbeTimeout)
+	if err != nil {
+		return err
+	}
+	s.recordReader(reply.Reads)
+	return nil
 }
 
 // askBack asks the sender of a request for its freshness proof if that is fresher than
