Count the grace of a removed entry from when a reader last answered

Cause: the grace counts from when the entry may have been removed, but a host that begins to read counted from its first reading. A host that had stopped reading in an outage also took that outage as going on when it read again.

Change: on a host that begins to read, changes are as old as the last answer of a host that reads. What it knew of the store's state is forgotten when it stops reading.

TestNewReaderTakesTheSilenceOfReadersOffTheGrace failed before.

Result: the test passes. The tests of followers now have an empty fleet, as followers ask it.

--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -165,7 +165,8 @@
 		if f.wanted() {
 			return true
 		}
-		f.lastEnd = time.Time{}
+		// What this host knew of the store's state is of no use later.
+		f.lastEnd, f.lost = time.Time{}, false
 		f.listed = f.listed && !f.prompt
 		select {
 		case <-ctx.Done():
@@ -222,12 +223,16 @@
 
 // changesAge returns how long ago the changes may have been made that a call of the given
 // length returned: during a watch that waited for them, and otherwise since the call
-// before, of which the pause between two watches is the usual part. After an outage of
-// the store it is zero: what lapsed in the outage may still come back.
+// before, of which the pause between two watches is the usual part. A host that begins to
+// read has learned of changes from others, as long as one that reads answered it. After an
+// outage of the store it is zero: what lapsed in the outage may still come back.
 func (f *follower) changesAge(took time.Duration, u update) time.Duration {
-	if f.lost || f.lastEnd.IsZero() || (!u.complete && took > maxAnswerDelay) {
+	if f.lost || (!u.complete && took > maxAnswerDelay) {
 		return 0
 	}
+	if f.lastEnd.IsZero() {
+		return f.service.sinceLastReader()
+	}
 	return min(time.Since(f.lastEnd), f.service.budget().longPause())
 }
 
--- a/godwitmoord/pkg/discovery/follower_test.go
+++ b/godwitmoord/pkg/discovery/follower_test.go
@@ -14,6 +14,7 @@
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/reply"
 	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/membership"
 	"godwitmoor.example/godwitmoord/pkg/notice"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 )
@@ -69,8 +70,10 @@
 		Log: zap.NewNop(), Metrics: metrics.NewRegistry(),
 		Settings: settings.Settings{Platform: &settings.Platform{LeavingBound: document.Duration(2 * time.Second)}},
 	}
+	s := New(c, notice.New(c), store, nil)
+	s.members = membership.New(c)
 	return &follower{
-		service: New(c, notice.New(c), store, nil), wanted: func() bool { return true }, watchDuration: constant(watch), batchDelay: constant(batch), maxPause: constant(time.Second),
+		service: s, wanted: func() bool { return true }, watchDuration: constant(watch), batchDelay: constant(batch), maxPause: constant(time.Second),
 		apply: func(update) {}, afterCall: func(time.Duration) {},
 	}
 }
--- a/godwitmoord/pkg/discovery/reader_contact.go
+++ b/godwitmoord/pkg/discovery/reader_contact.go
@@ -116,6 +116,12 @@
 	return now.Sub(event)
 }
 
+// sinceLastReader returns for how long no host has told this one that it reads the store;
+// zero if none ever did.
+func (s *Service) sinceLastReader() time.Duration {
+	return since(s.members.LastReader(), time.Now())
+}
+
 // readers returns the hosts that read the store for all others while none is lost.
 func (s *Service) readers() []string {
 	ranked := s.members.StoreReaders()
