Test that answers without end are not kept while their callers wait

Cause: the users report a machine that kept all bytes of a faulty worker, in a head or in a body, until the caller closed. Heads, rejections, error bodies and framing are bounded here and tested; answers that are passed on to callers that read nothing were not tested.

Change: a test with 16 callers that read nothing, for chunks, a body up to the end of its connection, an event without end, and trailers without end.

--- a/godwitmoord/pkg/app/platform_endless_test.go
+++ b/godwitmoord/pkg/app/platform_endless_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"godwitmoor.example/platform/platformtest"
 )
 
@@ -75,9 +78,10 @@
 	c.endpoint.open.Add(1)
 	defer c.endpoint.open.Add(-1)
 	_, err = fmt.Fprintf(c.conn, c.endpoint.begin, request.Header.Get("Godwitmoor-Attempt-Id"))
+	part := []byte(c.endpoint.part)
 	for err == nil {
 		time.Sleep(c.endpoint.interval)
-		_, err = io.WriteString(c.conn, c.endpoint.part)
+		_, err = c.conn.Write(part)
 	}
 }
 
@@ -153,3 +157,59 @@
 		})
 	}
 }
+
+// Guards against answers without end that a host keeps in memory until their callers close.
+func TestAnswersWithoutEndCostLittleMemoryWhileTheirCallersWait(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nGodwitmoor-Attempt-Id: %s\r\n"
+	text := strings.Repeat("a", 1<<10)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	for _, test := range []struct{ name, path, begin, part string }{
+		{"chunks", "/lookup/7", head + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+		{"up to the end of the connection", "/lookup/7", head + "Connection: close\r\n\r\n", text},
+		{"an event", "/chat/7", head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+		{"trailers", "/lookup/7", head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newPlatformDeployment(t)
+			var endpoints []*endlessEndpoint
+			for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
+				endpoint := startEndlessEndpoint(t, test.begin, test.part, 0)
+				endpoints = append(endpoints, endpoint)
+				s.workerAddresses[name] = endpoint.listener.Addr().String()
+			}
+			s.writeConfiguration()
+			for _, name := range []string{"desk-1", "desk-2", "pool-1", "pool-2"} {
+				s.registerWorker(name, false)
+			}
+			s.startHost()
+			s.eventually("the host is ready", func() bool { return s.readinessStatus() == http.StatusOK })
+			before := liveMemory()
+			callers := make([]net.Conn, endlessCallers)
+			for i := range callers {
+				callers[i] = s.sendAndReadNothing(test.path)
+			}
+			for range 4 {
+				time.Sleep(heapInterval * 25)
+				kept := liveMemory() - before
+				t.Logf("%d KiB kept", kept>>10)
+				s.is.True(kept < maxEndlessHeap)
+			}
+			for _, conn := range callers {
+				conn.Close()
+			}
+			s.eventually("all connections are closed", func() bool {
+				return !slices.ContainsFunc(endpoints, func(e *endlessEndpoint) bool { return e.open.Load() > 0 })
+			})
+		})
+	}
+}
+
+// sendAndReadNothing sends a request whose answer is not read.
+func (s *platformDeployment) sendAndReadNothing(path string) net.Conn {
+	conn, err := net.Dial("tcp", s.frontAddress)
+	s.is.NoErr(err)
+	s.t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: shop.example\r\nGodwitmoor-Attempt-Id: %s\r\nGodwitmoor-Deadline-Ms: 9000\r\nX-Api-Key: good-key\r\nContent-Length: 0\r\n\r\n", path, uuid.NewString())
+	s.is.NoErr(err)
+	return conn
+}
