Keep a host with a very short leaving bound from checking its readers all the time

Cause: the interval is a part of the bound, and the settings take any bound above zero.

Change: 10 ms at least.

Result: package discovery passes.

--- a/godwitmoord/pkg/discovery/budget.go
+++ b/godwitmoord/pkg/discovery/budget.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// minContactCheck keeps a host with a very short bound from looking all the time.
+const minContactCheck = 10 * time.Millisecond
+
 // budget divides the bound on how long after its leaving an endpoint may still get
 // requests between the waits on the way from the store to the endpoint. Every wait on
 // that way is a part of it, so that their sum stays below the bound of any deployment.
@@ -39,7 +42,7 @@
 // known as lost, and others take over.
 func (b budget) silence() time.Duration      { return b.bound * 35 / 100 }
 func (b budget) answer() time.Duration       { return b.bound * 10 / 100 }
-func (b budget) contactCheck() time.Duration { return b.bound * 25 / 1000 }
+func (b budget) contactCheck() time.Duration { return max(b.bound*25/1000, minContactCheck) }
 func (b budget) replaceTerm() time.Duration  { return 2 * b.bound }
 
 // freshnessBudget divides the bound on how long a customer's key may be accepted after
