Tell a host that it is told of no further grants

Cause: a host that was told all grants of a window counted as knowing them for a window. One that is told only while others that rank before it are away knew nothing of what came later. Reports of this host's own earlier process that came after its first ones were not counted.

Change: owners tell a host that drops out of their successors that it is told no more, and what a host was told counts for 2.5 s, or for as long as it owns the service itself. Four successors, so that a loss of many hosts seldom takes all of them. Grants of earlier processes of a host are counted from the same reports as those of others.

--- a/godwitmoord/pkg/dispatch/earlier_grants.go
+++ b/godwitmoord/pkg/dispatch/earlier_grants.go
@@ -44,7 +44,7 @@
 	known := s.owner.knownGrants(s.service)
 	changed := known.takeChange()
 	switch {
-	case s.reread.Swap(false), s.isUnread() && known.isComplete(s.quotaWindow()):
+	case s.reread.Swap(false), s.isUnread() && known.isComplete():
 		s.unreadUntil = time.Time{}
 		s.step(s.regained(permit.EarlierGrants{Assumed: assumedUsedShare, QuotaUsed: s.grantsOfOthers()}, s.assumedShare))
 	case changed && !s.isUnread():
@@ -52,14 +52,11 @@
 	}
 }
 
-// grantsOfOthers returns the known grants of other processes. Those of earlier incarnations
-// of this host are kept to stay on its page, which it overwrites.
+// grantsOfOthers returns the known grants of other processes, with those of earlier
+// incarnations of this host.
 func (s *serviceOwner) grantsOfOthers() []permit.QuotaUsage {
 	ofSelf, ofOthers := s.owner.knownGrants(s.service).usage(s.owner.common.Self.Name, s.quotaWindow())
-	if len(s.inherited) == 0 {
-		s.setInherited(ofSelf)
-	}
-	return append(ofOthers, s.inheritedInWindow()...)
+	return append(ofOthers, ofSelf...)
 }
 
 func (s *serviceOwner) quotaWindow() time.Duration {
--- a/godwitmoord/pkg/dispatch/grant_reports.go
+++ b/godwitmoord/pkg/dispatch/grant_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"godwitmoor.example/coordination/pkg/host"
@@ -14,7 +15,7 @@
 	// window.
 	reportSteps = 16
 	// successors is how many hosts that may own a service next are told of its grants.
-	successors = 3
+	successors = 4
 )
 
 // grantReport is what one process granted for a service in the quota window.
@@ -92,13 +93,24 @@
 		}
 	}
 	m := entryMessage{Kind: grantsKind, Service: s.service, Reports: reports, Complete: isComplete}
-	for _, name := range s.owner.members.Successors(s.service, successors) {
-		if !s.owner.toOwners.Send(s.owner.ctx, name, m) {
-			s.owner.common.Count("owner.reports.dropped")
+	before := s.told
+	s.told = s.owner.members.Successors(s.service, successors)
+	for _, name := range s.told {
+		s.tell(name, m)
+	}
+	for _, name := range before {
+		if !slices.Contains(s.told, name) {
+			s.tell(name, entryMessage{Kind: grantsKind, Service: s.service, Ended: true})
 		}
 	}
 }
 
+func (s *serviceOwner) tell(name string, m entryMessage) {
+	if !s.owner.toOwners.Send(s.owner.ctx, name, m) {
+		s.owner.common.Count("owner.reports.dropped")
+	}
+}
+
 // learnGrants records the reports of another host.
 func (o *Owner) learnGrants(m entryMessage) error {
 	p := o.common.Settings.Platform
@@ -116,10 +128,39 @@
 			learned = append(learned, report)
 		}
 	}
-	o.knownGrants(m.Service).learn(learned, m.Complete, window)
+	known := o.knownGrants(m.Service)
+	known.learn(learned, m.Complete, window)
+	if m.Ended {
+		known.endComplete()
+	}
 	return nil
 }
 
+// keepKnownGrants keeps what this host was told of services that it owns now and for which
+// it got no ask yet: nobody else grants until it does.
+func (o *Owner) keepKnownGrants() {
+	window := o.common.Settings.Platform.QuotaWindow.Std()
+	for service, known := range o.knownWithoutAsks() {
+		if known.isComplete() && o.members.OwnerOf(service) == o.common.Self.Name {
+			known.learn(nil, true, window)
+		}
+	}
+}
+
+// knownWithoutAsks returns what is known of the services for which this host got no message
+// yet.
+func (o *Owner) knownWithoutAsks() map[string]*knownGrants {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := map[string]*knownGrants{}
+	for service, k := range o.known {
+		if o.services[service] == nil {
+			known[service] = k
+		}
+	}
+	return known
+}
+
 // knownGrants returns what is known of the grants for a service.
 func (o *Owner) knownGrants(service string) *knownGrants {
 	o.mu.Lock()
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -110,6 +110,7 @@
 			return
 		case <-time.After(shareInterval):
 		}
+		w.owner.keepKnownGrants()
 		shareChanged := w.updateShare()
 		for _, s := range w.owner.activeServices() {
 			if s.updateOwnership() || shareChanged {
@@ -152,9 +153,6 @@
 // persisted is what the pages of a service say.
 type persisted struct {
 	grants permit.EarlierGrants
-	// inherited holds the grants of an earlier incarnation of this host, which is
-	// about to overwrite that page.
-	inherited []permit.QuotaUsage
 	// held are the parts of prompts that owners hold.
 	held []permit.HeldParts
 }
@@ -171,7 +169,7 @@
 	defer cancel()
 	known, window := w.owner.knownGrants(service), platform.QuotaWindow.Std()
 	pages, err := w.readPages(ctx, service)
-	if err != nil && !known.isComplete(window) {
+	if err != nil && !known.isComplete() {
 		w.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
 		return persisted{grants: permit.EarlierGrants{Unread: true}}
 	}
@@ -189,7 +187,7 @@
 	}
 	known.learn(reports, err == nil, window)
 	ofSelf, ofOthers := known.usage(w.owner.common.Self.Name, window)
-	found.inherited, found.grants.QuotaUsed = ofSelf, slices.Concat(ofSelf, ofOthers)
+	found.grants.QuotaUsed = slices.Concat(ofOthers, ofSelf)
 	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Bool("store-read", err == nil),
 		zap.Int("lines", len(found.grants.QuotaUsed)), zap.Int("held-parts", len(found.held)))
 	return found
@@ -266,19 +264,11 @@
 	}
 }
 
-// setInherited stores the grants of an earlier incarnation of this host, so that they
-// stay on the page until they leave the quota window.
-func (s *serviceOwner) setInherited(grants []permit.QuotaUsage) {
-	if len(grants) > 0 {
-		s.inherited, s.inheritedAt = grants, time.Now()
-	}
-}
-
-// inheritedInWindow returns the inherited grants that are still in the quota window,
-// with their present ages.
-func (s *serviceOwner) inheritedInWindow() []permit.QuotaUsage {
-	page := grantPage{Usage: slices.Clone(s.inherited), Written: s.inheritedAt.Add(maxClockDifference).UnixNano()}
-	return page.inWindow(s.owner.common.Settings.Platform.QuotaWindow.Std())
+// inherited returns the grants of earlier incarnations of this host, which stay on its page
+// until they leave the quota window.
+func (s *serviceOwner) inherited() []permit.QuotaUsage {
+	ofSelf, _ := s.owner.knownGrants(s.service).usage(s.owner.common.Self.Name, s.quotaWindow())
+	return ofSelf
 }
 
 // queuePage queues a page that holds the inherited grants and the given ones.
@@ -288,7 +278,7 @@
 		return
 	}
 	self := s.owner.common.Self
-	usage = append(s.inheritedInWindow(), usage...)
+	usage = append(s.inherited(), usage...)
 	page := grantPage{
 		Service: s.service, Usage: usage, Written: time.Now().UnixNano(), Host: self.Name, Incarnation: self.Incarnation, Number: s.pageNumber,
 		Held: s.core.HeldParts(),
--- a/godwitmoord/pkg/dispatch/known_grants.go
+++ b/godwitmoord/pkg/dispatch/known_grants.go
@@ -16,6 +16,9 @@
 	// reportRetention times the quota window is how long a report is kept. Its grants leave
 	// the window before that; it then only shows that another host passes on an old one.
 	reportRetention = 4
+	// knownFor is how long a host that was told all grants counts as knowing them. Owners
+	// tell their successors once a second at least.
+	knownFor = 2500 * time.Millisecond
 )
 
 // knownReport holds what a process granted for a service, with the ages at the time when it
@@ -46,8 +49,8 @@
 type knownGrants struct {
 	mu      sync.Mutex
 	reports map[host.Identity]knownReport
-	// completeAt is when this host last knew all grants of the window; zero if it never
-	// did.
+	// completeAt is when this host last knew all grants of the window; zero if it does not
+	// know them.
 	completeAt time.Time
 	// changed is set if grants became known since takeChange was last called.
 	changed bool
@@ -88,12 +91,18 @@
 	k.changed = true
 }
 
-// isComplete reports whether this host has known all grants within the window, so that it
-// knows all that still count. Owners tell their successors of each grant after that.
-func (k *knownGrants) isComplete(window time.Duration) bool {
+// isComplete reports whether this host knows all grants of the window.
+func (k *knownGrants) isComplete() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.completeAt.IsZero() && time.Since(k.completeAt) < window
+	return !k.completeAt.IsZero() && time.Since(k.completeAt) < knownFor
+}
+
+// endComplete records that this host is not told of further grants.
+func (k *knownGrants) endComplete() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.completeAt = time.Time{}
 }
 
 // isEmpty reports whether no grants are known.
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -28,10 +28,6 @@
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
 	lastAsk   time.Time
-	// inherited holds the grants of an earlier incarnation of this host, with their
-	// ages at inheritedAt.
-	inherited   []permit.QuotaUsage
-	inheritedAt time.Time
 	// isOwner is set while this host is the owner according to its own list of ready
 	// hosts. Hosts that can't reach the owner may send asks here even when it is
 	// not set.
@@ -47,6 +43,8 @@
 	assumedShare float64
 	// unreadUntil is until when grants may count that are not known here, zero if all are.
 	unreadUntil time.Time
+	// told are the hosts that were told of the grants last.
+	told []string
 	// pageNumber counts the times at which the grants were written or reported.
 	pageNumber int64
 }
@@ -111,7 +109,6 @@
 	s.updateOwnership()
 	s.outdated.Store(false)
 	earlier := s.owner.grantWriter.readEarlierGrants(s.service)
-	s.setInherited(earlier.inherited)
 	if !earlier.grants.NoEarlierOwner {
 		s.assumedShare, s.rereadAt = assumedUsedShare, time.Now().Add(ownerChangeTime)
 	}
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -59,6 +59,8 @@
 	// in the quota window. A message of grantsKind has them.
 	Reports  []grantReport `cbor:"18,keyasint,omitempty"`
 	Complete bool          `cbor:"19,keyasint,omitempty"`
+	// Ended is set if the receiver is not told of further grants.
+	Ended bool `cbor:"20,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
