--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -204,7 +204,7 @@
 // registerPlatformServices registers the services that use the platform's store
 // and protocol.
 func (d *Daemon) registerPlatformServices(p *settings.Platform) {
-	d.common.Dialect = platform.Dialect{}
+	d.common.Dialect, d.common.Features = platform.Dialect{}, platform.Features(p.Terms)
 	d.release = release.New(d.common, nil)
 	d.members.SetFreshnessProof(d.release)
 	notices := notice.New(d.common)
--- a/godwitmoord/pkg/common/common.go
+++ b/godwitmoord/pkg/common/common.go
@@ -22,6 +22,8 @@
 	Metrics metrics.Registry
 	// Dialect translates the headers of messages to and from callers and endpoints.
 	Dialect exchange.Dialect
+	// Features are the optional parts that this deployment calls for.
+	Features exchange.Features
 }
 
 // Count adds one to the named counter.
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -53,6 +53,11 @@
 	// use. Hosts with more own services; zero if it is not known.
 	ProcessorShare float64 `json:"processor-share,omitempty"`
 	ProcessorCores int     `json:"processor-cores,omitempty"`
+	// Memory is the memory that the process may use, in MiB, and Descriptors the number
+	// of its file descriptors. Zero means that what the host holds for callers,
+	// endpoints and other hosts is not bounded by it.
+	Memory      int `json:"memory,omitempty"`
+	Descriptors int `json:"descriptors,omitempty"`
 	// Record writes every decision to the log.
 	Record bool `json:"record,omitempty"`
 	// Platform is set when the platform's store holds the configuration, the
@@ -95,6 +100,17 @@
 	// FirstStart is set when the whole deployment starts for the first time, so
 	// that no permits can have been granted earlier.
 	FirstStart bool `json:"first-start,omitempty"`
+	// Terms are the platform's names of the rules that apply to this deployment. They
+	// switch on the features that these rules call for.
+	Terms []string `json:"terms,omitempty"`
+	// ExposureShare and ExposureSlack bound the requests that reach a new version of an
+	// endpoint's software until it has proven itself: a fraction of the requests of its
+	// service, and a number of requests. Without ExposureShare no rollouts are served.
+	ExposureShare float64 `json:"exposure-share,omitempty"`
+	ExposureSlack float64 `json:"exposure-slack,omitempty"`
+	// RevertBound is how long after a new version has proven to be bad requests may
+	// still reach it.
+	RevertBound document.Duration `json:"revert-bound,omitempty"`
 	// QuotaWindow is the time window over which a customer's quota is counted.
 	QuotaWindow document.Duration `json:"quota-window"`
 	// QuotaOvershoot and QuotaSlack are what the platform tolerates beyond a quota
@@ -228,6 +244,9 @@
 	if s.ProcessorCores < 0 || s.ProcessorCores > maxProcessorCores {
 		add("/processor-cores", "is not a number of cores", "set it to 1 or more, or leave it out")
 	}
+	if s.Memory < 0 || s.Descriptors < 0 {
+		add("/memory", "memory or descriptors is below zero", "set both to zero or above, or leave them out")
+	}
 	if s.DeadAfter < 2*s.Heartbeat {
 		add("/dead-after", "is less than twice the heartbeat", "set it to twice the heartbeat or more")
 	}
@@ -263,6 +282,9 @@
 	if slices.ContainsFunc(p.RankWeights, func(weight float64) bool { return weight <= 0 }) {
 		add("rank-weights", "a weight is not above zero", "set a weight above zero for each rank, or omit the list")
 	}
+	if p.ExposureShare < 0 || p.ExposureShare > 1 || p.ExposureSlack < 0 || p.RevertBound < 0 {
+		add("exposure-share", "exposure-share is not between 0 and 1, or exposure-slack or revert-bound is below zero", "correct them, or leave out all three")
+	}
 	if p.WorstRankWeight < 0 {
 		add("worst-rank-weight", "is below zero", "set it to zero or above")
 	}
