Read how slow an endpoint's machine is, and schedule by it while that lasts

Cause: some endpoints add a fourth value to Godwitmoor-Load, how long work takes on their machine now. Such a header was dropped, so owners sent requests to endpoints in slow moments and learned these moments as slow endpoints.

Change: exchange.Load and ParseLoad; the three values are read whatever follows them. A grant says what the owner last heard, and the entry reports a response that differs by a quarter; messages that are sent anyway carry the latest unusual value with its age. The core keeps the last value for 600 ms, lengthens estimates by the time that is lost meanwhile, and learns rates from times less what was lost. Interim answers that name a slowness are heard, and one without a limit does not end a limit.

--- a/coordination/pkg/exchange/exchange.go
+++ b/coordination/pkg/exchange/exchange.go
@@ -107,10 +107,10 @@
 	// Offset is the number of parts that the answer leaves out because the caller
 	// has them; zero if the endpoint stated none.
 	Offset int
-	// Running, Waiting and Places are the endpoint's load: the requests that run,
-	// the requests that wait, and the number that can run at the same time. Places
-	// is zero if the endpoint did not send its load.
-	Running, Waiting, Places int
+	// Interim is set if more heads of the same answer follow.
+	Interim bool
+	// Load is the load of the endpoint.
+	Load Load
 	// Limit is the rate of requests that the endpoint takes.
 	Limit RateLimit
 	// IdleLimit is how long the endpoint keeps an idle connection open; zero if it
--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -57,6 +57,9 @@
 		// Limit is the limit that the endpoint names, as far as this owner knows; nil if
 		// it names none.
 		Limit *RateLimit `json:"limit,omitempty"`
+		// Slowness is what this owner last heard of the endpoint's slowness; zero if that
+		// was usual, or nothing. The host reports one that differs.
+		Slowness float64 `json:"slowness,omitempty"`
 	}
 	// Queued tells a host which of its requests wait for a slot, once for each of them
 	// that was not granted at once. The host can then tell a request that waits from one
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -107,6 +107,8 @@
 		c.fail(e)
 	case Limited:
 		c.limitRate(e.Limit)
+	case Slowed:
+		c.slow(e)
 	case Paused:
 		c.pause(e)
 	case Warned:
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -74,6 +74,7 @@
 	changed    bool
 	crashWatch crashWatch
 	pacer      ratePacer
+	slowness   slowness
 	// hostPauses holds until when the endpoint wants no requests of single hosts.
 	hostPauses map[string]Instant
 	// evaluations counts how often the times of a request at this endpoint were worked
@@ -158,7 +159,7 @@
 
 // addPermit adds a permit. Processing its prompt delays every request that runs here.
 func (e *endpoint) addPermit(h *heldPermit, now Instant) {
-	prompt := e.promptTime(h.ask)
+	prompt := e.slowness.extend(e.promptTime(h.ask), now)
 	for _, other := range e.permits {
 		other.expectedEnd = other.expectedEnd.After(prompt)
 	}
@@ -206,7 +207,8 @@
 // exceedsGapGoals reports whether the queued prompts would pause a running answer for
 // longer than its GapGoal.
 func (e *endpoint) exceedsGapGoals(a Ask, now Instant) bool {
-	backlog := e.promptBacklog(now) + e.promptTime(a)
+	backlog := e.promptBacklog(now)
+	backlog += e.slowness.extend(e.promptTime(a), now.After(backlog))
 	part := time.Duration(e.decodeCost * float64(time.Second))
 	return slices.ContainsFunc(e.permits, func(h *heldPermit) bool {
 		return h.ask.GapGoal > 0 && backlog+part > h.ask.GapGoal
--- a/coordination/pkg/permit/endpoint_rates.go
+++ b/coordination/pkg/permit/endpoint_rates.go
@@ -45,13 +45,15 @@
 // firstPartTime returns the time to the first part of an answer, including the
 // prompts queued before it.
 func (e *endpoint) firstPartTime(a Ask, now Instant) time.Duration {
-	return e.unqueuedFirstPartTime(a) + e.promptBacklog(now)
+	backlog := e.promptBacklog(now)
+	return backlog + e.slowness.extend(e.unqueuedFirstPartTime(a), now.After(backlog))
 }
 
 // estimate returns a time within which the request will most likely be answered,
 // including the prompts queued before it.
 func (e *endpoint) estimate(a Ask, now Instant) time.Duration {
-	return e.requiredTime(a) + e.promptBacklog(now)
+	backlog := e.promptBacklog(now)
+	return backlog + e.slowness.extend(e.requiredTime(a), now.After(backlog))
 }
 
 // requiredTime returns the time that must be left until the deadline to start the
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -28,8 +28,8 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Reported,
-// Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Slowed, Paused, Listed,
+// Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 // TimeOf returns when an event arrived.
@@ -142,6 +142,15 @@
 		At    Instant   `json:"at"`
 		Limit RateLimit `json:"limit"`
 	}
+	// Slowed reports how long work takes on the machine of an endpoint, as a multiple of
+	// the usual.
+	Slowed struct {
+		At       Instant `json:"at"`
+		Endpoint string  `json:"endpoint"`
+		Slowness float64 `json:"slowness"`
+		// Age is how long before At the answer arrived that said so.
+		Age time.Duration `json:"age,omitempty"`
+	}
 	// Paused reports that an endpoint wants no request from a host for a time.
 	Paused struct {
 		At    Instant `json:"at"`
@@ -182,6 +191,7 @@
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
 func (e Limited) at() Instant    { return e.At }
+func (e Slowed) at() Instant     { return e.At }
 func (e Paused) at() Instant     { return e.At }
 func (e Warned) at() Instant     { return e.At }
 func (e Progressed) at() Instant { return e.At }
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -63,7 +63,7 @@
 	if usage.Begun {
 		c.clearParts(h.ask)
 	}
-	h.endpoint.learn(h, usage)
+	h.endpoint.learn(h, usage.atUsualSpeed())
 	c.release(id, h)
 	c.concludeCrash(h.endpoint)
 }
@@ -73,7 +73,7 @@
 func (c *Core) progress(id string, usage Usage) {
 	if h := c.held[id]; h != nil && !h.learnedFirstPart {
 		h.learnedFirstPart = true
-		h.endpoint.learnFirstPart(h, usage)
+		h.endpoint.learnFirstPart(h, usage.atUsualSpeed())
 		if usage.Begun {
 			c.clearParts(h.ask)
 		}
--- a/coordination/pkg/permit/learned_rates.go
+++ b/coordination/pkg/permit/learned_rates.go
@@ -11,6 +11,9 @@
 	Total        time.Duration `json:"total,omitempty"`
 	// Begun is set if the endpoint began a successful answer.
 	Begun bool `json:"begun,omitempty"`
+	// Slowness is what the head of the answer said of the endpoint's slowness; zero if
+	// it said nothing.
+	Slowness float64 `json:"slowness,omitempty"`
 }
 
 // LearnedRates holds the costs that an owner has learned for one endpoint. A cost of
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -87,6 +87,9 @@
 	promptLeft   float64
 	answerTokens float64
 	firstPart    time.Duration
+	// heardSlowness is what the grant said of the engine's slowness, and namedSlowness
+	// what the engine named with the first part.
+	heardSlowness, namedSlowness float64
 }
 
 // engineModel simulates one engine. While it prefills a prompt, none of its answers
@@ -140,6 +143,8 @@
 	engines, customers, hosts int
 	// records keeps the events of the load in simulation.events.
 	records bool
+	// slowdowns slows engines for a time; nil if none are slow.
+	slowdowns *slowdowns
 }
 
 func (p policy) engineCount() int { return cmp.Or(p.engines, 9) }
@@ -204,6 +209,7 @@
 
 // advance simulates one tick.
 func (s *simulation) advance() {
+	s.policy.slowdowns.apply(s)
 	for len(s.due) > 0 && s.due[0].nextTry <= s.now {
 		c := s.due[0]
 		s.due = s.due[1:]
@@ -213,12 +219,13 @@
 		first, ended := s.engines[name].advance(s.now)
 		for _, r := range first {
 			r.call.firstPart = s.now
-			s.step(permit.Progressed{At: s.instant(), ID: r.id, Usage: permit.Usage{PromptTokens: r.call.prompt, FirstByte: s.now - r.granted}})
+			s.policy.slowdowns.report(s, name, r)
+			s.step(permit.Progressed{At: s.instant(), ID: r.id, Usage: permit.Usage{PromptTokens: r.call.prompt, FirstByte: s.now - r.granted, Slowness: r.namedSlowness}})
 		}
 		for _, r := range ended {
 			r.call.done = true
 			s.step(permit.Finished{At: s.instant(), ID: r.id, Usage: permit.Usage{
-				PromptTokens: r.call.prompt, AnswerTokens: r.call.parts, FirstByte: r.firstPart - r.granted, Total: s.now - r.granted,
+				PromptTokens: r.call.prompt, AnswerTokens: r.call.parts, FirstByte: r.firstPart - r.granted, Total: s.now - r.granted, Slowness: r.namedSlowness,
 			}})
 		}
 	}
@@ -297,7 +304,7 @@
 		switch a := action.(type) {
 		case permit.Granted:
 			m := s.engines[a.Endpoint]
-			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt)})
+			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt), heardSlowness: a.Slowness})
 		case permit.Refused:
 			s.scheduleRetry(s.callsByID[a.ID], a.RetryAfter)
 		}
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -271,6 +271,7 @@
 		ReportFirstPart: c.wantsFirstPart(w.ask, e),
 		Rates:           c.ratesOf(e),
 		Limit:           e.pacer.limit,
+		Slowness:        e.slowness.heard(),
 	})
 	if !e.hasFreeSlot(c.now, c.now < c.settledAt) || !c.acceptsMore(e) {
 		c.freeEndpoints = slices.DeleteFunc(c.freeEndpoints, func(other *endpoint) bool { return other == e })
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -79,6 +79,8 @@
 		return decode[Warned](l.Event)
 	case "limited":
 		return decode[Limited](l.Event)
+	case "slowed":
+		return decode[Slowed](l.Event)
 	case "paused":
 		return decode[Paused](l.Event)
 	case "listed":
@@ -126,6 +128,8 @@
 		return "warned"
 	case Limited:
 		return "limited"
+	case Slowed:
+		return "slowed"
 	case Paused:
 		return "paused"
 	case Listed:
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -22,6 +22,8 @@
 		permit.Stalled{At: at, ID: "a"},
 		permit.Warned{At: at, Held: []permit.HeldParts{{Parts: []string{"p"}, Left: time.Second}}},
 		permit.Limited{At: at, Limit: permit.RateLimit{Endpoint: "engine-1", Named: true, PerSecond: 2.5}},
+		permit.Slowed{At: at, Endpoint: "engine-1", Slowness: 2.5, Age: time.Millisecond},
+		permit.Finished{At: at, ID: "a", Usage: permit.Usage{Total: time.Second, Slowness: 2.5}},
 		permit.Listed{At: at, Host: "entry-1"},
 		permit.Reported{At: at, Endpoint: "engine-1", Running: 3},
 		permit.Marked{At: at, Endpoint: "engine-1", Open: true},
--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -63,7 +63,7 @@
 	BeforeSend func() error
 	// OnHead, if set, is called with each head that the endpoint sends: those of the
 	// answer, of a rejection, of answers to earlier attempts, and of interim answers
-	// that name a limit.
+	// that name a limit or a slowness.
 	OnHead func(exchange.EndpointResponse)
 }
 
@@ -255,10 +255,12 @@
 	}
 }
 
-// onInterim reports an interim answer that names a limit. One that names none says
-// nothing about it.
+// onInterim reports an interim answer that names a limit or a slowness. One that names
+// none says nothing about them.
 func (t *roundTrip) onInterim(status int, header http.Header) {
-	if head := t.sender.dialect().ReadEndpointResponse(status, header); head.Limit.Named {
+	head := t.sender.dialect().ReadEndpointResponse(status, header)
+	head.Interim = true
+	if head.Limit.Named || head.Load.Slowness > 0 || head.Load.Unreadable {
 		t.onHead(head)
 	}
 }
--- a/godwitmoord/pkg/attempt/attempt_test.go
+++ b/godwitmoord/pkg/attempt/attempt_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/platform"
 )
 
 // scriptedEndpoint is an endpoint that answers each request with the next of the
@@ -365,3 +366,31 @@
 		})
 	}
 }
+
+// Guards against a slowness that is missed in a kind of answer, and against an interim
+// answer that seems to say that a limit is over.
+func TestSlownessIsReadFromEveryHead(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nGodwitmoor-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+	loaded := func(head string) string {
+		return strings.Replace(head, "\r\n", "\r\nGodwitmoor-Load: 3,1,8,250\r\n", 1)
+	}
+	for name, answer := range map[string]string{
+		"answer":         loaded(ok),
+		"error":          loaded(strings.Replace(ok, "200 OK", "500 Oops", 1)),
+		"rejection":      loaded(strings.Replace(ok, "200 OK\r\n", "503 Full\r\nGodwitmoor-Not-Executed: 1\r\n", 1)),
+		"interim answer": loaded("HTTP/1.1 103 Early\r\n\r\n") + ok,
+		"late answer":    loaded(strings.Replace(ok, "Id: a", "Id: earlier", 1)) + ok,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sender := attempt.Sender{Dialect: platform.Dialect{}}
+			var heads []exchange.EndpointResponse
+			request := requestOf("a")
+			request.OnHead = func(head exchange.EndpointResponse) { heads = append(heads, head) }
+			_, _ = sendAndRead(t, &sender, startEndpoint(t, answer), request)
+			is.True(len(heads) > 0)
+			is.Equal(heads[0].Load, exchange.Load{Running: 3, Waiting: 1, Slots: 8, Slowness: 2.5})
+			is.Equal(heads[0].Interim, name == "interim answer")
+		})
+	}
+}
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -96,6 +96,8 @@
 	limits map[string]map[string]permit.RateLimit
 	// pauses holds the pauses that endpoints want from this host, by endpoint.
 	pauses map[string]wantedPause
+	// slownesses holds what endpoints said last of an unusual slowness, by endpoint.
+	slownesses map[string]namedSlowness
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
 }
@@ -133,6 +135,8 @@
 		limits:    map[string]map[string]permit.RateLimit{},
 		pauses:    map[string]wantedPause{},
 		warnings:  map[string]*warnings{},
+
+		slownesses: map[string]namedSlowness{},
 	}
 }
 
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -30,7 +30,10 @@
 	suspect      permit.Suspect
 	// limit is the limit of the endpoint that the owner knew of at the grant; nil if none.
 	limit *permit.RateLimit
-	owner string
+	// heardSlowness is what the owner had heard of the endpoint's slowness at the grant;
+	// zero if nothing. slowness is what the last head of an answer said of it.
+	heardSlowness, slowness float64
+	owner                   string
 	// stop cancels the attempt when the owner suspends the permit for a request of
 	// a higher tier; suspended is set when the owner has done so.
 	stop      func()
@@ -56,6 +59,7 @@
 // Done returns a permit whose request completed, with the tokens and times of the
 // request.
 func (g *Grant) Done(usage permit.Usage) {
+	usage.Slowness = g.slownessOfAnswer()
 	g.release(entryMessage{Kind: finishKind, Service: g.service, ID: g.Permit.ID, Usage: &usage})
 }
 
@@ -77,7 +81,8 @@
 // Progressed reports to the owner how long the first part of the answer took. The
 // permit is still held.
 func (g *Grant) Progressed(usage permit.Usage) {
-	g.entry.send(g.owner, entryMessage{Kind: progressKind, Service: g.service, ID: g.Permit.ID, Usage: &usage})
+	usage.Slowness = g.slownessOfAnswer()
+	g.entry.send(g.owner, entryMessage{Kind: progressKind, Service: g.service, ID: g.Permit.ID, Usage: &usage, Slowness: g.latestSlowness()})
 }
 
 // ReportLimit reports to the owner what an answer says of the endpoint's limit, unless the
@@ -151,6 +156,7 @@
 	e.mu.Lock()
 	delete(e.held, g.Permit.ID)
 	e.mu.Unlock()
+	m.Slowness = g.latestSlowness()
 	g.sendToOwners(m)
 }
 
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -193,6 +193,9 @@
 	for _, limit := range m.Limits {
 		events = append(events, permit.Limited{At: now, Limit: limit})
 	}
+	if m.Slowness != nil {
+		events = append(events, m.Slowness.event(now))
+	}
 	for _, pause := range m.Pauses {
 		events = append(events, permit.Paused{At: now, Host: from, Pause: pause})
 	}
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -24,6 +24,7 @@
 	core        permit.Core
 	events      ring.Ring[permit.Event]
 	lateness    lateness
+	slowdowns   slowdowns
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
@@ -127,6 +128,7 @@
 			return
 		case event := <-s.events.Values():
 			s.observeAge(event)
+			s.observeSlowness(event)
 			if !s.refuseLate(event) {
 				s.refreshEarlierGrants(event)
 				s.step(event)
@@ -187,7 +189,7 @@
 		granted := s.endpoint(a.Endpoint)
 		s.send(a.Host, ownerMessage{
 			ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate,
-			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, EndpointsAge: s.owner.release.EndpointsAge(),
+			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, Slowness: a.Slowness, EndpointsAge: s.owner.release.EndpointsAge(),
 		})
 	case permit.Queued:
 		s.send(a.Host, ownerMessage{Queued: a.IDs})
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -21,6 +21,7 @@
 	pauseKind
 	// grantsKind is a message from one owner to others.
 	grantsKind
+	slownessKind
 )
 
 // entryMessage is a message from an entry to the owner of a service.
@@ -61,6 +62,8 @@
 	Complete bool          `cbor:"19,keyasint,omitempty"`
 	// Ended is set if the receiver is not told of further grants.
 	Ended bool `cbor:"20,keyasint,omitempty"`
+	// Slowness is what an endpoint said of its slowness. A message of slownessKind has it.
+	Slowness *slownessReport `cbor:"21,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
@@ -93,6 +96,9 @@
 	Unknown bool `cbor:"16,keyasint,omitempty"`
 	// Limit is the limit that the granted endpoint names, as far as the owner knows.
 	Limit *permit.RateLimit `cbor:"12,keyasint,omitempty"`
+	// Slowness is what the owner last heard of the slowness of the granted endpoint; zero
+	// if it heard nothing.
+	Slowness float64 `cbor:"17,keyasint,omitempty"`
 	// EndpointsAge is for how long endpoints may have changed without the knowledge of
 	// the owner that grants one.
 	EndpointsAge time.Duration `cbor:"13,keyasint,omitempty"`
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -131,7 +131,10 @@
 
 // heed applies what a head of an answer says of its endpoint beside the answer.
 func (r *requestRun) heed(grant *dispatch.Grant, head exchange.EndpointResponse) {
-	r.reportLimit(grant, head.Limit)
+	if !head.Interim || head.Limit.Named {
+		r.reportLimit(grant, head.Limit)
+	}
+	r.reportSlowness(grant, head.Load)
 	if head.Leaving && r.service.endpoints != nil {
 		r.service.endpoints.ReportLeaving(grant.Permit.Endpoint, r.endpointBorn)
 	}
@@ -152,6 +155,17 @@
 	grant.ReportLimit(limit.Named, limit.PerSecond)
 }
 
+// reportSlowness reports what an answer says of the slowness of its endpoint.
+func (r *requestRun) reportSlowness(grant *dispatch.Grant, load exchange.Load) {
+	if load.Unreadable {
+		r.service.common.Count("endpoints.loads.unreadable")
+	}
+	r.slowness = load.Slowness
+	if load.Slowness > 0 {
+		grant.ReportSlowness(load.Slowness)
+	}
+}
+
 // errSuspended ends an attempt that was stopped to free its endpoint for a higher
 // tier.
 var errSuspended = errors.New("the attempt was suspended in favour of a higher tier")
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -57,6 +57,9 @@
 		fields = append(fields, zap.Float64("sent-ago-ms", milliseconds(time.Since(sent.at))),
 			zap.Float64("endpoints-age-ms", milliseconds(sent.endpointsAge)), zap.Float64("owner-endpoints-age-ms", milliseconds(sent.ownerEndpointsAge)))
 	}
+	if r.slowness > 0 {
+		fields = append(fields, zap.Float64("slowness", r.slowness))
+	}
 	if r.heldParts != "" {
 		fields = append(fields, zap.String("held-parts", r.heldParts))
 	}
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -50,6 +50,9 @@
 	owner     string
 	estimate  time.Duration
 	undecided *dispatch.UndecidedError
+	// slowness is what the last head of an answer said of its endpoint's slowness; zero
+	// if it said nothing.
+	slowness float64
 	// lastSend describes the last attempt that was sent.
 	lastSend lastSend
 	// heldParts is the key of the parts of the prompt for which the request was refused;
