--- a/godwitmoord/pkg/dispatch/slowness_test.go
+++ b/godwitmoord/pkg/dispatch/slowness_test.go
@@ -156,3 +156,13 @@
 		is.Equal(s.reports, 2)
 	})
 }
+
+// Guards against a slowness that the owner never hears of because one report was lost.
+func TestNextResponseRepeatsALostReport(t *testing.T) {
+	is := is.New(t)
+	e, s := entryBesideOwner()
+	e.grantOf("i-1", 0).ReportSlowness(2.5)
+	s.next() // lost: the next grant says what the owner had heard before
+	e.grantOf("i-1", 0).ReportSlowness(2.5)
+	is.Equal(s.next().(permit.Slowed).Slowness, 2.5)
+}
