Keep requests in their data centre while it has endpoints to spare

Cause: owners did not know how far an endpoint is from the host of a request, so two requests in three left in a deployment of three data centres, whether that helped or not.

Change: hosts keep the shortest recent round trip of their probes by data centre, less that within their own, and send those above 2% of the tightest goal of a service with the lists of permits. The core charges an endpoint elsewhere the round trip and a part of its score as large as the share of free slots in the request's own data centre. Without such a way nothing is sent, added to asks or charged; Configured events name the data centre of each endpoint.

Three simulated loads without data centres give the same decision record as before, byte for byte.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -60,6 +60,8 @@
 		// Slowness is what this owner last heard of the endpoint's slowness; zero if that
 		// was usual, or nothing. The host reports one that differs.
 		Slowness float64 `json:"slowness,omitempty"`
+		// Leaves is set if the request leaves its data centre at a cost.
+		Leaves bool `json:"leaves,omitempty"`
 	}
 	// Queued tells a host which of its requests wait for a slot, once for each of them
 	// that was not granted at once. The host can then tell a request that waits from one
--- a/coordination/pkg/permit/ask.go
+++ b/coordination/pkg/permit/ask.go
@@ -19,6 +19,8 @@
 	Parts []string `json:"parts,omitempty"`
 	// Host is the entry host of the request.
 	Host string `json:"host"`
+	// DataCentre is the data centre of the entry host; empty if it does not matter.
+	DataCentre string `json:"data-centre,omitempty"`
 	// Tier is the rank of the request's tier; 0 is the highest.
 	Tier int `json:"tier"`
 	// Deadline is when the whole answer must have arrived.
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -77,6 +77,7 @@
 	arrived       *waiter
 	quarantine    quarantine
 	unsent        unsentRequests
+	dataCentres   dataCentres
 	freeEndpoints []*endpoint
 	skipped       []*waiter
 	shedBuffer    []*waiter
@@ -109,6 +110,8 @@
 		c.limitRate(e.Limit)
 	case Slowed:
 		c.slow(e)
+	case Measured:
+		c.dataCentres.measure(e)
 	case Paused:
 		c.pause(e)
 	case Warned:
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -9,6 +9,7 @@
 	PrefillSpeed float64 `json:"prefill-speed,omitempty"`
 	DecodeSpeed  float64 `json:"decode-speed,omitempty"`
 	Leaving      bool    `json:"leaving,omitempty"`
+	DataCentre   string  `json:"data-centre,omitempty"`
 }
 
 // EarlierGrants holds the persisted grants of earlier owners that a new owner has
@@ -28,8 +29,8 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Limited, Slowed, Paused, Listed,
-// Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Slowed, Measured, Paused,
+// Listed, Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 // TimeOf returns when an event arrived.
@@ -151,6 +152,13 @@
 		// Age is how long before At the answer arrived that said so.
 		Age time.Duration `json:"age,omitempty"`
 	}
+	// Measured reports round trips from a data centre that are expensive for the service,
+	// as one of its hosts measured them. They count for a time only.
+	Measured struct {
+		At         Instant     `json:"at"`
+		DataCentre string      `json:"data-centre"`
+		RoundTrips []RoundTrip `json:"round-trips"`
+	}
 	// Paused reports that an endpoint wants no request from a host for a time.
 	Paused struct {
 		At    Instant `json:"at"`
@@ -192,6 +200,7 @@
 func (e Failed) at() Instant     { return e.At }
 func (e Limited) at() Instant    { return e.At }
 func (e Slowed) at() Instant     { return e.At }
+func (e Measured) at() Instant   { return e.At }
 func (e Paused) at() Instant     { return e.At }
 func (e Warned) at() Instant     { return e.At }
 func (e Progressed) at() Instant { return e.At }
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -145,6 +145,8 @@
 	records bool
 	// slowdowns slows engines for a time; nil if none are slow.
 	slowdowns *slowdowns
+	// sites divides engines and callers between data centres; nil if there is one only.
+	sites *sites
 }
 
 func (p policy) engineCount() int { return cmp.Or(p.engines, 9) }
@@ -173,7 +175,7 @@
 	for i := range p.engineCount() {
 		name := fmt.Sprint("engine-", i)
 		s.engines[name] = &engineModel{slowness: []float64{0.68, 0.68, 3}[i%3]}
-		rules = append(rules, permit.EndpointRules{Name: name, Limit: slotsPerEngine})
+		rules = append(rules, permit.EndpointRules{Name: name, Limit: slotsPerEngine, DataCentre: p.sites.ofEngine(i)})
 	}
 	s.drawCalls(rand.New(rand.NewPCG(20261204, 8)))
 	s.step(permit.Configured{
@@ -210,6 +212,7 @@
 // advance simulates one tick.
 func (s *simulation) advance() {
 	s.policy.slowdowns.apply(s)
+	s.policy.sites.measure(s)
 	for len(s.due) > 0 && s.due[0].nextTry <= s.now {
 		c := s.due[0]
 		s.due = s.due[1:]
@@ -218,7 +221,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.engines)) {
 		first, ended := s.engines[name].advance(s.now)
 		for _, r := range first {
-			r.call.firstPart = s.now
+			r.call.firstPart = s.now + s.policy.sites.roundTrip(r.id, name)
 			s.policy.slowdowns.report(s, name, r)
 			s.step(permit.Progressed{At: s.instant(), ID: r.id, Usage: permit.Usage{PromptTokens: r.call.prompt, FirstByte: s.now - r.granted, Slowness: r.namedSlowness}})
 		}
@@ -293,6 +296,7 @@
 	if s.policy.identifiesCallers {
 		ask.Subject = fmt.Sprint("subject-", c.firstTry, c.prompt)
 	}
+	ask.DataCentre = s.policy.sites.ofCall(id)
 	s.step(permit.Asked{At: s.instant(), Ask: ask})
 }
 
@@ -304,6 +308,7 @@
 		switch a := action.(type) {
 		case permit.Granted:
 			m := s.engines[a.Endpoint]
+			s.policy.sites.count(a)
 			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt), heardSlowness: a.Slowness})
 		case permit.Refused:
 			s.scheduleRetry(s.callsByID[a.ID], a.RetryAfter)
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -159,6 +159,7 @@
 }
 
 func (c *Core) findFreeEndpoints() {
+	c.dataCentres.countUse(c.endpointOrder, c.now)
 	c.freeEndpoints = c.freeEndpoints[:0]
 	settling := c.now < c.settledAt
 	for _, e := range c.endpointOrder {
@@ -187,7 +188,7 @@
 		if !c.inTime(w, e, estimate) || e.isPausedFor(a.Host, c.now) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
 			continue
 		}
-		score := e.score(estimate)
+		score := c.scoreFor(a, e, estimate)
 		wasteful := c.wastesRate(w, e)
 		if wasteful && largerWait {
 			continue
@@ -272,6 +273,7 @@
 		Rates:           c.ratesOf(e),
 		Limit:           e.pacer.limit,
 		Slowness:        e.slowness.heard(),
+		Leaves:          c.leaves(w.ask, e),
 	})
 	if !e.hasFreeSlot(c.now, c.now < c.settledAt) || !c.acceptsMore(e) {
 		c.freeEndpoints = slices.DeleteFunc(c.freeEndpoints, func(other *endpoint) bool { return other == e })
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -81,6 +81,8 @@
 		return decode[Limited](l.Event)
 	case "slowed":
 		return decode[Slowed](l.Event)
+	case "measured":
+		return decode[Measured](l.Event)
 	case "paused":
 		return decode[Paused](l.Event)
 	case "listed":
@@ -130,6 +132,8 @@
 		return "limited"
 	case Slowed:
 		return "slowed"
+	case Measured:
+		return "measured"
 	case Paused:
 		return "paused"
 	case Listed:
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -24,6 +24,7 @@
 		permit.Limited{At: at, Limit: permit.RateLimit{Endpoint: "engine-1", Named: true, PerSecond: 2.5}},
 		permit.Slowed{At: at, Endpoint: "engine-1", Slowness: 2.5, Age: time.Millisecond},
 		permit.Finished{At: at, ID: "a", Usage: permit.Usage{Total: time.Second, Slowness: 2.5}},
+		permit.Measured{At: at, DataCentre: "lorient", RoundTrips: []permit.RoundTrip{{To: "brest", Time: time.Millisecond}}},
 		permit.Listed{At: at, Host: "entry-1"},
 		permit.Reported{At: at, Endpoint: "engine-1", Running: 3},
 		permit.Marked{At: at, Endpoint: "engine-1", Open: true},
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -98,6 +98,9 @@
 	pauses map[string]wantedPause
 	// slownesses holds what endpoints said last of an unusual slowness, by endpoint.
 	slownesses map[string]namedSlowness
+	// expensive holds the names of the data centres to which the way is expensive, by
+	// service.
+	expensive map[string]string
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
 }
@@ -137,6 +140,7 @@
 		warnings:  map[string]*warnings{},
 
 		slownesses: map[string]namedSlowness{},
+		expensive:  map[string]string{},
 	}
 }
 
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -118,12 +118,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	permits := []permit.Permit{}
+	trips := e.expensiveRoundTrips(service)
+	e.logRoundTrips(service, trips)
 	for _, g := range e.held {
 		if g.service == service {
 			permits = append(permits, g.Permit)
 		}
 	}
-	return entryMessage{Kind: listKind, Service: service, Permits: permits}
+	return entryMessage{Kind: listKind, Service: service, Permits: permits, RoundTrips: trips}
 }
 
 // sendFullList sends a new owner the permits held here and everything that earlier
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -180,7 +180,7 @@
 		return nil
 	}
 	for _, event := range events {
-		s.offer(event)
+		s.offer(s.withDataCentre(event, from.Name))
 	}
 	return nil
 }
@@ -196,6 +196,9 @@
 	if m.Slowness != nil {
 		events = append(events, m.Slowness.event(now))
 	}
+	if len(m.RoundTrips) > 0 {
+		events = append(events, permit.Measured{At: now, RoundTrips: m.RoundTrips})
+	}
 	for _, pause := range m.Pauses {
 		events = append(events, permit.Paused{At: now, Host: from, Pause: pause})
 	}
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -25,6 +25,9 @@
 	events      ring.Ring[permit.Event]
 	lateness    lateness
 	slowdowns   slowdowns
+	// hasExpensiveWays is set once a host measured a round trip to another data centre
+	// that is expensive for the service.
+	hasExpensiveWays atomic.Bool
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
@@ -99,6 +102,7 @@
 			PrefillSpeed: e.PrefillSpeed,
 			DecodeSpeed:  e.DecodeSpeed,
 			Leaving:      e.Leaving,
+			DataCentre:   e.DataCentre,
 		}
 	}
 	return rules
@@ -187,6 +191,7 @@
 	switch a := action.(type) {
 	case permit.Granted:
 		granted := s.endpoint(a.Endpoint)
+		s.countLeaving(a)
 		s.send(a.Host, ownerMessage{
 			ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate,
 			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, Slowness: a.Slowness, EndpointsAge: s.owner.release.EndpointsAge(),
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -64,6 +64,8 @@
 	Ended bool `cbor:"20,keyasint,omitempty"`
 	// Slowness is what an endpoint said of its slowness. A message of slownessKind has it.
 	Slowness *slownessReport `cbor:"21,keyasint,omitempty"`
+	// RoundTrips holds the expensive ways from the data centre of the entry.
+	RoundTrips []permit.RoundTrip `cbor:"22,keyasint,omitempty"`
 }
 
 // ownerMessage is a decision that the owner of a service sends to an entry: a grant,
--- a/godwitmoord/pkg/membership/membership.go
+++ b/godwitmoord/pkg/membership/membership.go
@@ -78,6 +78,8 @@
 	// differingProbes is the number of probes in a row that found a different
 	// table.
 	differingProbes int
+	// roundTrips holds the shortest recent round trips of probes, by data centre.
+	roundTrips map[string]*shortestTrip
 }
 
 // New returns a service whose table is empty.
--- a/godwitmoord/pkg/membership/probe.go
+++ b/godwitmoord/pkg/membership/probe.go
@@ -127,6 +127,7 @@
 
 func (p *probe) run(ctx context.Context) {
 	s := p.service
+	sentAt := time.Now()
 	reply, err := s.exchange(ctx, p.target.Address, message{Kind: probeKind}, directProbeTimeout)
 	s.recordContact(p.target, err == nil)
 	if err != nil {
@@ -136,6 +137,7 @@
 		}
 		return
 	}
+	s.recordRoundTrip(p.target, time.Since(sentAt))
 	s.recordReader(reply.Reads)
 	if s.syncDue(reply.Digest) {
 		s.sync(ctx, p.target.Address)
