Learn the rates of an endpoint at its mean slowness

Cause: rates were learned as if each endpoint worked at the usual speed. For one that is always slow they were too fast, and nothing corrected them: a steady value is not reported again, so what the owner had heard was too old after 600 ms.

Change: the core keeps the mean of what the responses of an endpoint name, and a value counts relative to it in rates and estimates.

--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -63,7 +63,7 @@
 	if usage.Begun {
 		c.clearParts(h.ask)
 	}
-	h.endpoint.learn(h, usage.atUsualSpeed())
+	h.endpoint.learn(h, h.endpoint.inUsualMoment(usage))
 	c.release(id, h)
 	c.concludeCrash(h.endpoint)
 }
@@ -73,7 +73,7 @@
 func (c *Core) progress(id string, usage Usage) {
 	if h := c.held[id]; h != nil && !h.learnedFirstPart {
 		h.learnedFirstPart = true
-		h.endpoint.learnFirstPart(h, usage.atUsualSpeed())
+		h.endpoint.learnFirstPart(h, h.endpoint.inUsualMoment(usage))
 		if usage.Begun {
 			c.clearParts(h.ask)
 		}
--- a/coordination/pkg/permit/slowness.go
+++ b/coordination/pkg/permit/slowness.go
@@ -18,6 +18,11 @@
 	// minSlowness is the smallest slowness that counts as such. Other programs make a
 	// machine slower; one that claims to be far faster must not draw all requests.
 	minSlowness = 0.5
+	// meanSlownessRate is the weight of the newest response in an endpoint's mean
+	// slowness, so low that a slow moment hardly counts in it. maxMeanSlowness bounds
+	// what a single response adds to the mean.
+	meanSlownessRate = 0.02
+	maxMeanSlowness  = 10
 )
 
 // SlownessDiffers reports whether an owner that last heard of one slowness has to hear of
@@ -37,6 +42,10 @@
 type slowness struct {
 	value   float64
 	heardAt Instant
+	// mean is the mean of the values of its responses, zero if none named one. The rates
+	// of the endpoint are those at this mean: an endpoint that is always slow has slow
+	// rates, although what it says last is soon too old.
+	mean float64
 }
 
 // set applies what an answer said that arrived at a time, unless a later one is known.
@@ -54,7 +63,15 @@
 	return s.value
 }
 
-// at returns the slowness that is assumed at a time, and for how long it is expected to
+// relative returns a slowness as a multiple of the endpoint's mean.
+func (s slowness) relative(value float64) float64 {
+	if s.mean > 0 {
+		value /= s.mean
+	}
+	return max(value, minSlowness)
+}
+
+// at returns the slowness, as a multiple of the endpoint's mean, that is assumed at a time, and for how long it is expected to
 // last from then on. The assumption returns evenly to the usual.
 func (s slowness) at(now Instant) (value float64, left time.Duration) {
 	age := max(now.Since(s.heardAt), 0)
@@ -62,7 +79,7 @@
 		return usualSlowness, 0
 	}
 	left = SlownessSpan - age
-	return usualSlowness + (max(s.value, minSlowness)-usualSlowness)*left.Seconds()/SlownessSpan.Seconds(), left
+	return usualSlowness + (s.relative(s.value)-usualSlowness)*left.Seconds()/SlownessSpan.Seconds(), left
 }
 
 // extend returns how long work will take that begins at a time and usually takes as long
@@ -85,14 +102,33 @@
 	return time.Duration(float64(took) * (1 - usualSlowness/value))
 }
 
-// atUsualSpeed returns the usage of the same request on a machine of the usual speed, so
-// that a slow moment is not learned as a slow endpoint. The slowness is known at the
-// first part of the answer only, so it applies to the times next to that.
-func (u Usage) atUsualSpeed() Usage {
-	if u.Slowness <= 0 {
+// inUsualMoment returns the usage as it would be at the endpoint's mean slowness, so that a
+// slow moment is not learned as a slow endpoint, and adds to the mean.
+func (e *endpoint) inUsualMoment(u Usage) Usage {
+	isMeasured := u.FirstByte > 0 || u.Total > 0
+	if !isMeasured || (u.Slowness <= 0 && e.slowness.mean == 0) {
 		return u
 	}
-	value, rest := max(u.Slowness, minSlowness), u.Total-u.FirstByte
+	named := u.Slowness
+	if named <= 0 {
+		named = usualSlowness
+	}
+	u = u.without(e.slowness.relative(named))
+	e.slowness.addToMean(named)
+	return u
+}
+
+func (s *slowness) addToMean(named float64) {
+	if s.mean == 0 {
+		s.mean = usualSlowness
+	}
+	s.mean += meanSlownessRate * (min(named, maxMeanSlowness) - s.mean)
+}
+
+// without returns the usage less what was lost to a slowness. That is known at the first
+// part of the answer only, so it applies to the times next to it.
+func (u Usage) without(value float64) Usage {
+	rest := u.Total - u.FirstByte
 	lostInRest := lostTime(min(rest, SlownessSpan), value)
 	u.FirstByte -= lostTime(min(u.FirstByte, SlownessSpan), value)
 	if u.Total > 0 {
