--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -79,6 +79,10 @@
 		return decode[Warned](l.Event)
 	case "limited":
 		return decode[Limited](l.Event)
+	case "slowed":
+		return decode[Slowed](l.Event)
+	case "measured":
+		return decode[Measured](l.Event)
 	case "paused":
 		return decode[Paused](l.Event)
 	case "listed":
@@ -126,6 +130,10 @@
 		return "warned"
 	case Limited:
 		return "limited"
+	case Slowed:
+		return "slowed"
+	case Measured:
+		return "measured"
 	case Paused:
 		return "paused"
 	case Listed:
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -24,6 +24,10 @@
 	core        permit.Core
 	events      ring.Ring[permit.Event]
 	lateness    lateness
+	slowdowns   slowdowns
+	// hasExpensiveWays is set once a host measured a round trip to another data centre
+	// that is expensive for the service.
+	hasExpensiveWays atomic.Bool
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
@@ -98,6 +102,7 @@
 			PrefillSpeed: e.PrefillSpeed,
 			DecodeSpeed:  e.DecodeSpeed,
 			Leaving:      e.Leaving,
+			DataCentre:   e.DataCentre,
 		}
 	}
 	return rules
@@ -127,6 +132,7 @@
 			return
 		case event := <-s.events.Values():
 			s.observeAge(event)
+			s.observeSlowness(event)
 			if !s.refuseLate(event) {
 				s.refreshEarlierGrants(event)
 				s.step(event)
@@ -185,9 +191,10 @@
 	switch a := action.(type) {
 	case permit.Granted:
 		granted := s.endpoint(a.Endpoint)
+		s.countLeaving(a)
 		s.send(a.Host, ownerMessage{
 			ID: a.ID, Endpoint: a.Endpoint, Address: granted.Address, Born: granted.Born, Estimate: a.Estimate,
-			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, EndpointsAge: s.owner.release.EndpointsAge(),
+			ReportFirstPart: a.ReportFirstPart, Rates: a.Rates, Limit: a.Limit, Slowness: a.Slowness, EndpointsAge: s.owner.release.EndpointsAge(),
 		})
 	case permit.Queued:
 		s.send(a.Host, ownerMessage{Queued: a.IDs})
