Leave room for late first parts, and let prompts be processed beside answers

Cause: under overload each request started at the last moment that its mean estimate allowed, long prompts waited for that moment because they seemed to stop all answers, and long answers were lost at slow endpoints.

--- a/coordination/pkg/permit/configure.go
+++ b/coordination/pkg/permit/configure.go
@@ -27,7 +27,7 @@
 		listed[rules.Name] = true
 		existing := c.endpoints[rules.Name]
 		if existing == nil {
-			existing = newEndpoint(rules)
+			existing = newEndpoint(rules, &c.rates)
 			c.endpoints[rules.Name] = existing
 		}
 		existing.rules, existing.changed = rules, true
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -73,6 +73,7 @@
 	quotaWindow  time.Duration
 	repeats      repeatBudget
 	refusedGoals goalMemory
+	rates        serviceRates
 	// arrived is the request that the present event made wait; nil if there is none.
 	arrived       *waiter
 	quarantine    quarantine
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -75,6 +75,8 @@
 	crashWatch crashWatch
 	pacer      ratePacer
 	slowness   slowness
+	// shared is what is learned about all endpoints of the service.
+	shared *serviceRates
 	// hostPauses holds until when the endpoint wants no requests of single hosts.
 	hostPauses map[string]Instant
 	// evaluations counts how often the times of a request at this endpoint were worked
@@ -82,8 +84,8 @@
 	evaluations uint64
 }
 
-func newEndpoint(rules EndpointRules) *endpoint {
-	e := &endpoint{rules: rules, deviation: initialDeviation}
+func newEndpoint(rules EndpointRules, shared *serviceRates) *endpoint {
+	e := &endpoint{rules: rules, deviation: initialDeviation, shared: shared}
 	if rules.PrefillSpeed > 0 {
 		e.prefillCost = 1 / rules.PrefillSpeed
 	}
@@ -165,6 +167,7 @@
 	}
 	h.promptAlone = e.prefillUntil <= now
 	e.prefillUntil = max(e.prefillUntil, now).After(prompt)
+	e.observePrompt(now)
 	e.permits = append(e.permits, h)
 	e.peakPermits = max(e.peakPermits, len(e.permits))
 }
@@ -209,9 +212,9 @@
 func (e *endpoint) exceedsGapGoals(a Ask, now Instant) bool {
 	backlog := e.promptBacklog(now)
 	backlog += e.slowness.extend(e.promptTime(a), now.After(backlog))
-	part := time.Duration(e.decodeCost * float64(time.Second))
+	pause := e.pauseOf(backlog) + time.Duration(e.decodeCost*float64(time.Second))
 	return slices.ContainsFunc(e.permits, func(h *heldPermit) bool {
-		return h.ask.GapGoal > 0 && backlog+part > h.ask.GapGoal
+		return h.ask.GapGoal > 0 && pause > h.ask.GapGoal
 	})
 }
 
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -19,6 +19,11 @@
 	// the answer is expected to end.
 	expected    time.Duration
 	expectedEnd Instant
+	// expectedFirst is the expected time to the first part of the answer.
+	expectedFirst time.Duration
+	// queuedPrompts is the largest number of tokens of prompts that were queued at the
+	// endpoint while the request ran.
+	queuedPrompts float64
 	// promptAlone is set if the endpoint was processing no other prompt at the grant.
 	promptAlone bool
 	// learnedFirstPart is set once the first part of the answer has updated the rates.
@@ -32,6 +37,7 @@
 func (c *Core) hold(a Ask, e *endpoint) *heldPermit {
 	h := &heldPermit{ask: a, endpoint: e, grantedAt: c.now, estimate: e.estimate(a, c.now)}
 	h.expected = e.expectedTime(a) + e.promptBacklog(c.now)
+	h.expectedFirst = e.firstPartTime(a, c.now)
 	h.expectedEnd = c.now.After(h.estimate)
 	e.addPermit(h, c.now)
 	c.tierOf(a.Tier) // so that requests of higher tiers can interrupt it
--- a/coordination/pkg/permit/learned_rates.go
+++ b/coordination/pkg/permit/learned_rates.go
@@ -9,6 +9,8 @@
 	AnswerTokens int           `json:"answer-tokens,omitempty"`
 	FirstByte    time.Duration `json:"first-byte,omitempty"`
 	Total        time.Duration `json:"total,omitempty"`
+	// LongestPause is the longest time between two parts of the answer.
+	LongestPause time.Duration `json:"longest-pause,omitempty"`
 	// Begun is set if the endpoint began a successful answer.
 	Begun bool `json:"begun,omitempty"`
 	// Slowness is what the head of the answer said of the endpoint's slowness; zero if
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -25,6 +25,8 @@
 	// maxTries is how many pairs of a waiting request and a free endpoint are tried at
 	// an event; with more, only what changed is.
 	maxTries = 512
+	// longAnswerFactor is how many times as long as guessed an answer may well get.
+	longAnswerFactor = 2
 	// smallWorkShare is the share of the mean work below which a request counts as small.
 	smallWorkShare = 0.5
 )
@@ -193,7 +195,7 @@
 		if wasteful && largerWait {
 			continue
 		}
-		if wasteful || e.harmsOthers(a, c.now) {
+		if wasteful || e.harmsOthers(a, c.now) || c.mayOutlast(a, e) {
 			if fallback == nil || e.betterThan(fallback, score, fallbackScore) {
 				fallback, fallbackScore = e, score
 			}
@@ -209,6 +211,14 @@
 	return best
 }
 
+// mayOutlast reports whether the answer may well end after the deadline at the endpoint,
+// because its length is only guessed. It would occupy its slot until then in vain, while
+// a shorter one would do there.
+func (c *Core) mayOutlast(a Ask, e *endpoint) bool {
+	longest := time.Duration(float64(e.expectedTime(a)) * longAnswerFactor)
+	return a.Goal > 0 && a.AnswerTokens > 0 && c.now.After(longest) > a.Deadline
+}
+
 // wastesRate reports whether a small request would take the place of a larger one at an
 // endpoint that takes so many requests a second, however large they are.
 func (c *Core) wastesRate(w *waiter, e *endpoint) bool {
@@ -240,11 +250,11 @@
 	if w.ask.Goal == 0 {
 		return true
 	}
-	first := c.now.After(e.firstPartTime(w.ask, c.now))
+	first := e.firstPartTime(w.ask, c.now)
 	if w.late {
-		return w.ask.Patience == 0 || first <= w.ask.Patience
+		return w.ask.Patience == 0 || c.now.After(first) <= w.ask.Patience
 	}
-	return first <= w.ask.Goal
+	return c.now.After(c.rates.overshoot.withMargin(first)) <= w.ask.Goal
 }
 
 // canAvoid reports whether an open endpoint is left that the request does not
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -31,7 +31,7 @@
 		return
 	}
 	first := c.fastestFirstPart(w.ask)
-	onTime := w.ask.Goal.After(-first)
+	onTime := w.ask.Goal.After(-c.rates.overshoot.withMargin(first))
 	if !w.late && c.now <= onTime {
 		w.latestStart = min(w.latestStart, onTime)
 		return
@@ -78,7 +78,7 @@
 // moveIfLate moves a request that can no longer meet its goal to the late queue of its
 // tier, and reports whether it did.
 func (c *Core) moveIfLate(w *waiter) bool {
-	if w.late || w.ask.Goal == 0 || w.ask.Begun || c.now <= w.ask.Goal.After(-c.fastestFirstPart(w.ask)) {
+	if w.late || w.ask.Goal == 0 || w.ask.Begun || c.now <= w.ask.Goal.After(-c.rates.overshoot.withMargin(c.fastestFirstPart(w.ask))) {
 		return false
 	}
 	heap.Remove(c.queueOf(w), w.position)
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -95,6 +95,10 @@
 	exceedsLimit bool
 	// firstByteAt is when the current attempt returned the first byte of its body.
 	firstByteAt time.Time
+	// lastPartAt is when the current attempt returned the latest part of its body, and
+	// longestPause the longest time between two parts of it.
+	lastPartAt   time.Time
+	longestPause time.Duration
 	// onFirstByte, if set, is called when an attempt returns its first byte.
 	onFirstByte func()
 	// onHeadSent, if set, is called when the head of the answer was sent.
@@ -109,6 +113,7 @@
 // the next one.
 func (r *relay) beginAttempt(onFirstByte func()) {
 	r.firstByteAt, r.begun, r.firstEvent = time.Time{}, false, ""
+	r.lastPartAt, r.longestPause = time.Time{}, 0
 	r.onFirstByte = onFirstByte
 }
 
@@ -298,12 +303,7 @@
 // to be stored.
 func (r *relay) writePart(data []byte) error {
 	r.sendHead()
-	if r.firstByteAt.IsZero() {
-		r.firstByteAt = time.Now()
-		if r.onFirstByte != nil {
-			r.onFirstByte()
-		}
-	}
+	r.recordPart()
 	if !r.exceedsLimit {
 		r.exceedsLimit = r.storedBody.Len()+len(data) > r.storeLimit
 		if !r.exceedsLimit {
@@ -322,6 +322,20 @@
 	return nil
 }
 
+// recordPart records the arrival of a part of the body.
+func (r *relay) recordPart() {
+	now := time.Now()
+	if !r.firstByteAt.IsZero() {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastPartAt))
+		r.lastPartAt = now
+		return
+	}
+	r.firstByteAt, r.lastPartAt = now, now
+	if r.onFirstByte != nil {
+		r.onFirstByte()
+	}
+}
+
 // begunAnswer reports whether the current attempt has begun a successful answer.
 func (r *relay) begunAnswer() bool {
 	return !r.firstByteAt.IsZero() && r.answer.Status >= http.StatusOK && r.answer.Status < http.StatusMultipleChoices
@@ -346,6 +360,7 @@
 	if request.Streams {
 		u.PromptTokens = request.PromptTokens
 		u.AnswerTokens = max(r.position.events-previousEvents-r.finalEvents(), 0)
+		u.LongestPause = r.longestPause
 	}
 	return u
 }
--- a/godwitmoord/pkg/serving/report.go
+++ b/godwitmoord/pkg/serving/report.go
@@ -49,7 +49,7 @@
 		zap.String("route", request.Route), zap.String("service", request.Service.Name), zap.String("customer", request.Customer), zap.Int("quota-tokens", request.QuotaTokens), zap.String("tier", request.Tier),
 		zap.Strings("attempts", r.attempts), zap.String("owner", r.owner), zap.String("endpoint", r.endpoint), zap.Int("runs", r.runs),
 		zap.Float64("estimate-ms", milliseconds(r.estimate)), zap.Float64("queued-ms", milliseconds(r.queueTime)),
-		zap.Float64("first-part-ms", r.firstPartMilliseconds()), zap.Float64("took-ms", line.Took), zap.Float64("deadline-ms", line.Deadline),
+		zap.Float64("first-part-ms", r.firstPartMilliseconds()), zap.Float64("longest-pause-ms", milliseconds(r.relay.longestPause)), zap.Float64("took-ms", line.Took), zap.Float64("deadline-ms", line.Deadline),
 		zap.String("outcome", line.Outcome), zap.String("reason", line.Reason),
 		zap.Int("status", r.relay.status), zap.Int("events", r.relay.position.events), zap.String("last-event", r.relay.position.lastEvent), zap.String("end", r.relay.end),
 	}
