End a new owner's settling period once all hosts have listed their permits

Cause: a successor used half of each limit for a whole second. Change: an entry lists its permits to a new owner also if it has none, and again after a grant of a former owner; the owner uses whole limits once every host that may hold permits has listed, and after a second in any case.

--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -115,6 +115,8 @@
 		c.stall(e.ID)
 	case Listed:
 		c.reconcile(e)
+	case Settled:
+		c.settle()
 	case Reported:
 		c.report(e)
 	case Marked:
--- a/coordination/pkg/permit/core_test.go
+++ b/coordination/pkg/permit/core_test.go
@@ -172,6 +172,23 @@
 
 // A permit whose return was lost would hold its slot for ever. The owner releases it
 // when its host no longer lists it, but not while the grant may be on its way.
+// A new owner that keeps half of its slots free although all permits are known makes
+// callers wait for the rest of its settling period.
+func TestNewOwnerUsesWholeLimitsOnceAllPermitsAreListed(t *testing.T) {
+	is := is.New(t)
+	var core permit.Core
+	rules := []permit.EndpointRules{{Name: "only", Limit: 4, DecodeSpeed: 100}}
+	core.Step(permit.Configured{At: start, QueueLimit: 100, Endpoints: rules, Settle: time.Second})
+	for i := range 4 {
+		core.Step(askAt(0, fmt.Sprint("ask-", i), 0, 10, time.Minute))
+	}
+	_, held := core.Load()
+	is.Equal(held, 2) // the other half may be held by permits that are not listed yet
+	core.Step(permit.Settled{At: at(100 * time.Millisecond)})
+	_, held = core.Load()
+	is.Equal(held, 4)
+}
+
 func TestPermitsThatTheirHostDoesNotListAreReleased(t *testing.T) {
 	is := is.New(t)
 	core := newCore(permit.EndpointRules{Name: "only", Limit: 1})
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -28,8 +28,8 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Reported,
-// Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Settled,
+// Reported, Marked, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 // TimeOf returns when an event arrived.
@@ -137,6 +137,11 @@
 		// Rates holds what earlier owners learned about endpoints and sent to the host.
 		Rates []LearnedRates `json:"paces,omitempty"`
 	}
+	// Settled reports that all hosts have listed the permits that they hold, which ends
+	// the settling period of a new owner.
+	Settled struct {
+		At Instant `json:"at"`
+	}
 	// Limited reports what an endpoint says of the rate of requests that it takes.
 	Limited struct {
 		At    Instant   `json:"at"`
@@ -181,6 +186,7 @@
 func (e Withdrawn) at() Instant  { return e.At }
 func (e Finished) at() Instant   { return e.At }
 func (e Failed) at() Instant     { return e.At }
+func (e Settled) at() Instant    { return e.At }
 func (e Limited) at() Instant    { return e.At }
 func (e Paused) at() Instant     { return e.At }
 func (e Warned) at() Instant     { return e.At }
--- a/coordination/pkg/permit/hosts.go
+++ b/coordination/pkg/permit/hosts.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// settle ends the settling period: no permit is left that this owner doesn't know.
+func (c *Core) settle() {
+	if c.now >= c.settledAt {
+		return
+	}
+	c.settledAt = c.now
+	for _, e := range c.endpointOrder {
+		e.changed = true
+	}
+}
+
 func (c *Core) loseHost(host string) {
 	var orphans []*waiter
 	for _, w := range c.waiting {
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -83,6 +83,8 @@
 		return decode[Paused](l.Event)
 	case "listed":
 		return decode[Listed](l.Event)
+	case "settled":
+		return decode[Settled](l.Event)
 	case "reported":
 		return decode[Reported](l.Event)
 	case "marked":
@@ -130,6 +132,8 @@
 		return "paused"
 	case Listed:
 		return "listed"
+	case Settled:
+		return "settled"
 	case Reported:
 		return "reported"
 	case Marked:
--- a/godwitmoord/pkg/dispatch/decisions.go
+++ b/godwitmoord/pkg/dispatch/decisions.go
@@ -57,8 +57,9 @@
 	e.mu.Unlock()
 	if askedOwner != from.Name {
 		// A former owner granted the permit, so the present owner need not decide any
-		// more.
+		// more. It may have got the list of this host before that.
 		e.send(askedOwner, entryMessage{Kind: withdrawKind, Service: p.service, ID: m.ID})
+		e.send(askedOwner, e.heldList(p.service))
 	}
 }
 
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -9,13 +9,18 @@
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
-// servicesWithNewOwner returns the services in use here whose owner has changed since
-// the last call.
+// servicesWithNewOwner returns the services whose owner has changed since the last call:
+// those in use here, and those that were, because a new owner also waits for the lists of
+// hosts without permits.
 func (e *Entry) servicesWithNewOwner() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var moved []string
-	for service := range e.servicesInUse() {
+	services := e.servicesInUse()
+	for service := range e.lastOwner {
+		services[service] = true
+	}
+	for service := range services {
 		owner := e.members.OwnerOf(service)
 		if former := e.lastOwner[service]; former != owner {
 			e.common.Log.Info("owner of a service", zap.String("service", service), zap.String("owner", owner), zap.String("before", former))
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -31,9 +31,6 @@
 const (
 	eventQueueSize = 16384
 	tickInterval   = 50 * time.Millisecond
-	// settleTime is how long a new owner leaves room for permits that entries
-	// hold but have not listed to it yet.
-	settleTime = time.Second
 	// maxAskGap is how long an owner may receive no ask before it must assume that
 	// another owner has decided in the meantime.
 	maxAskGap = time.Second
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -43,6 +43,8 @@
 	assumedShare float64
 	// unreadUntil is until when grants may count that are not known here, zero if all are.
 	unreadUntil time.Time
+	// handover tells when all hosts have listed their permits to this new owner.
+	handover handover
 	// told are the hosts that were told of the grants last.
 	told []string
 	// pageNumber counts the times at which the grants were written or reported.
@@ -116,6 +118,7 @@
 	if event, known := s.currentRules(); known {
 		event.EarlierGrants = earlier.grants
 		s.step(event)
+		s.handover.begin(time.Now())
 	}
 	s.adoptHeld(earlier.held)
 	s.queuePage(nil)
@@ -130,6 +133,7 @@
 			if !s.refuseLate(event) {
 				s.refreshEarlierGrants(event)
 				s.step(event)
+				s.checkHandover(event)
 			}
 		case <-ticker.C:
 			// A core without waiting requests and held permits has nothing to expire.
--- a/godwitmoord/pkg/membership/roles.go
+++ b/godwitmoord/pkg/membership/roles.go
@@ -124,6 +124,21 @@
 	return others[:min(count, len(others))]
 }
 
+// ServingNames returns the names of the hosts that may hold permits, sorted: all that are
+// not known to be dead or just starting, with this host.
+func (s *Service) ServingNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{s.self.row.Name}
+	for name, e := range s.table {
+		if e.row.State != Dead && e.row.Phase != Starting {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // StoreReaders returns the hosts that are to read the platform's store for all others,
 // the first in charge first, and maxStoreReaders at most. They are alive, but need not
 // be ready. Of those with at least half of the largest capacity, the one that ranks first
