Divide contended slots between customers, and schedule when the refused return

Cause: a customer that sends several times its usual load takes the slots of the others, up to its quota, and refused callers return at times that have no room.

A refused caller is told the first time with room for it. If slots are reserved then, it is served before requests that just arrive.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -84,6 +84,14 @@
 		// Held is the key of the parts for which the request is held; empty for other
 		// reasons.
 		Held string `json:"held,omitempty"`
+		// BeyondShare is the customer of a request that was refused because it is
+		// beyond the share of its customer; empty for others.
+		BeyondShare string `json:"beyond-share,omitempty"`
+		// Again is set if the request had been refused before and came back when it was
+		// told to.
+		Again bool `json:"again,omitempty"`
+		// Promised is set if slots had been reserved for the request as well.
+		Promised bool `json:"promised,omitempty"`
 	}
 	// CrashFound reports that an endpoint crashed with requests that it had not begun
 	// to answer. Other owners have to learn of it.
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -19,6 +19,7 @@
 	a.Tier = max(a.Tier, 0)
 	a.Goal = c.refusedGoals.originalGoal(a, c.now)
 	w := &waiter{ask: a, since: c.now, sequence: c.sequence}
+	c.recogniseReturn(w)
 	c.sequence++
 	if key, left := c.quarantine.check(a, c.now); key != "" {
 		c.refuseHeld(w, key, left)
@@ -90,7 +91,7 @@
 		if t.rank <= rank {
 			return false
 		}
-		for _, kind := range []int{lateQueue, onTimeQueue} {
+		for _, kind := range []int{beyondQueue, lateQueue, onTimeQueue} {
 			q := t.queues[kind]
 			if len(q) == 0 {
 				continue
--- a/coordination/pkg/permit/configure.go
+++ b/coordination/pkg/permit/configure.go
@@ -13,6 +13,7 @@
 	c.goodputWeight = e.GoodputWeight
 	c.dropIdleTiers()
 	c.setQuotas(e.Quotas, e.QuotaWindow)
+	c.configureShares(e)
 	if isFirst {
 		c.replaceEarlierGrants(e.EarlierGrants)
 	}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -73,6 +73,8 @@
 	quotaWindow  time.Duration
 	repeats      repeatBudget
 	refusedGoals goalMemory
+	fair         fairShare
+	returns      returnSchedule
 	// arrived is the request that the present event made wait; nil if there is none.
 	arrived       *waiter
 	quarantine    quarantine
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -63,6 +63,9 @@
 		// RateShare is the part of the limits that endpoints name which this owner may
 		// use; zero means all of them.
 		RateShare float64 `json:"rate-share,omitempty"`
+		// FairShare divides what endpoints can serve between the customers that compete
+		// for it, and schedules when refused requests come back.
+		FairShare bool `json:"fair-share,omitempty"`
 		// EarlierGrants describes the grants made before this owner. Only the first
 		// Configured event uses it.
 		EarlierGrants EarlierGrants `json:"before,omitzero"`
--- a/coordination/pkg/permit/goal_memory.go
+++ b/coordination/pkg/permit/goal_memory.go
@@ -13,10 +13,17 @@
 // goalMemory holds the goals of refused requests, oldest first, to apply them if
 // the requests are asked for again. The zero value holds none.
 type goalMemory struct {
-	goals map[string]Instant
+	goals map[string]refusedGoal
 	order []refusedSubject
 }
 
+// refusedGoal is the goal of a refused request, when its caller was told to retry, and
+// whether slots were reserved for it then.
+type refusedGoal struct {
+	goal, retryAt Instant
+	promised      bool
+}
+
 type refusedSubject struct {
 	key string
 	at  Instant
@@ -25,16 +32,16 @@
 // subjectKey returns a key of the requested subject that is unique across customers.
 func (a Ask) subjectKey() string { return a.Suspect().own() }
 
-// remember stores the goal of a refused request.
-func (m *goalMemory) remember(a Ask, now Instant) {
+// remember stores the goal of a refused request, and what its caller was told.
+func (m *goalMemory) remember(a Ask, now, retryAt Instant, promised bool) {
 	if a.Subject == "" || a.Goal == 0 {
 		return
 	}
 	if m.goals == nil {
-		m.goals = map[string]Instant{}
+		m.goals = map[string]refusedGoal{}
 	}
 	m.dropExpired(now)
-	m.goals[a.subjectKey()] = a.Goal
+	m.goals[a.subjectKey()] = refusedGoal{goal: a.Goal, retryAt: retryAt, promised: promised}
 	m.order = append(m.order, refusedSubject{key: a.subjectKey(), at: now})
 }
 
@@ -54,9 +61,9 @@
 // first ask.
 func (m *goalMemory) originalGoal(a Ask, now Instant) Instant {
 	m.dropExpired(now)
-	goal, found := m.goals[a.subjectKey()]
+	refused, found := m.goals[a.subjectKey()]
 	if !found || a.Goal == 0 || a.Subject == "" {
 		return a.Goal
 	}
-	return min(goal, a.Goal)
+	return min(refused.goal, a.Goal)
 }
--- a/coordination/pkg/permit/limits.go
+++ b/coordination/pkg/permit/limits.go
@@ -32,6 +32,9 @@
 	// Tolerance is what may be granted beyond the limit by an owner that holds a
 	// record of all grants in the window.
 	Tolerance float64 `json:"tolerance,omitempty"`
+	// Weight is the customer's part of what endpoints can serve, relative to that of
+	// other customers, while they compete for it; zero stands for the mean weight.
+	Weight float64 `json:"weight,omitempty"`
 }
 
 // QuotaUsage is the number of tokens that were granted to a customer some time ago.
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -62,6 +62,8 @@
 
 // call is one request of a caller over all its tries.
 type call struct {
+	// customer is empty if the policy does not divide the calls between customers.
+	customer      string
 	kind          int
 	prompt, parts int
 	// expectedParts is the number of parts that the caller expects.
@@ -138,6 +140,13 @@
 	// engines is the number of engines, nine if zero. customers is the number of
 	// customers with quotas, and hosts the number of entry hosts that list their permits.
 	engines, customers, hosts int
+	// excess is the factor by which customer 0 sends more than its usual load, which is
+	// the same for each customer; zero if calls have no fixed customer.
+	excess float64
+	// fairShare divides the engines' work between the customers.
+	fairShare bool
+	// ownerLostAt is when a new owner without any state takes over; zero if none does.
+	ownerLostAt time.Duration
 	// records keeps the events of the load in simulation.events.
 	records bool
 }
@@ -156,6 +165,15 @@
 	// callsByID maps the ID of each ask to its call.
 	callsByID map[string]*call
 	nextID    int
+	// rules configures an owner; waiting holds the asks that are not decided.
+	rules   permit.Configured
+	waiting map[string]permit.Ask
+	// returns counts the calls that came back after a refusal, secondRefusals those of
+	// them that were refused again, and brokenPromises those for which slots had been
+	// reserved.
+	returns, secondRefusals, brokenPromises int
+	// busy is the time that requests ran on the engines during the load, over all slots.
+	busy time.Duration
 	// events holds the events that arrived during the load, if the policy records them.
 	events []permit.Event
 }
@@ -163,29 +181,54 @@
 // simulateLoad simulates the load under a policy, and 20 s more, which is longer than
 // any deadline.
 func simulateLoad(p policy) *simulation {
-	s := &simulation{policy: p, engines: map[string]*engineModel{}, callsByID: map[string]*call{}}
+	s := &simulation{policy: p, engines: map[string]*engineModel{}, callsByID: map[string]*call{}, waiting: map[string]permit.Ask{}}
 	var rules []permit.EndpointRules
 	for i := range p.engineCount() {
 		name := fmt.Sprint("engine-", i)
 		s.engines[name] = &engineModel{slowness: []float64{0.68, 0.68, 3}[i%3]}
 		rules = append(rules, permit.EndpointRules{Name: name, Limit: slotsPerEngine})
 	}
-	s.drawCalls(rand.New(rand.NewPCG(20261204, 8)))
-	s.step(permit.Configured{
+	s.drawAllCalls()
+	s.rules = permit.Configured{
 		At: start, QueueLimit: 2000, Weights: tierWeights, WorstWeight: p.worstWeight, Endpoints: rules,
-		Quotas: p.quotas(), QuotaWindow: 8 * time.Second,
-	})
+		Quotas: p.quotas(), QuotaWindow: 8 * time.Second, FairShare: p.fairShare,
+	}
+	s.step(s.rules)
 	for ; s.now < loadSpan+20*time.Second; s.now += tick {
 		s.advance()
+		if dbg != nil {
+			dbg(s)
+		}
 	}
 	return s
 }
 
-// drawCalls draws the times and sizes of all calls.
-func (s *simulation) drawCalls(r *rand.Rand) {
+// drawAllCalls draws the calls of all customers, and those that customer 0 sends beyond
+// its usual load. The others are the same without these.
+func (s *simulation) drawAllCalls() {
+	s.drawCalls(rand.New(rand.NewPCG(20261204, 8)), s.policy.rateFactor)
+	if s.policy.excess > 0 {
+		for i, c := range s.calls {
+			c.customer = s.policy.customerOf(i)
+		}
+	}
+	if s.policy.excess > 1 {
+		usual := len(s.calls)
+		s.drawCalls(rand.New(rand.NewPCG(20261206, 8)), s.policy.rateFactor*(s.policy.excess-1)/float64(s.policy.customers))
+		for _, c := range s.calls[usual:] {
+			c.customer = s.policy.customerOf(0)
+		}
+	}
+	slices.SortStableFunc(s.calls, func(a, b *call) int { return cmp.Compare(a.firstTry, b.firstTry) })
+	s.due = slices.Clone(s.calls)
+}
+
+// drawCalls draws the times and sizes of calls at a multiple of the usual rates.
+func (s *simulation) drawCalls(r *rand.Rand, rateFactor float64) {
+	var drawn []*call
 	for index, k := range kinds {
 		for at := time.Duration(0); at < loadSpan; {
-			rate := k.rate * s.policy.rateFactor
+			rate := k.rate * rateFactor
 			if at%(10*time.Second) < 3*time.Second {
 				rate *= s.policy.burstFactor
 			}
@@ -195,11 +238,11 @@
 			}
 			parts := max(1, int(size(k.meanParts)))
 			expected := max(1, int(float64(parts)*math.Exp(0.5*r.NormFloat64())))
-			s.calls = append(s.calls, &call{kind: index, prompt: int(size(k.meanPrompt)) + 1, parts: min(parts, int(10*k.meanParts)), expectedParts: expected, firstTry: at, nextTry: at})
+			drawn = append(drawn, &call{kind: index, prompt: int(size(k.meanPrompt)) + 1, parts: min(parts, int(10*k.meanParts)), expectedParts: expected, firstTry: at, nextTry: at})
 		}
 	}
-	slices.SortFunc(s.calls, func(a, b *call) int { return cmp.Compare(a.firstTry, b.firstTry) })
-	s.due = slices.Clone(s.calls)
+	slices.SortFunc(drawn, func(a, b *call) int { return cmp.Compare(a.firstTry, b.firstTry) })
+	s.calls = append(s.calls, drawn...)
 }
 
 // advance simulates one tick.
@@ -210,6 +253,9 @@
 		s.ask(c)
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.engines)) {
+		if s.now < loadSpan {
+			s.busy += time.Duration(len(s.engines[name].running)) * tick
+		}
 		first, ended := s.engines[name].advance(s.now)
 		for _, r := range first {
 			r.call.firstPart = s.now
@@ -222,6 +268,9 @@
 			}})
 		}
 	}
+	if s.policy.ownerLostAt > 0 && s.now == s.policy.ownerLostAt {
+		s.replaceOwner()
+	}
 	if s.now%(10*tick) == 0 {
 		s.step(permit.Ticked{At: s.instant()})
 	}
@@ -230,6 +279,18 @@
 	}
 }
 
+// replaceOwner lets a new owner decide, which the hosts tell of their permits and of the
+// requests that wait.
+func (s *simulation) replaceOwner() {
+	s.core = permit.Core{}
+	s.rules.At = s.instant()
+	s.step(s.rules)
+	s.listPermits()
+	for _, id := range slices.Sorted(maps.Keys(s.waiting)) {
+		s.step(permit.Asked{At: s.instant(), Ask: s.waiting[id]})
+	}
+}
+
 // listPermits lists the permits of each entry host.
 func (s *simulation) listPermits() {
 	for host := range s.policy.hosts {
@@ -278,14 +339,18 @@
 	s.nextID++
 	s.callsByID[id] = c
 	c.tries++
+	if c.tries > 1 {
+		s.returns++
+	}
 	ask := permit.Ask{
 		ID: id, Request: id, Tier: c.kind, PromptTokens: c.prompt, AnswerTokens: c.expectedParts, GapGoal: 300 * time.Millisecond,
-		Host: s.policy.hostOf(s.nextID), Customer: s.policy.customerOf(s.nextID), QuotaTokens: c.prompt,
+		Host: s.policy.hostOf(s.nextID), Customer: cmp.Or(c.customer, s.policy.customerOf(s.nextID)), QuotaTokens: c.prompt,
 		Deadline: start.After(c.firstTry + k.deadline), Goal: s.instant().After(k.goal), Patience: s.instant().After(2400 * time.Millisecond),
 	}
 	if s.policy.identifiesCallers {
 		ask.Subject = fmt.Sprint("subject-", c.firstTry, c.prompt)
 	}
+	s.waiting[id] = ask
 	s.step(permit.Asked{At: s.instant(), Ask: ask})
 }
 
@@ -296,9 +361,17 @@
 	for _, action := range slices.Clone(s.core.Step(e)) {
 		switch a := action.(type) {
 		case permit.Granted:
+			delete(s.waiting, a.ID)
 			m := s.engines[a.Endpoint]
 			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt)})
 		case permit.Refused:
+			delete(s.waiting, a.ID)
+			if a.Promised {
+				s.brokenPromises++
+			}
+			if s.callsByID[a.ID].tries > 1 {
+				s.secondRefusals++
+			}
 			s.scheduleRetry(s.callsByID[a.ID], a.RetryAfter)
 		}
 	}
@@ -321,8 +394,16 @@
 type outcome struct{ asked, inTime, late int }
 
 func (s *simulation) outcomes() []outcome {
+	return s.outcomesOf(func(*call) bool { return true })
+}
+
+// outcomesOf returns the outcomes of some of the calls.
+func (s *simulation) outcomesOf(counts func(*call) bool) []outcome {
 	outcomes := make([]outcome, len(kinds))
 	for _, c := range s.calls {
+		if !counts(c) {
+			continue
+		}
 		o := &outcomes[c.kind]
 		o.asked++
 		switch {
@@ -423,3 +504,5 @@
 	is.True(with.valueShare() > without.valueShare())
 	is.True(with.valueShare() <= with.valueShareBound())
 }
+
+var dbg func(*simulation)
--- a/coordination/pkg/permit/owner_load_test.go
+++ b/coordination/pkg/permit/owner_load_test.go
@@ -45,9 +45,14 @@
 // benchmarkReplay measures the replay of the grown load, in time and allocations for
 // each ask.
 func benchmarkReplay(b *testing.B, use func(permit.Event, []permit.Action)) {
+	benchmarkLoads(b, grownLoad, use)
+}
+
+// benchmarkLoads measures the replay of the loads of a policy by load factor.
+func benchmarkLoads(b *testing.B, load func(factor float64) policy, use func(permit.Event, []permit.Action)) {
 	for _, factor := range loadFactors {
 		b.Run(fmt.Sprintf("load=%vx", factor), func(b *testing.B) {
-			events := simulateLoad(grownLoad(factor)).events
+			events := simulateLoad(load(factor)).events
 			asks := asksIn(events)
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
@@ -138,3 +143,17 @@
 	t.Logf("evaluations of endpoints for an ask: %d behind 100 waiting, %d behind 2000", few, many)
 	is.True(many < 2*few) // at most as the logarithm of the number that waits
 }
+
+// BenchmarkFairCoreAtGrownLoad measures the grown load with one customer of 16 that sends
+// five times its usual load, without and with fair shares.
+func BenchmarkFairCoreAtGrownLoad(b *testing.B) {
+	for _, fair := range []bool{false, true} {
+		b.Run(fmt.Sprintf("fair=%v", fair), func(b *testing.B) {
+			benchmarkLoads(b, func(factor float64) policy {
+				p := grownLoad(factor)
+				p.excess, p.fairShare = 5, fair
+				return p
+			}, func(permit.Event, []permit.Action) {})
+		})
+	}
+}
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -60,8 +60,12 @@
 	switch served.kind {
 	case begunQueue:
 		weight *= begunValue
+	case returnedQueue:
+		weight *= returnedValue
 	case lateQueue:
 		weight *= lateValue
+	case beyondQueue:
+		weight *= beyondValue
 	}
 	return weight / served.tier.meanWorkOrDefault()
 }
@@ -260,6 +264,7 @@
 
 func (c *Core) grant(w *waiter, e *endpoint) {
 	c.countServed(w)
+	c.countGranted(w)
 	h := c.hold(w.ask, e)
 	e.pacer.take(c.now)
 	c.actions = append(c.actions, Granted{
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -21,6 +21,14 @@
 	announced bool
 	// late is set once the first part can no longer arrive by its goal.
 	late bool
+	// returned is set if the request was refused before and came back when it was told
+	// to; promised is also set if slots were reserved for it then.
+	returned, promised bool
+	// round is the number of shares that its customer gets before the request, while
+	// customers compete.
+	round int
+	// customer is the work of its customer; nil until that is looked up.
+	customer *customerWork
 }
 
 // Each tier has these queues. Requests that have begun are served before the others
@@ -29,7 +37,11 @@
 	begunQueue = iota
 	// onTimeQueue holds requests that can still meet their goals.
 	onTimeQueue
+	// returnedQueue holds requests that came back to slots reserved for them.
+	returnedQueue
 	lateQueue
+	// beyondQueue holds requests beyond the shares of their customers.
+	beyondQueue
 	queuesPerTier
 )
 
@@ -38,6 +50,10 @@
 	switch {
 	case w.ask.Begun:
 		return begunQueue
+	case w.promised:
+		return returnedQueue
+	case w.round > 0:
+		return beyondQueue
 	case w.late:
 		return lateQueue
 	default:
@@ -46,12 +62,15 @@
 }
 
 // queue is a heap of the waiting requests of one kind in one tier. The first one is
-// the request that must start soonest.
+// the request that must start soonest, of those whose turn is first.
 type queue []*waiter
 
 func (q queue) Len() int { return len(q) }
 
 func (q queue) Less(i, j int) bool {
+	if a, b := q[i].turn(), q[j].turn(); a != b {
+		return a < b
+	}
 	if q[i].latestStart != q[j].latestStart {
 		return q[i].latestStart < q[j].latestStart
 	}
--- a/coordination/pkg/permit/refusal.go
+++ b/coordination/pkg/permit/refusal.go
@@ -13,14 +13,15 @@
 }
 
 func (c *Core) refuseWithRetryAfter(w *waiter, reason Reason, retryAfter time.Duration) {
-	c.refusedGoals.remember(w.ask, c.now)
-	c.actions = append(c.actions, Refused{
+	retryAfter, promised := c.scheduleReturn(w, reason, retryAfter)
+	c.refusedGoals.remember(w.ask, c.now, c.now.After(retryAfter), promised)
+	c.actions = append(c.actions, c.withShare(w, Refused{
 		ID:         w.ask.ID,
 		Host:       w.ask.Host,
 		Reason:     reason,
 		RetryAfter: retryAfter,
 		Waited:     c.now.Since(w.since),
-	})
+	}))
 }
 
 // retryAfter estimates how long it takes until every request that waits now has
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -58,6 +58,7 @@
 // change while requests wait, so the latest start of the head is computed again and
 // its position in the heap is corrected.
 func (c *Core) expire(q *queue) {
+	c.expireUnordered(q)
 	for q.Len() > 0 {
 		w := (*q)[0]
 		if c.moveIfLate(w) {
@@ -126,6 +127,7 @@
 		return
 	}
 	c.rankQueues()
+	c.divide(slots)
 	workAhead, slotsLeft := 0.0, slots
 	for _, served := range c.serveOrder {
 		workAhead = c.shedQueue(served.queue(), workAhead, slotsLeft)
--- a/godwitmoord/pkg/dispatch/limits.go
+++ b/godwitmoord/pkg/dispatch/limits.go
@@ -42,6 +42,7 @@
 	event.QueueLimit = defaultQueueLimit
 	event.RateShare = quotaShare
 	event.Weights, event.WorstWeight = p.RankWeights, p.WorstRankWeight
+	event.FairShare = o.common.Features.FairShare
 	event.Repeats = permit.RepeatBound{
 		Ratio:  p.RepeatRatio * repeatShare,
 		Slack:  p.RepeatSlack * repeatShare,
@@ -61,12 +62,22 @@
 			Limit:     limit * share * quotaShare,
 			Total:     limit * share,
 			Tolerance: tolerance(p, service, quotaShare),
+			Weight:    o.weightOf(customer.Quota),
 		})
 	}
 	event.QuotaWindow = p.QuotaWindow.Std()
 	event.Partial = quotaShare < 1
 }
 
+// weightOf returns the weight of a customer beside others that compete with it: what its
+// quota allows it in the long run.
+func (o *Owner) weightOf(quota *configuration.Quota) float64 {
+	if !o.common.Features.FairShare {
+		return 0
+	}
+	return quota.PerSecond
+}
+
 // modelQuotaShare returns the share of a quota that model services may grant: all of it,
 // or less if the platform tolerates less beyond a quota than plain services and a host
 // beside the owner grant in addition.
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -24,6 +24,7 @@
 	core        permit.Core
 	events      ring.Ring[permit.Event]
 	lateness    lateness
+	shares      shareReport
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
@@ -194,6 +195,7 @@
 	case permit.Suspended:
 		s.send(a.Host, ownerMessage{ID: a.ID, Suspend: true})
 	case permit.Refused:
+		s.countShare(a)
 		s.send(a.Host, ownerMessage{ID: a.ID, Reason: a.Reason, RetryAfter: a.RetryAfter, Held: a.Held})
 	case permit.LimitChanged:
 		s.logLimit(a.Limit)
