--- a/coordination/pkg/permit/return_schedule.go
+++ b/coordination/pkg/permit/return_schedule.go
@@ -117,7 +117,7 @@
 // recogniseReturn marks a request that was refused before, and comes back no sooner than
 // its caller was told to.
 func (c *Core) recogniseReturn(w *waiter) {
-	if !c.fair.enabled || w.ask.Subject == "" {
+	if !c.fair.enabled || w.ask.Subject == "" || len(c.refusedGoals.goals) == 0 {
 		return
 	}
 	refused, found := c.refusedGoals.goals[w.ask.subjectKey()]
@@ -128,7 +128,7 @@
 // turn orders the requests of one queue before their urgency: first those of earlier
 // rounds, and of those that miss their goals the ones that came back when told to.
 func (w *waiter) turn() int {
-	if w.kind() == lateQueue && !w.returned {
+	if w.late && !w.returned && w.round == 0 && !w.ask.Begun {
 		return 1
 	}
 	return w.round
