Test that weights follow the configuration and grants are forgotten

Cause: no test changed the weights of a running core. Change: one test of two versions of the configuration, 30 s apart. Result: it passes, and packages permit and dispatch pass with -race.

--- a/coordination/pkg/permit/fair_share_test.go
+++ b/coordination/pkg/permit/fair_share_test.go
@@ -14,11 +14,15 @@
 // share.
 func newSharedPool(t *testing.T, quotas ...permit.Quota) *enginePool {
 	p := newEnginePool(t)
+	p.configureShares(quotas...)
+	return p
+}
+
+func (p *enginePool) configureShares(quotas ...permit.Quota) {
 	p.step(permit.Configured{
 		At: p.now, QueueLimit: 1000, Weights: tierWeights, Endpoints: []permit.EndpointRules{engine(1)},
 		FairShare: true, Quotas: quotas, QuotaWindow: quotaWindow,
 	})
-	return p
 }
 
 func quotaOfWeight(customer string, weight float64) permit.Quota {
@@ -71,6 +75,21 @@
 	is.Equal(grantsAfterFlood(unbounded), []string{"flood-0", "flood-1", "other-0", "other-1"})
 }
 
+// Guards against weights of an earlier version, and against grants that count for good.
+func TestWeightsFollowTheConfigurationAndGrantsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	p := newSharedPool(t, quotaOfWeight("flood", 100), quotaOfWeight("other", 100))
+	grantsAfterFlood(p)
+	p.advance(30 * time.Second)
+	p.nextGranted()
+	p.configureShares(quotaOfWeight("flood", 100), quotaOfWeight("other", 300))
+	is.Equal(grantsAfterFlood(p)[:3], []string{"flood-0", "other-0", "other-1"})
+	p.advance(30 * time.Second)
+	p.nextGranted()
+	p.configureShares(quotaOfWeight("flood", 300), quotaOfWeight("other", 100))
+	is.Equal(grantsAfterFlood(p)[:3], []string{"flood-0", "flood-1", "flood-2"})
+}
+
 // Guards against shares that hold slots back from the only customer that asks.
 func TestCustomerAloneMayUseEverything(t *testing.T) {
 	is := is.New(t)
