--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -74,6 +74,8 @@
 	repeats      repeatBudget
 	refusedGoals goalMemory
 	rates        serviceRates
+	fair         fairShare
+	returns      returnSchedule
 	// arrived is the request that the present event made wait; nil if there is none.
 	arrived       *waiter
 	quarantine    quarantine
