--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -203,9 +203,6 @@
 	s.step(s.rules)
 	for ; s.now < loadSpan+20*time.Second; s.now += tick {
 		s.advance()
-		if dbg != nil {
-			dbg(s)
-		}
 	}
 	return s
 }
@@ -516,5 +513,3 @@
 	is.True(with.valueShare() > without.valueShare())
 	is.True(with.valueShare() <= with.valueShareBound())
 }
-
-var dbg func(*simulation)
