Test a store that comes back from an older copy

Cause: the store may be restored from a copy some seconds old, with the next value of Store-Era and revisions that are given out again.

--- /dev/null
+++ b/godwitmoord/pkg/app/platform_eras_test.go
@@ -0,0 +1,121 @@
+package app_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"godwitmoor.example/platform/platformtest"
+)
+
+// loseWrites takes a copy of the store, runs write and restores the store from the copy.
+func (s *platformDeployment) loseWrites(write func()) {
+	s.t.Helper()
+	restored := s.store.Copy()
+	write()
+	s.store.SetFaults(platformtest.StoreFaults{Down: true})
+	s.store.Restore(restored)
+	s.store.SetFaults(platformtest.StoreFaults{})
+}
+
+// Guards against a restored store whose older configuration brings removed keys back or
+// ends the use of the newer one.
+func TestRestoredStoreDoesNotBringAnOlderConfigurationBack(t *testing.T) {
+	s := startPlatformDeployment(t)
+	s.loseWrites(func() {
+		s.customerKey = "new-key"
+		s.writeConfiguration()
+		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+	})
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(pollPause) {
+		s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
+	}
+	// The copy proves nothing about the newer configuration, which may have been replaced.
+	s.is.Equal(s.send("/lookup/7", "new-key").Status, http.StatusServiceUnavailable)
+	s.version--
+	s.writeConfiguration() // the operator's repetition
+	s.eventually("the new key is accepted again", func() bool { return s.send("/lookup/7", "new-key").Status == http.StatusOK })
+	s.customerKey = "newest-key"
+	s.writeConfiguration()
+	s.eventually("a later version is in force", func() bool { return s.send("/lookup/7", "newest-key").Status == http.StatusOK })
+	s.is.Equal(s.send("/lookup/7", "new-key").Status, http.StatusUnauthorized)
+}
+
+// Guards against a host that starts after the restore, reads the older configuration and
+// accepts keys that the newer one removed, or gives the older one to other hosts.
+func TestHostThatStartsAfterARestorePrefersTheNewerConfigurationOfOthers(t *testing.T) {
+	s := newPlatformDeployment(t)
+	s.keyRevocation = 20 * time.Second
+	s.writeConfiguration()
+	s.registerWorker("desk-1", false)
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	first := s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: freeAddress(t)}, []string{})
+	s.frontAddress = first.frontAddress
+	s.eventually("the host is ready", func() bool { return readinessStatusAt(first.readinessAddress) == http.StatusOK })
+	s.loseWrites(func() {
+		s.customerKey = "new-key"
+		s.writeConfiguration()
+		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+	})
+	second := s.startHostAt(platformHost{name: "entry-2", store: server.URL, peerAddress: freeAddress(t)}, []string{first.peerAddress})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(pollPause) {
+		for _, address := range []string{first.frontAddress, second.frontAddress} {
+			s.frontAddress = address
+			s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
+		}
+	}
+	s.frontAddress = first.frontAddress
+	s.is.Equal(s.send("/lookup/7", "new-key").Status, http.StatusOK)
+	s.version--
+	s.writeConfiguration()
+	s.frontAddress = second.frontAddress
+	s.eventually("the second host accepts the new key", func() bool { return s.send("/lookup/7", "new-key").Status == http.StatusOK })
+}
+
+// Guards against endpoints that are out of use because the copy has no entry of them, and
+// against the use of those that left after the copy was taken.
+func TestRestoredStoreLeavesTheEndpointsInUseThatLive(t *testing.T) {
+	s := startPlatformDeployment(t)
+	s.store.RemoveWorker("desk-2")
+	s.eventually("one worker is left", func() bool {
+		before := len(s.workers["desk-2"].Runs())
+		s.send("/lookup/7", "good-key")
+		s.send("/lookup/7", "good-key")
+		return len(s.workers["desk-2"].Runs()) == before
+	})
+	s.loseWrites(func() {
+		s.registerWorker("desk-2", false)
+		s.eventually("the worker that registered again is used", func() bool {
+			return s.send("/lookup/7", "good-key").Status == http.StatusOK && len(s.workers["desk-2"].Runs()) > 0
+		})
+		s.store.RemoveWorker("desk-1")
+		s.eventually("the other one has left", func() bool {
+			before := len(s.workers["desk-1"].Runs())
+			s.send("/lookup/7", "good-key")
+			s.send("/lookup/7", "good-key")
+			return len(s.workers["desk-1"].Runs()) == before
+		})
+	})
+	before := len(s.workers["desk-1"].Runs())
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(pollPause) {
+		s.is.Equal(s.send("/lookup/7", "good-key").Status, http.StatusOK)
+	}
+	s.registerWorker("desk-2", false) // it writes its entry again
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(pollPause) {
+		s.is.Equal(s.send("/lookup/7", "good-key").Status, http.StatusOK)
+	}
+	s.is.Equal(len(s.workers["desk-1"].Runs()), before)
+}
+
+// Guards against a host that others can't find by the store after a restore.
+func TestHostRegistersAgainAfterARestore(t *testing.T) {
+	s := newPlatformDeployment(t)
+	s.writeConfiguration()
+	empty := s.store.Copy()
+	s.startHost()
+	s.eventually("the host is registered", func() bool { return s.store.Get("hosts/entry-1") != "" })
+	s.store.Restore(empty)
+	s.eventually("the host is registered again", func() bool { return s.store.Get("hosts/entry-1") != "" })
+}
