--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -45,6 +45,8 @@
 	engines []string
 	// quota is the customer's quota in tokens per second; zero means that of the stand-in.
 	quota int
+	// maxBody is the largest body of a request; zero means that of the stand-in.
+	maxBody int
 	// log is the log of the hosts that start next; nil for none.
 	log *zap.Logger
 }
@@ -89,7 +91,7 @@
 func (s *platformDeployment) writeConfiguration() {
 	s.version++
 	s.store.SetConfiguration(platformtest.Configuration{
-		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota, Engines: s.engines,
+		Version: s.version, Host: "shop.example", Services: []string{"pool", "desk"}, Tenant: "tower", Keys: []string{s.customerKey}, Quota: s.quota, MaxBody: s.maxBody, Engines: s.engines,
 		Routes: append([]platformtest.Route{
 			{Name: "order", Kind: "unsafe", Service: "desk", Timeout: 3 * time.Second},
 			{Name: "patient-order", Kind: "unsafe", Service: "desk", Timeout: 9 * time.Second},
