Keep what is in force when the store comes back from an older copy

Cause: the platform's store may return from a copy some seconds old, with the next value of Store-Era and with revisions that are given out again. On the code as it stood a restored store proved a configuration that it did not hold, hosts were not registered again, endpoints missing from the copy went out of use, and the pages of owners stayed lost. Change: a revision holds era and revision in one number, so that everything that orders by it stays as it is; the client of the store splits it. An older configuration of a restored store is not installed, not passed on and proves nothing; a host that holds a newer one answers it. Missing entries get the grace of an outage, and those of endpoints that left since stay out of use. Hosts and owners write again what they wrote (kernel.StoreRestored).

--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -134,6 +134,16 @@
 	syncedRevision int64
 	// hostAddresses maps the names of the registered hosts to their addresses.
 	hostAddresses map[string]string
+	// held is the configuration that this host passes on.
+	held heldConfiguration
+	// storeVersion is the version of the configuration that this host read last in the
+	// store; zero for none.
+	storeVersion atomic.Int64
+	// olderLogged is the revision of the last older configuration that was logged.
+	olderLogged atomic.Int64
+	eras        eraRecord
+	// restored has a value while this host must register again.
+	restored chan struct{}
 	// writtenRevisions holds the revision of each key that Keep wrote. Only the
 	// caller of Keep uses it, without a lock.
 	writtenRevisions map[string]int64
@@ -141,7 +151,10 @@
 
 // New returns a service that does nothing until Start.
 func New(c *common.Common, n notices, store Store, layout Layout) *Service {
-	return &Service{common: c, notices: n, store: store, layout: layout, hostAddresses: map[string]string{}, writtenRevisions: map[string]int64{}}
+	return &Service{
+		common: c, notices: n, store: store, layout: layout, hostAddresses: map[string]string{}, writtenRevisions: map[string]int64{},
+		restored: make(chan struct{}, 1),
+	}
 }
 
 // Start begins to learn from the store or from other hosts.
@@ -186,8 +199,16 @@
 
 // installConfiguration installs the operators' configuration from the changes read.
 func (s *Service) installConfiguration(u update) {
+	s.observeRevision(u.revision)
+	if u.complete {
+		s.storeVersion.Store(0)
+	}
 	for _, c := range u.changes {
-		if c.Removed || c.Entry.Key != s.layout.ConfigurationKey() {
+		if c.Entry.Key != s.layout.ConfigurationKey() {
+			continue
+		}
+		s.storeVersion.Store(0)
+		if c.Removed {
 			continue
 		}
 		version, decoded, err := s.layout.Configuration(c.Entry.Value)
@@ -195,8 +216,13 @@
 			s.common.Log.Error("configuration cannot be read", zap.Int64("revision", c.Entry.Revision), zap.Error(err))
 			continue
 		}
+		s.storeVersion.Store(version)
+		if s.isBehind(c.Entry.Revision, version) {
+			s.passOnNewer(c.Entry.Revision, version)
+			continue
+		}
 		s.release.Install(version, decoded)
-		s.shareConfiguration(c.Entry)
+		s.shareConfiguration(c.Entry, version)
 	}
 }
 
@@ -229,10 +255,11 @@
 }
 
 // recordProof records that the configuration read last was the newest one at the
-// given boot time. After a failed call the boot time is zero.
+// given boot time. After a failed call the boot time is zero. A restored store that
+// holds an older configuration than hosts have in force proves nothing.
 func (s *Service) recordProof(upTo time.Duration) {
 	now := time.Now()
-	if upTo == 0 {
+	if upTo == 0 || !s.provesNewest() {
 		s.standIn.fail(now, s.standInWait())
 		s.updateDuty()
 		return
@@ -266,6 +293,7 @@
 	}
 	if err == nil && outcome.Applied {
 		s.writtenRevisions[key] = outcome.Revision
+		s.observeRevision(outcome.Revision)
 	}
 	return err
 }
@@ -276,6 +304,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.observeRevision(listing.Revision)
 	values := make([][]byte, len(listing.Entries))
 	for i, e := range listing.Entries {
 		values[i] = e.Value
--- a/godwitmoord/pkg/discovery/endpoints.go
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -11,6 +11,7 @@
 // applyEndpoints applies the result of a listing or a watch of the endpoints, and
 // passes what is new on to the other hosts.
 func (s *Service) applyEndpoints(u update) {
+	s.observeRevision(u.revision)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := u.complete
@@ -53,6 +54,11 @@
 		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
 		return s.markMissing(name, c.Entry.Revision, grace), false
 	}
+	if s.table.LeftBefore(endpoint, c.Entry.Revision) {
+		s.common.Count("store.endpoints.older")
+		s.common.Log.Info("entry of an endpoint that left before the store was restored", zap.String("endpoint", name), zap.Int64("revision", c.Entry.Revision))
+		return false, false
+	}
 	changed = s.table.Put(service, endpoint, c.Entry.Revision)
 	if changed {
 		s.common.Log.Info("endpoint found", zap.String("endpoint", name), zap.String("service", service),
@@ -124,7 +130,12 @@
 	if s.endpoints.lost || s.duty() != proves {
 		return longest
 	}
-	return min(longest, time.Until(s.endpoints.regainedAt.Add(outageGrace)))
+	backAt := s.endpoints.regainedAt
+	if restoredAt, _ := s.eras.last(); restoredAt.After(backAt) {
+		// Another host may have told this one of the restore before it called the store.
+		backAt = restoredAt
+	}
+	return min(longest, time.Until(backAt.Add(outageGrace)))
 }
 
 // markMissing marks the entry of an endpoint as missing and reports whether that
--- a/godwitmoord/pkg/discovery/follower.go
+++ b/godwitmoord/pkg/discovery/follower.go
@@ -196,6 +196,7 @@
 			f.handleFailure(ctx, err)
 		default:
 			upTo := provenUpTo(started, wait, u)
+			f.noteRestore(u)
 			u.age = f.changesAge(boottime.Now()-started, u)
 			f.lastEnd = time.Now()
 			f.apply(u)
@@ -277,6 +278,15 @@
 	sleep(ctx, f.pause)
 }
 
+// noteRestore treats a restore of the store as an outage, also if no call failed: entries
+// that the copy lacks are written again within the same time.
+func (f *follower) noteRestore(u update) {
+	if f.lost || f.revision == 0 || keyvalue.EraOf(u.revision) <= keyvalue.EraOf(f.revision) {
+		return
+	}
+	f.lost, f.lostSince = true, time.Now()
+}
+
 // handleSuccess records a successful call.
 func (f *follower) handleSuccess() {
 	if f.lost {
--- a/godwitmoord/pkg/discovery/freshness.go
+++ b/godwitmoord/pkg/discovery/freshness.go
@@ -212,9 +212,10 @@
 	}
 }
 
-// list requests a listing of the configuration, because the watch brings no proof.
+// list requests a listing of the configuration, because the watch brings no proof. If that
+// is so because a restored store holds an older one, only the watch brings the next one.
 func (c *freshnessChecker) list() {
-	if time.Since(c.lastListing) < minReadPause {
+	if time.Since(c.lastListing) < minReadPause || !c.service.provesNewest() {
 		return
 	}
 	c.lastListing = time.Now()
--- a/godwitmoord/pkg/discovery/registry.go
+++ b/godwitmoord/pkg/discovery/registry.go
@@ -46,6 +46,22 @@
 	for ctx.Err() == nil && (!s.register(ctx) || !s.listHosts(ctx)) {
 		sleep(ctx, longRetryPause)
 	}
+	r.registerAgain(ctx)
+}
+
+// registerAgain registers this host again each time the store was restored, as the copy
+// may lack its entry.
+func (r *registry) registerAgain(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.service.restored:
+		}
+		for ctx.Err() == nil && !r.service.register(ctx) {
+			sleep(ctx, longRetryPause)
+		}
+	}
 }
 
 // awaitOthers waits until this host knows others and they had time to tell it of the
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -82,12 +82,14 @@
 
 // shareConfiguration passes the configuration that the store told this host on to the
 // others.
-func (s *Service) shareConfiguration(e keyvalue.Entry) {
+func (s *Service) shareConfiguration(e keyvalue.Entry, version int64) {
 	n, err := newStoreNotice(e, sharedChange{}.withValue(e.Value))
 	if err != nil {
 		s.common.Log.Error("configuration cannot be encoded", zap.Int64("revision", e.Revision), zap.Error(err))
 		return
 	}
+	n.Version = configurationRank(e.Revision, version)
+	s.holdConfiguration(version, n.Body)
 	s.notices.Publish(n)
 }
 
@@ -114,9 +116,10 @@
 		s.common.Log.Warn("value from another host cannot be read", zap.String("key", n.Subject), zap.Error(err))
 		return false
 	}
+	s.observeRevision(n.Version)
 	c := keyvalue.Change{Entry: keyvalue.Entry{Key: n.Subject, Value: value, Revision: n.Version}, Removed: shared.Removed}
 	if c.Entry.Key == s.layout.ConfigurationKey() {
-		return s.acceptConfiguration(c)
+		return s.acceptConfiguration(c, n.Body)
 	}
 	name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
 	return isEndpoint && s.acceptEndpoint(name, c, shared.Grace-n.Age)
@@ -138,8 +141,9 @@
 	return true
 }
 
-// acceptConfiguration installs a configuration that another host read.
-func (s *Service) acceptConfiguration(c keyvalue.Change) bool {
+// acceptConfiguration installs a configuration that another host read, unless it read an
+// older one in a restored store. body is that of the notice.
+func (s *Service) acceptConfiguration(c keyvalue.Change, body []byte) bool {
 	if c.Removed {
 		return false
 	}
@@ -148,7 +152,12 @@
 		s.common.Log.Error("configuration of another host cannot be read", zap.Int64("revision", c.Entry.Revision), zap.Error(err))
 		return false
 	}
+	if keyvalue.EraOf(c.Entry.Revision) > 0 && version < s.release.InForceVersion() {
+		s.passOnNewer(c.Entry.Revision, version)
+		return false
+	}
 	s.release.Install(version, decoded)
+	s.holdConfiguration(version, body)
 	return true
 }
 
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/keyvalue"
 )
 
 // Table holds the state of each endpoint as its entries in the store show it. The
@@ -29,6 +30,8 @@
 	service  string
 	endpoint configuration.Endpoint
 	revision int64
+	// written is the revision of the entry, also once it is missing.
+	written int64
 	// missing is true while the endpoint has no entry in the store. The endpoint
 	// stays in use until the first Expire at or after inUseUntil, which sets left.
 	// Before left is set, inUseUntil is the end of use; afterwards it is when left
@@ -52,13 +55,34 @@
 	if t.observations == nil {
 		t.observations = map[string]observation{}
 	}
+	e.Leaving = e.Leaving || previous.leavesDespite(e, revision)
 	if born, said := t.leaving[e.Name]; said && (e.Born > born || (e.Born == 0 && previous.missing)) {
 		delete(t.leaving, e.Name)
 	}
-	t.observations[e.Name] = observation{service: service, endpoint: e, revision: revision}
+	t.observations[e.Name] = observation{service: service, endpoint: e, revision: revision, written: revision}
 	return !found || previous.missing || previous.service != service || !reflect.DeepEqual(previous.endpoint, e)
 }
 
+// leavesDespite reports whether an endpoint is leaving although an entry does not say so,
+// because the entry is of a restored copy from before the endpoint's own. It holds until
+// the endpoint writes its entry again.
+func (o observation) leavesDespite(e configuration.Endpoint, revision int64) bool {
+	era, known := keyvalue.EraOf(revision), keyvalue.EraOf(o.revision)
+	isCopied := era > known || (era > 0 && revision == o.revision)
+	return isCopied && !o.missing && o.endpoint.Leaving && o.endpoint.Born == e.Born
+}
+
+// LeftBefore reports whether an entry was already there before the endpoint left, in an
+// earlier era of the store: a copy from before its leaving brought it back. An endpoint
+// that lives writes its entry again, at another revision.
+func (t *Table) LeftBefore(e configuration.Endpoint, revision int64) bool {
+	previous, found := t.observations[e.Name]
+	if !found || !previous.missing || keyvalue.EraOf(revision) <= keyvalue.EraOf(previous.revision) {
+		return false
+	}
+	return keyvalue.WithoutEra(revision) == keyvalue.WithoutEra(previous.written) && reflect.DeepEqual(previous.endpoint, e)
+}
+
 // MarkLeaving records that the run of an endpoint's process that was born at the given
 // time said itself that it is leaving, and reports whether that is a change.
 func (t *Table) MarkLeaving(name string, born int64) bool {
--- a/godwitmoord/pkg/dispatch/grant_writer.go
+++ b/godwitmoord/pkg/dispatch/grant_writer.go
@@ -47,8 +47,15 @@
 	Put(ctx context.Context, key string, value []byte) error
 	// List returns the values of all keys with the prefix.
 	List(ctx context.Context, prefix string) ([][]byte, error)
+	// RestoredAt returns when this host saw the store come back from an earlier copy, zero
+	// if that was before it first heard of the store, and whether the store ever did.
+	RestoredAt() (at time.Time, ever bool)
 }
 
+// errPagesLost reports that the store was restored from a copy within the quota window, so
+// that pages may be missing from it or older than they were.
+var errPagesLost = errors.New("the store came back from an earlier copy, which may lack pages")
+
 // grantPage holds the grants that one owner made for one service in the quota window.
 type grantPage struct {
 	Service string              `cbor:"1,keyasint"`
@@ -169,23 +176,24 @@
 	defer cancel()
 	known, window := w.owner.knownGrants(service), platform.QuotaWindow.Std()
 	pages, err := w.readPages(ctx, service)
+	if err == nil && w.mayLackPages(window) {
+		err = errPagesLost
+	}
 	if err != nil && !known.isComplete() {
 		w.owner.common.Log.Warn("earlier grants not known, taking quotas as used", zap.String("service", service), zap.Error(err))
-		return persisted{grants: permit.EarlierGrants{Unread: true}}
+		if len(pages) > 0 {
+			known.learn(reportsOf(pages, window), false, window)
+		}
+		return persisted{grants: permit.EarlierGrants{Unread: true}, held: heldOf(pages)}
 	}
-	if err == nil && platform.FirstStart && len(pages) == 0 && known.isEmpty() {
+	if err == nil && platform.FirstStart && len(pages) == 0 && known.isEmpty() && !w.wasRestored() {
 		// Every owner writes a page when it starts, so without pages there was no
 		// earlier owner.
 		known.learn(nil, true, window)
 		return persisted{grants: permit.EarlierGrants{NoEarlierOwner: true}}
 	}
-	found := persisted{grants: permit.EarlierGrants{Assumed: assumedUsedShare}}
-	var reports []knownReport
-	for _, page := range pages {
-		reports = append(reports, page.known(window))
-		found.held = append(found.held, page.heldNow()...)
-	}
-	known.learn(reports, err == nil, window)
+	found := persisted{grants: permit.EarlierGrants{Assumed: assumedUsedShare}, held: heldOf(pages)}
+	known.learn(reportsOf(pages, window), err == nil, window)
 	ofSelf, ofOthers := known.usage(w.owner.common.Self.Name, window)
 	found.grants.QuotaUsed = slices.Concat(ofOthers, ofSelf)
 	w.owner.common.Log.Info("earlier grants found", zap.String("service", service), zap.Int("pages", len(pages)), zap.Bool("store-read", err == nil),
@@ -193,6 +201,50 @@
 	return found
 }
 
+// reportsOf returns what pages say of their writers' grants.
+func reportsOf(pages []grantPage, window time.Duration) []knownReport {
+	var reports []knownReport
+	for _, page := range pages {
+		reports = append(reports, page.known(window))
+	}
+	return reports
+}
+
+// heldOf returns the parts of prompts that the writers of pages still hold.
+func heldOf(pages []grantPage) []permit.HeldParts {
+	var held []permit.HeldParts
+	for _, page := range pages {
+		held = append(held, page.heldNow()...)
+	}
+	return held
+}
+
+// mayLackPages reports whether grants of the window may have been on pages that a restore
+// of the store lost.
+func (w *grantWriter) mayLackPages(window time.Duration) bool {
+	at, _ := w.store.RestoredAt()
+	return !at.IsZero() && time.Since(at) < window
+}
+
+// wasRestored reports whether the store was ever restored. That it holds no pages then
+// doesn't show that there was no owner.
+func (w *grantWriter) wasRestored() bool {
+	_, ever := w.store.RestoredAt()
+	return ever
+}
+
+// pageRestorer makes the owners of this host write their pages again after a restore of the
+// store, which lost those written since the copy was taken.
+type pageRestorer struct{ owner *Owner }
+
+func (r *pageRestorer) run(restores <-chan []byte) {
+	for range restores {
+		for _, s := range r.owner.activeServices() {
+			s.pageLost.Store(true)
+		}
+	}
+}
+
 // known returns what the page says of its writer's grants.
 func (p grantPage) known(window time.Duration) knownReport {
 	return knownReport{
@@ -252,14 +304,15 @@
 	if w.store == nil || since < minWritePause {
 		return
 	}
-	if since < writeInterval && s.core.UnwrittenShare(persistThreshold) < maxUnwrittenShare {
+	lost := s.pageLost.Swap(false)
+	if !lost && since < writeInterval && s.core.UnwrittenShare(persistThreshold) < maxUnwrittenShare {
 		return
 	}
 	s.lastWrite = time.Now()
 	usage := s.core.QuotaUsed(persistThreshold)
 	s.pageNumber++
 	s.shareGrants(usage)
-	if len(usage) > 0 {
+	if len(usage) > 0 || lost {
 		s.queuePage(usage)
 	}
 }
--- a/godwitmoord/pkg/dispatch/limits_test.go
+++ b/godwitmoord/pkg/dispatch/limits_test.go
@@ -151,3 +151,4 @@
 
 func (*emptyStore) Put(context.Context, string, []byte) error      { return nil }
 func (*emptyStore) List(context.Context, string) ([][]byte, error) { return nil, nil }
+func (*emptyStore) RestoredAt() (at time.Time, ever bool)          { return at, false }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -103,6 +103,11 @@
 		if o.grantWriter.store, err = kernel.Lookup[grantStore](o.common.Kernel, kernel.Discovery); err != nil {
 			return err
 		}
+		restores, err := o.common.Kernel.Subscribe(ctx, kernel.StoreRestored)
+		if err != nil {
+			return err
+		}
+		go (&pageRestorer{owner: o}).run(restores)
 		o.grantWriter.owner = o
 		o.grantWriter.pages = ring.New[grantPage](pageQueueSize)
 		go o.grantWriter.run(ctx)
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -45,6 +45,8 @@
 	unreadUntil time.Time
 	// told are the hosts that were told of the grants last.
 	told []string
+	// pageLost is set while this host's page may be missing from a restored store.
+	pageLost atomic.Bool
 	// pageNumber counts the times at which the grants were written or reported.
 	pageNumber int64
 }
--- a/godwitmoord/pkg/kernel/kernel.go
+++ b/godwitmoord/pkg/kernel/kernel.go
@@ -43,6 +43,9 @@
 	// ConfigurationChanged has an empty payload; read the configuration from the
 	// release service.
 	ConfigurationChanged = "configuration-changed"
+	// StoreRestored has an empty payload. The platform's store came back from an
+	// earlier copy, so that what was written last must be written again.
+	StoreRestored = "store-restored"
 )
 
 const eventBuffer = 256
