--- a/godwitmoord/pkg/discovery/eras_test.go
+++ b/godwitmoord/pkg/discovery/eras_test.go
@@ -49,7 +49,7 @@
 			is.Equal(f.acceptingKeys(), 0) // nobody knows whether version 2 is still the newest
 			calls := f.store.callsIn(10 * time.Second)
 			t.Logf("%d hosts: %d calls in 10 s while the older one stands in the store", size, calls)
-			is.True(calls <= 10*30) // half of what an outage costs
+			is.True(calls <= 10*30)                     // half of what an outage costs
 			f.store.write("configuration", []byte("2")) // the operator's repetition
 			took := f.timeUntil(func(s *Service) bool { return s.release.AcceptsKeys() })
 			t.Logf("%d hosts: all accept keys %v after the repetition", size, took)
