Take no part of an answer for the whole, and no odd status for an answer

Cause: a long request is written while its answer is read. Statuses of 600 and above reached callers, and an answer behind a status below 100, or in the body of an interim answer, was taken for the one awaited. Change: an answer that ends with its connection is whole only once the request is written. A status outside 200 to 599 ends the attempt as lost, unless it is that of an interim answer without a body. Both are counted.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -105,6 +105,31 @@
 
 func (e *LostError) Unwrap() error { return e.Cause }
 
+// StatusError reports an answer whose status is no final one, which HTTP defines as 200 to
+// 599, nor that of an interim answer without a body. What follows it can't be told from
+// its body.
+type StatusError struct {
+	Address string
+	Status  int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s sent an answer with status %03d where a final answer or an interim one without a body is expected; check what answers there", e.Address, e.Status)
+}
+
+// UnwrittenRequestError reports that a connection ended before the request was written. An
+// answer that only the end of the connection ends is then not shown to be whole: when a
+// connection is reset, one of its reader and its writer gets the error, and the other one
+// may see a regular end.
+type UnwrittenRequestError struct{ Address string }
+
+func (e *UnwrittenRequestError) Error() string {
+	return fmt.Sprintf("%s ended the connection before the request was written, and its answer states no length, so that it may be cut; check why it does not read the request", e.Address)
+}
+
+// Unwrap returns that the answer ended too early, as for any that broke off.
+func (e *UnwrittenRequestError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // CrossedError reports that the endpoint answered another attempt than the one
 // that was sent.
 type CrossedError struct{ Sent, Got string }
@@ -215,7 +240,7 @@
 	body := t.newBody(response, answerHead)
 	answer := &Answer{
 		Status: response.StatusCode, Header: response.Header, Offset: answerHead.Offset, Body: body, body: body,
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		EndsWithConnection: body.endsWithConnection,
 	}
 	if answerHead.NotRun {
 		return nil, t.rejected(answer, answerHead)
--- a/godwitmoord/pkg/attempt/body.go
+++ b/godwitmoord/pkg/attempt/body.go
@@ -22,12 +22,22 @@
 	complete bool
 	// ended is set once the body was read to its end.
 	ended bool
+	// endsWithConnection is set if only the end of the connection ends the body.
+	endsWithConnection bool
 	// totalLimited is set while one wait covers all of the body that is left.
 	totalLimited bool
 }
 
 func (t *roundTrip) newBody(response *http.Response, head exchange.EndpointResponse) *bodyReader {
-	return &bodyReader{roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: head.IdleLimit}
+	return &bodyReader{
+		roundTrip: t, body: response.Body, reusable: !response.Close, idleLimit: head.IdleLimit, endsWithConnection: endsWithConnection(response),
+	}
+}
+
+// endsWithConnection reports whether only the end of the connection ends the body of an
+// answer.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // limitTotal bounds the time to read all of the body that is left.
@@ -62,6 +72,9 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		return n, c.receiver.cause(err)
 	}
+	if err != nil && r.endsWithConnection && !c.awaitWritten(drainTimeout) {
+		return n, &UnwrittenRequestError{Address: c.address}
+	}
 	r.ended = err != nil
 	if r.ended && r.reusable {
 		c.setIdleLimit(r.idleLimit)
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -32,6 +32,8 @@
 	maxRefusalBytes = 64 << 10
 	maxSkippedBytes = 1 << 20
 	drainTimeout    = 200 * time.Millisecond
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 )
 
 // IsDisconnect reports whether an error of an attempt means that the endpoint ended the
@@ -59,9 +61,8 @@
 	// its endpoint rejected one of them.
 	reused   bool
 	rejected bool
-	// written receives the result of writing a long request; nil if none is being
-	// written.
-	written chan error
+	// upload writes the last long request; nil if there was none.
+	upload *writer
 }
 
 func (c *connection) close() { _ = c.conn.Close() }
@@ -104,9 +105,8 @@
 	if err != nil {
 		return sent, err
 	}
-	w := &writer{connection: c, body: body, done: make(chan error, 1)}
-	c.written = w.done
-	go w.run()
+	c.upload = &writer{connection: c, body: body, done: make(chan struct{})}
+	go c.upload.run()
 	return sent, nil
 }
 
@@ -114,33 +114,54 @@
 type writer struct {
 	connection *connection
 	body       []byte
-	done       chan error
+	// done is closed at the end, after err was set.
+	done chan struct{}
+	err  error
 }
 
 func (w *writer) run() {
-	_, err := io.Copy(w.connection.conn, bytes.NewReader(w.body))
-	w.done <- err
+	defer close(w.done)
+	_, w.err = io.Copy(w.connection.conn, bytes.NewReader(w.body))
 }
 
 // isReusable reports whether the connection can carry another request: the last
 // one was written completely, and its answer was read to the end.
 func (c *connection) isReusable() bool {
-	if c.written != nil {
+	if !c.isWritten() {
+		return false
+	}
+	// An idle connection must not hold the body.
+	c.upload = nil
+	return c.reader.Buffered() == 0 && time.Now().Before(c.usableUntil)
+}
+
+// isWritten reports whether the request was written completely.
+func (c *connection) isWritten() bool {
+	if c.upload == nil {
+		return true
+	}
+	select {
+	case <-c.upload.done:
+		return c.upload.err == nil
+	default:
+		return false
+	}
+}
+
+// awaitWritten waits until the request is written or can't be, no longer than longest, and
+// reports whether it was written completely.
+func (c *connection) awaitWritten(longest time.Duration) bool {
+	if c.upload != nil {
 		select {
-		case err := <-c.written:
-			c.written = nil
-			if err != nil {
-				return false
-			}
-		default:
-			return false
+		case <-c.upload.done:
+		case <-time.After(longest):
 		}
 	}
-	return c.reader.Buffered() == 0 && time.Now().Before(c.usableUntil)
+	return c.isWritten()
 }
 
 // readAnswer returns the next final answer on the connection. It skips interim
-// answers, those with a status below 200, and passes them to onInterim.
+// answers, those with a status from 100 to 199 and no body, and passes them to onInterim.
 func (c *connection) readAnswer(method string, limits waitLimits, onInterim func(status int, header http.Header)) (*http.Response, error) {
 	c.receiver.beginHead(limits)
 	defer c.receiver.endHead()
@@ -149,14 +170,28 @@
 		if err != nil {
 			return nil, c.headError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case isInterim(response):
+			onInterim(response.StatusCode, response.Header)
+		case response.StatusCode < http.StatusOK || response.StatusCode > maxStatus:
+			return nil, &StatusError{Address: c.address, Status: response.StatusCode}
+		default:
 			c.sender.recordData(c.address)
 			return response, nil
 		}
-		onInterim(response.StatusCode, response.Header)
 	}
 }
 
+// isInterim reports whether an answer is an interim one. None has a body, and none
+// switches protocols, which no request asks for.
+func isInterim(response *http.Response) bool {
+	if response.StatusCode < http.StatusContinue || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
+	length := response.Header.Get("Content-Length")
+	return len(response.TransferEncoding) == 0 && (length == "" || length == "0")
+}
+
 // headError returns why the head of an answer could not be read, given the error of
 // net/http. If the endpoint stopped responding, its idle connections are closed.
 func (c *connection) headError(err error) error {
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -171,6 +171,12 @@
 // logFailed logs a failed attempt. Of the error it logs only the text, without the
 // stack trace that some errors have.
 func (r *requestRun) logFailed(err error) {
+	switch {
+	case errors.HasType(err, (*attempt.StatusError)(nil)):
+		r.service.common.Count("endpoints.answers.odd-status")
+	case errors.HasType(err, (*attempt.UnwrittenRequestError)(nil)):
+		r.service.common.Count("endpoints.answers.cut-in-upload")
+	}
 	r.service.common.Log.Info("attempt failed", zap.String("request", r.request.ID), zap.String("caller-id", r.request.CallerID),
 		zap.String("endpoint", r.endpoint), zap.Bool("may-have-run", r.mayHaveRun), zap.Int("events", r.relay.position.events),
 		zap.String("last-event", r.relay.position.lastEvent), zap.Bool("begun", r.relay.begunAnswer()),
