Prove nothing by a restored store before a host knows the others

Cause: a host that others contact first reads the store as soon as it starts. From a restored one it could take an older configuration for proven before it knows which versions others have in force. A removal from before the restore that still stands on boards made a host that starts see a restore, and its owners take quotas as used. Change: where the store was ever restored, a reading proves only once the fleet is known, and the first era that a host learns does not come from a removal.

--- a/godwitmoord/pkg/app/platform_eras_test.go
+++ b/godwitmoord/pkg/app/platform_eras_test.go
@@ -122,3 +122,38 @@
 	s.store.Restore(empty)
 	s.eventually("the page is written again", func() bool { return s.store.Get(page) != "" })
 }
+
+// Guards against the same on a host that the others contact first: it reads the store as
+// soon as it starts, before it knows them.
+func TestListedHostThatStartsAfterARestoreAcceptsNoRemovedKey(t *testing.T) {
+	s := newPlatformDeployment(t)
+	s.keyRevocation, s.quota = 20*time.Second, ampleQuota
+	s.writeConfiguration()
+	s.registerWorker("desk-1", false)
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	peers := []string{freeAddress(t), freeAddress(t)}
+	first := s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: peers[0]}, peers)
+	second := s.startHostAt(platformHost{name: "entry-2", store: server.URL, peerAddress: peers[1]}, peers)
+	for _, h := range []platformHost{first, second} {
+		s.eventually("the host is ready", func() bool { return readinessStatusAt(h.readinessAddress) == http.StatusOK })
+	}
+	s.frontAddress = second.frontAddress
+	s.loseWrites(func() {
+		s.customerKey = "new-key"
+		s.writeConfiguration()
+		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+		s.is.NoErr(first.daemon.Stop())
+	})
+	first = s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: peers[0]}, peers)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(pollPause / 10) {
+		for _, address := range []string{first.frontAddress, second.frontAddress} {
+			s.frontAddress = address
+			s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
+		}
+	}
+	s.version--
+	s.writeConfiguration()
+	s.frontAddress = first.frontAddress
+	s.eventually("the new key is accepted", func() bool { return s.send("/lookup/7", "new-key").Status == http.StatusOK })
+}
--- a/godwitmoord/pkg/discovery/eras.go
+++ b/godwitmoord/pkg/discovery/eras.go
@@ -93,12 +93,12 @@
 
 // provesNewest reports whether what this host read last of the configuration shows that
 // the version in force is the newest. In a store that was never restored, versions don't
-// go back, so each reading does.
+// go back, so each reading does. A host that starts must first know what others have.
 func (s *Service) provesNewest() bool {
 	if _, ever := s.eras.last(); !ever {
 		return true
 	}
-	return s.storeVersion.Load() >= max(s.release.InForceVersion(), s.members.NewestVersion())
+	return s.members.FleetDiscovered() && s.storeVersion.Load() >= max(s.release.InForceVersion(), s.members.NewestVersion())
 }
 
 // passOnNewer answers an older configuration in a restored store, or the notice of one, by
--- a/godwitmoord/pkg/discovery/eras_test.go
+++ b/godwitmoord/pkg/discovery/eras_test.go
@@ -170,12 +170,32 @@
 	is.True(restored)
 }
 
+// Guards against a host that takes quotas as used because a removal from before a restore
+// long ago still stands on the boards.
+func TestOldRemovalDoesNotMakeAHostThatStartsSeeARestore(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		is := is.New(t)
+		held, starting := newLoneHostWithEndpoints(), newLoneHostWithEndpoints()
+		removals := &recordedNotices{}
+		held.notices = removals
+		held.share(removed(6), update{})
+		is.True(starting.acceptChange(removals.last))
+		starting.applyEndpoints(update{changes: []keyvalue.Change{present("i-2", keyvalue.InEra(1, 3))}, revision: keyvalue.InEra(1, 3), complete: true})
+		at, ever := starting.RestoredAt()
+		is.True(at.IsZero() && ever)
+	})
+}
+
 // aheadFleet is a fleet of which another host has a newer version in force.
 type aheadFleet struct {
 	fleet
 	newest int64
+	// starts is set while this host does not know the others yet.
+	starts bool
 }
 
+func (f *aheadFleet) FleetDiscovered() bool { return !f.starts }
+
 func (f *aheadFleet) NewestVersion() int64 { return f.newest }
 
 // versionedHost returns a host whose configurations are their versions.
@@ -217,6 +237,19 @@
 	is.True(lone.read("5", keyvalue.InEra(1, 9))) // no host has a newer one
 }
 
+// Guards against the same on a host that reads the store before it knows any other.
+func TestHostThatStartsProvesNothingBeforeItKnowsTheOthers(t *testing.T) {
+	is := is.New(t)
+	s, _ := versionedHost(t, 0)
+	members := &aheadFleet{fleet: s.members, starts: true}
+	s.members = members
+	is.True(!s.read("5", keyvalue.InEra(1, 9)))
+	is.True(!s.release.AcceptsKeys())
+	members.starts = false
+	is.True(s.read("5", keyvalue.InEra(1, 9)))
+	is.True(s.release.AcceptsKeys())
+}
+
 // Guards against an older configuration that takes the place of the newer one on the boards
 // of other hosts, as it was read at a later revision.
 func TestNoticeOfAnOlderConfigurationIsAnsweredByTheNewerOne(t *testing.T) {
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -116,7 +116,11 @@
 		s.common.Log.Warn("value from another host cannot be read", zap.String("key", n.Subject), zap.Error(err))
 		return false
 	}
-	s.observeRevision(n.Version)
+	if _, ever := s.eras.last(); ever || !shared.Removed {
+		// Boards keep removals for long: one of an earlier era must not be the first that
+		// a host learns, or the present era would look like a restore just now.
+		s.observeRevision(n.Version)
+	}
 	c := keyvalue.Change{Entry: keyvalue.Entry{Key: n.Subject, Value: value, Revision: n.Version}, Removed: shared.Removed}
 	if c.Entry.Key == s.layout.ConfigurationKey() {
 		return s.acceptConfiguration(c, n.Body)
