Report all problems of decoding a document, each with its value

Cause: decoding stopped at the first unknown field or wrong type, so a file with ten errors had to be checked ten times. Change: the field with a problem is taken out, with its line breaks kept, and the rest is decoded again, up to 100 times. A problem also has the value of its field.

--- a/coordination/pkg/document/document.go
+++ b/coordination/pkg/document/document.go
@@ -6,13 +6,16 @@
 //	var settings Settings
 //	err := document.Decode("host.jsonc", data, &settings)
 //
-// Unknown fields, duplicate fields and wrong types are problems. The caller checks
-// the values themselves; Locate adds the file and the line to the problems that
-// these checks find.
+// Unknown fields, duplicate fields and wrong types are problems; all of them are
+// returned, and the other fields are decoded. The caller checks the values
+// themselves; Locate adds the file, the line and the value to the problems that these
+// checks find.
 package document
 
 import (
+	"bytes"
 	"fmt"
+	"reflect"
 	"strings"
 	"time"
 
@@ -22,19 +25,33 @@
 	"github.com/tailscale/hujson"
 )
 
+const (
+	// maxDecodeProblems bounds the decoding of a document that has another format.
+	maxDecodeProblems = 100
+	// maxValueBytes is the longest value that is shown with a problem.
+	maxValueBytes = 200
+)
+
 // Problem is one error in a document.
 type Problem struct {
 	File string
 	// Line counts from 1; zero if the line is unknown.
 	Line int
 	// Field is a JSON pointer, such as /tiers/0/deadline.
-	Field   string
+	Field string
+	// Value is the field's value as JSON; empty if the field is absent or is a list or
+	// an object.
+	Value   string
 	Message string
 	Remedy  string
 }
 
 func (p Problem) String() string {
-	return fmt.Sprintf("%s:%d: %s: %s; %s", p.File, p.Line, p.Field, p.Message, p.Remedy)
+	text := fmt.Sprintf("%s:%d: %s: %s; %s", p.File, p.Line, p.Field, p.Message, p.Remedy)
+	if p.Value == "" {
+		return text
+	}
+	return fmt.Sprintf("%s (value %s)", text, p.Value)
 }
 
 // ProblemsError contains all problems found in one document.
@@ -68,18 +85,41 @@
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
 // Decode decodes data, JSON with comments and trailing commas, into the value that
-// into points to. Problems are returned as a *ProblemsError.
+// into points to. Problems are returned as a *ProblemsError. Fields with a problem
+// are then left at their zero value, and all others are decoded, unless data is not
+// valid JSON.
 func Decode(file string, data []byte, into any) error {
-	// Standardize replaces comments with spaces in place, so that byte offsets are
-	// the same as in the original text.
-	standardized, err := hujson.Standardize(append([]byte(nil), data...))
-	if err != nil {
-		return syntaxProblem(file, err)
+	target := reflect.ValueOf(into).Elem()
+	initial := reflect.New(target.Type()).Elem()
+	initial.Set(target)
+	var problems []Problem
+	rest := bytes.Clone(data)
+	for len(problems) < maxDecodeProblems {
+		target.Set(initial)
+		// Standardize replaces comments with spaces in place, so that byte offsets are
+		// the same as in the original text.
+		standardized, err := hujson.Standardize(rest)
+		if err != nil {
+			return syntaxProblem(file, err)
+		}
+		err = json.Unmarshal(standardized, into, json.RejectUnknownMembers(true))
+		if err == nil {
+			break
+		}
+		problems = append(problems, describe(file, standardized, err))
+		var repaired bool
+		if rest, repaired = withoutProblem(standardized, err); !repaired {
+			break
+		}
 	}
-	err = json.Unmarshal(standardized, into, json.RejectUnknownMembers(true))
-	if err == nil {
+	if len(problems) == 0 {
 		return nil
 	}
+	return &ProblemsError{Problems: problems}
+}
+
+// describe returns the problem that an error in decoding data reports.
+func describe(file string, data []byte, err error) Problem {
 	problem := Problem{File: file, Line: 1, Field: "/", Message: err.Error(), Remedy: "correct the value"}
 	var semantic *json.SemanticError
 	var syntactic *jsontext.SyntacticError
@@ -88,6 +128,7 @@
 		problem.Line = lineAtOffset(data, int(semantic.ByteOffset))
 		problem.Field = string(semantic.JSONPointer)
 		problem.Message, problem.Remedy = explainSemantic(semantic)
+		problem.Value = valueOf(data, problem.Field)
 		if line := lineOf(data, problem.Field); line > 0 {
 			problem.Line = line
 		}
@@ -97,16 +138,17 @@
 		problem.Message = syntactic.Err.Error()
 		problem.Remedy = "write each field once, as valid JSON"
 	}
-	return &ProblemsError{Problems: []Problem{problem}}
+	return problem
 }
 
 // Locate returns the problems with the file and, from each problem's field, the
-// line set.
+// line and the value set.
 func Locate(file string, data []byte, problems []Problem) []Problem {
 	located := make([]Problem, len(problems))
 	for i, p := range problems {
 		p.File = file
 		p.Line = lineOf(data, p.Field)
+		p.Value = valueOf(data, p.Field)
 		located[i] = p
 	}
 	return located
@@ -152,6 +194,24 @@
 	}
 }
 
+// valueOf returns the JSON of the field; empty if it is absent or is a list or an
+// object.
+func valueOf(data []byte, field string) string {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return ""
+	}
+	found := root.Find(field)
+	if found == nil {
+		return ""
+	}
+	literal, isLiteral := found.Value.(hujson.Literal)
+	if !isLiteral || len(literal) > maxValueBytes {
+		return ""
+	}
+	return string(literal)
+}
+
 func lineAtOffset(data []byte, offset int) int {
 	offset = min(max(offset, 0), len(data))
 	return 1 + strings.Count(string(data[:offset]), "\n")
