--- a/coordination/pkg/configuration/check.go
+++ b/coordination/pkg/configuration/check.go
@@ -1,13 +1,16 @@
 package configuration
 
 import (
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"godwitmoor.example/coordination/pkg/document"
 )
 
@@ -23,28 +26,76 @@
 
 // Parse decodes a configuration and checks every setting. Problems are returned
 // as a *document.ProblemsError; each has the file, the line, the field and a
-// remedy.
+// remedy. What could be decoded is checked also if other fields could not.
 func Parse(file string, data []byte) (Configuration, error) {
 	var c Configuration
-	if err := document.Decode(file, data, &c); err != nil {
+	var undecoded *document.ProblemsError
+	if err := document.Decode(file, data, &c); err != nil && !errors.As(err, &undecoded) {
 		return Configuration{}, err
 	}
-	if problems := c.Check(); len(problems) > 0 {
-		return Configuration{}, &document.ProblemsError{Problems: document.Locate(file, data, problems)}
+	var problems []document.Problem
+	if undecoded != nil {
+		problems = undecoded.Problems
 	}
-	return c, nil
+	if !slices.ContainsFunc(problems, concernsDocument) {
+		k := &checker{configuration: &c, undecoded: problems}
+		k.check()
+		problems = append(problems, Locate(file, data, withoutFields(k.problems, problems))...)
+	}
+	if len(problems) == 0 {
+		return c, nil
+	}
+	slices.SortStableFunc(problems, func(a, b document.Problem) int { return cmp.Compare(a.Line, b.Line) })
+	return Configuration{}, &document.ProblemsError{Problems: withoutSecrets(problems)}
+}
+
+// Locate returns the problems of a configuration with their file, line and value; the
+// values of tokens and keys are left out.
+func Locate(file string, data []byte, problems []document.Problem) []document.Problem {
+	return withoutSecrets(document.Locate(file, data, problems))
+}
+
+// concernsDocument reports whether the problem concerns the document as a whole, so
+// that no field was decoded.
+func concernsDocument(p document.Problem) bool { return p.Field == "" || p.Field == "/" }
+
+// withoutFields returns the problems that concern neither a field in undecoded nor a
+// field below one.
+func withoutFields(problems, undecoded []document.Problem) []document.Problem {
+	return slices.DeleteFunc(problems, func(p document.Problem) bool {
+		return slices.ContainsFunc(undecoded, func(u document.Problem) bool {
+			return strings.HasPrefix(p.Field+"/", u.Field+"/")
+		})
+	})
+}
+
+func withoutSecrets(problems []document.Problem) []document.Problem {
+	for i := range problems {
+		p := &problems[i]
+		if strings.HasPrefix(p.Field, "/customers/") && (strings.Contains(p.Field, "/keys") || strings.HasSuffix(p.Field, "/token-sha256")) {
+			p.Value = ""
+		}
+	}
+	return problems
 }
 
 // checker collects the problems of one configuration.
 type checker struct {
 	configuration *Configuration
-	problems      []document.Problem
+	// undecoded are the problems of the fields that could not be decoded.
+	undecoded []document.Problem
+	problems  []document.Problem
 }
 
 // Check returns the problems of the configuration's values, each with its field.
 func (c *Configuration) Check() []document.Problem {
 	k := &checker{configuration: c}
-	if c.GoodputWeight < 0 || c.GoodputWeight > 1 {
+	k.check()
+	return k.problems
+}
+
+func (k *checker) check() {
+	if c := k.configuration; c.GoodputWeight < 0 || c.GoodputWeight > 1 {
 		k.add("/goodput-weight", "is outside 0 to 1", "set a number from 0 (avoid wasted prefill) to 1 (goodput by tier first)")
 	}
 	k.checkTiers()
@@ -52,7 +103,15 @@
 	k.checkServices()
 	k.checkRules()
 	k.checkClaims()
-	return k.problems
+}
+
+// allNamesKnown reports whether the names of all items of a list were decoded. If not, a
+// name that is not among them may be right.
+func (k *checker) allNamesKnown(list string) bool {
+	return !slices.ContainsFunc(k.undecoded, func(p document.Problem) bool {
+		item, below := strings.CutPrefix(p.Field, list+"/")
+		return p.Field == list || below && (!strings.Contains(item, "/") || path.Base(item) == "name")
+	})
 }
 
 func (k *checker) add(field, message, remedy string) {
@@ -72,7 +131,7 @@
 }
 
 func (k *checker) checkTierExists(field, name string) {
-	if _, known := k.configuration.TierRank(name); !known {
+	if _, known := k.configuration.TierRank(name); !known && k.allNamesKnown("/tiers") {
 		k.add(field, fmt.Sprintf("there is no tier %q", name), "name one of /tiers")
 	}
 }
@@ -169,7 +228,7 @@
 func (k *checker) checkRules() {
 	for i, r := range k.configuration.Rules {
 		field := fmt.Sprintf("/rules/%d", i)
-		if _, known := k.configuration.Service(r.Service); !known {
+		if _, known := k.configuration.Service(r.Service); !known && k.allNamesKnown("/services") {
 			k.add(field+"/service", fmt.Sprintf("there is no service %q", r.Service), "name one of /services")
 		}
 		for n, method := range r.Methods {
