--- a/godwitmoor/pkg/app/app.go
+++ b/godwitmoor/pkg/app/app.go
@@ -17,7 +17,8 @@
 	"godwitmoor.example/godwitmoor/pkg/commands"
 )
 
-// Main runs the command and exits with status 1 if it failed, else 0.
+// Main runs the command and exits with its status: 0 if it succeeded, 1 if it failed,
+// 2 if a check found only warnings.
 func Main() { os.Exit(execute()) }
 
 func execute() int {
@@ -28,9 +29,9 @@
 		Usage:    "operate a deployment of godwitmoor",
 		Commands: commands.All(os.Stdout),
 	}
-	if err := root.Run(ctx, os.Args); err != nil {
+	err := root.Run(ctx, os.Args)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 1
 	}
-	return 0
+	return commands.ExitStatus(err)
 }
--- a/godwitmoor/pkg/commands/apply.go
+++ b/godwitmoor/pkg/commands/apply.go
@@ -69,7 +69,7 @@
 }
 
 func applyFile(ctx context.Context, c *cli.Command) (int64, error) {
-	text, _, err := readFile(c)
+	file, err := checkFile(c)
 	if err != nil {
 		return 0, err
 	}
@@ -85,7 +85,7 @@
 		}
 		base = current.Version
 	}
-	change := configuration.Change{ID: c.String("change-id"), By: c.String("by"), Text: text, Base: base}
+	change := configuration.Change{ID: c.String("change-id"), By: c.String("by"), Text: file.text, Base: base}
 	if change.ID == "" {
 		change.ID = uuid.NewString()
 	}
--- a/godwitmoor/pkg/commands/commands.go
+++ b/godwitmoor/pkg/commands/commands.go
@@ -3,11 +3,8 @@
 package commands
 
 import (
-	"fmt"
 	"io"
-	"os"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/keyvalue"
@@ -44,32 +41,3 @@
 func newConfigurationStore(c *cli.Command) *configuration.Store {
 	return &configuration.Store{KeyValue: &keyvalue.Client{URL: c.String("key-value")}}
 }
-
-// readFile reads and checks the configuration file named by the only argument. It
-// returns the file's text and the parsed configuration.
-func readFile(c *cli.Command) (string, configuration.Configuration, error) {
-	if c.Args().Len() != 1 {
-		return "", configuration.Configuration{}, &UsageError{Message: "pass exactly one configuration file"}
-	}
-	file := c.Args().First()
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return "", configuration.Configuration{}, errors.Wrap(err, "read the configuration")
-	}
-	parsed, err := configuration.Parse(file, data)
-	return string(data), parsed, err
-}
-
-func printDifferences(out io.Writer, before, after configuration.Configuration) error {
-	differences, err := configuration.Differences(before, after)
-	if err != nil {
-		return err
-	}
-	if len(differences) == 0 {
-		fmt.Fprintln(out, "no difference")
-	}
-	for _, d := range differences {
-		fmt.Fprintln(out, d)
-	}
-	return nil
-}
