Set the runtime's memory limit by the settings, and share the account

Cause: the heap may grow by 8 MB or 30% beyond what is live, whatever the memory of the process is. Change: with memory in the settings the runtime's limit is three quarters of it, and Common has the account and the reporter. Without the setting both do nothing.

--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -28,6 +28,7 @@
 	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/godwitmoord/pkg/claims"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/discovery"
@@ -169,9 +170,11 @@
 		Kernel:   k,
 		Metrics:  metrics.NewRegistry(),
 		Dialect:  exchange.Native{},
+		Budget:   budget.New(s.Memory),
 	}
+	c.Shortages = &budget.Reporter{Log: log, Account: c.Budget, Count: c.Count}
 	d := &Daemon{common: c, kernel: k, members: membership.New(c), status: status.New(c), front: front.New(c)}
-	k.Register(kernel.Memory, &memory.Service{})
+	k.Register(kernel.Memory, &memory.Service{Mebibytes: s.Memory})
 	k.Register(kernel.Record, record.New(c))
 	k.Register(kernel.Peer, peer.New(c))
 	k.Register(kernel.Membership, d.members)
--- a/godwitmoord/pkg/common/common.go
+++ b/godwitmoord/pkg/common/common.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/settings"
 	"godwitmoor.example/godwitmoord/pkg/text"
@@ -24,6 +25,10 @@
 	Dialect exchange.Dialect
 	// Features are the optional parts that this deployment calls for.
 	Features exchange.Features
+	// Budget is the account of what this host holds; nil if that is not bounded.
+	Budget *budget.Account
+	// Shortages counts and logs what was given up or turned away.
+	Shortages *budget.Reporter
 }
 
 // Count adds one to the named counter.
--- a/godwitmoord/pkg/memory/memory.go
+++ b/godwitmoord/pkg/memory/memory.go
@@ -3,7 +3,9 @@
 // A fixed percentage of the live heap does not suit a host. While the heap is
 // small, a low percentage causes a collection every few requests; with thousands
 // of open streams, Go's default percentage doubles the memory. So the heap may
-// grow by a fixed number of bytes, or by a low percentage where that is more.
+// grow by a fixed number of bytes, or by a low percentage where that is more. Where the
+// settings bound the memory of the process, the runtime also collects as often as it
+// must to stay below a part of that.
 package memory
 
 import (
@@ -22,15 +24,27 @@
 	// maxPercent bounds the growth of a small heap.
 	maxPercent = 800
 	interval   = time.Second
-	liveMetric = "/gc/heap/live:bytes"
+	// The runtime's limit is limitNumerator / limitDenominator of the memory of the
+	// process. The rest is for the program's text and for threads, which the runtime
+	// does not count, and for what it can't collect in time.
+	limitNumerator   = 3
+	limitDenominator = 4
+	mebibyte         = 1 << 20
+	liveMetric       = "/gc/heap/live:bytes"
 )
 
-// Service sets the garbage collector's target percentage. The zero value is ready
-// to use.
-type Service struct{}
+// Service sets the garbage collector's target percentage, and the runtime's memory
+// limit. The zero value is ready to use and sets no limit.
+type Service struct {
+	// Mebibytes is the memory that the process may use, in MiB; zero means no limit.
+	Mebibytes int
+}
 
-// Start adjusts the percentage at every interval until ctx ends.
+// Start sets the limit, and adjusts the percentage at every interval until ctx ends.
 func (s *Service) Start(ctx context.Context) error {
+	if s.Mebibytes > 0 {
+		debug.SetMemoryLimit(limitFor(s.Mebibytes))
+	}
 	go s.run(ctx)
 	return nil
 }
@@ -55,6 +69,12 @@
 	}
 }
 
+// limitFor returns the runtime's memory limit in bytes for a process that may use
+// memory, in MiB.
+func limitFor(memory int) int64 {
+	return int64(memory) * mebibyte * limitNumerator / limitDenominator
+}
+
 // percentFor returns the growth allowed for a live heap of the given bytes, in
 // percent.
 func percentFor(live uint64) int {
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -53,10 +53,12 @@
 	// use. Hosts with more own services; zero if it is not known.
 	ProcessorShare float64 `json:"processor-share,omitempty"`
 	ProcessorCores int     `json:"processor-cores,omitempty"`
-	// Memory is the memory that the process may use, in MiB, and Descriptors the number
-	// of its file descriptors. Zero means that what the host holds for callers,
-	// endpoints and other hosts is not bounded by it.
-	Memory      int `json:"memory,omitempty"`
+	// Memory is the memory that the process may use, in MiB. Half of it may be held for
+	// callers, endpoints and other hosts. Zero means that it bounds nothing.
+	Memory int `json:"memory,omitempty"`
+	// Descriptors is the number of file descriptors that the process may use. Callers and
+	// other hosts may each have connections on three eighths of them. Zero means that it
+	// bounds nothing.
 	Descriptors int `json:"descriptors,omitempty"`
 	// Record writes every decision to the log.
 	Record bool `json:"record,omitempty"`
