Send bodies in pieces, and charge what is held of answers

Cause: a body in one piece is copied as it grows, or takes twice its size when its pieces are joined. Change: attempt.Request and serving.Request have BodyRest, the pieces after Body, which are sent by one vectored write. The beginnings of long events, stored error answers and answers kept for claims are charged to the account; they are never refused, as their requests were sent.

--- a/godwitmoord/pkg/attempt/attempt.go
+++ b/godwitmoord/pkg/attempt/attempt.go
@@ -36,9 +36,11 @@
 	Target string
 	// HostHeader is the value of the Host header; empty means the endpoint's
 	// address.
-	HostHeader      string
-	Header          http.Header
-	Body            []byte
+	HostHeader string
+	Header     http.Header
+	Body       []byte
+	// BodyRest follows Body, if the body is in several pieces.
+	BodyRest        [][]byte
 	EndpointRequest exchange.EndpointRequest
 	// MayReuseConnection says that the request may use a connection that carried
 	// another request before. Other requests get a new connection, because a
@@ -201,7 +203,7 @@
 // send writes the request and reads the head of its answer.
 func (t *roundTrip) send() (*Answer, error) {
 	headerBytes := t.request.encodeHead(t.sender.dialect(), t.connection.address)
-	sent, err := t.connection.write(headerBytes, t.request.Body)
+	sent, err := t.connection.write(headerBytes, t.request.Body, t.request.BodyRest)
 	if err != nil && sent == 0 {
 		return nil, &NotSentError{Address: t.connection.address, Cause: err}
 	}
@@ -294,5 +296,14 @@
 	if host == "" {
 		host = address
 	}
-	return encodeHead(p.Method, p.Target, host, header, len(p.Body))
+	return encodeHead(p.Method, p.Target, host, header, p.bodyBytes())
+}
+
+// bodyBytes returns the length of the body.
+func (p Request) bodyBytes() int {
+	n := len(p.Body)
+	for _, piece := range p.BodyRest {
+		n += len(piece)
+	}
+	return n
 }
--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -94,17 +94,17 @@
 
 // write sends a request and returns how many bytes may have been sent. It returns
 // before a long body is written.
-func (c *connection) write(head, body []byte) (int, error) {
+func (c *connection) write(head, body []byte, rest [][]byte) (int, error) {
 	_ = c.conn.SetDeadline(time.Time{})
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if len(head)+len(body) <= maxInlineBytes {
+	if len(rest) == 0 && len(head)+len(body) <= maxInlineBytes {
 		return c.conn.Write(append(head, body...))
 	}
 	sent, err := c.conn.Write(head)
 	if err != nil {
 		return sent, err
 	}
-	w := &writer{connection: c, body: body, done: make(chan error, 1)}
+	w := &writer{connection: c, body: append(net.Buffers{body}, rest...), done: make(chan error, 1)}
 	c.written = w.done
 	go w.run()
 	return sent, nil
@@ -113,12 +113,12 @@
 // writer writes a long body while the answer is read.
 type writer struct {
 	connection *connection
-	body       []byte
+	body       net.Buffers
 	done       chan error
 }
 
 func (w *writer) run() {
-	_, err := io.Copy(w.connection.conn, bytes.NewReader(w.body))
+	_, err := w.body.WriteTo(w.connection.conn)
 	w.done <- err
 }
 
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -13,6 +13,7 @@
 	"godwitmoor.example/coordination/pkg/exchange"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/godwitmoord/pkg/attempt"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 )
 
 const (
@@ -103,6 +104,23 @@
 	// disconnects; callerGone is set when that happens.
 	readsToEnd bool
 	callerGone bool
+	// account is charged for what is held of answers beside a small buffer, and held is
+	// what it was charged for.
+	account *budget.Account
+	held    int64
+}
+
+// hold charges n bytes that are held of an answer. They are never refused: the request
+// was sent.
+func (r *relay) hold(n int) {
+	r.account.Add(int64(n))
+	r.held += int64(n)
+}
+
+// release charges back what was held, at the end of the request.
+func (r *relay) release() {
+	r.account.Add(-r.held)
+	r.held = 0
 }
 
 // beginAttempt forgets what was recorded of the attempt before; onFirstByte is for
@@ -221,7 +239,11 @@
 	partial := make([]byte, 0, readBufferSize)
 	for {
 		// The same buffer holds the incomplete last event and the next data.
+		before := cap(partial)
 		partial = slices.Grow(partial, readBufferSize/2)
+		if cap(partial) > before {
+			r.hold(cap(partial) - before)
+		}
 		n, err := body.Read(partial[len(partial):cap(partial)])
 		partial = partial[:len(partial)+n]
 		if end := lastEventEnd(partial, len(partial)-n); end > 0 {
@@ -308,6 +330,7 @@
 		r.exceedsLimit = r.storedBody.Len()+len(data) > r.storeLimit
 		if !r.exceedsLimit {
 			r.storedBody.Write(data)
+			r.hold(len(data))
 		}
 	}
 	if r.callerGone {
--- a/godwitmoord/pkg/serving/request.go
+++ b/godwitmoord/pkg/serving/request.go
@@ -49,6 +49,8 @@
 	HostHeader string
 	Header     http.Header
 	Body       []byte
+	// BodyRest follows Body, if the body is in several pieces.
+	BodyRest   [][]byte
 	Idempotent bool
 	// Resumable says that another endpoint can continue the answer's stream after
 	// the last event that was forwarded.
@@ -97,6 +99,7 @@
 		HostHeader:         r.HostHeader,
 		Header:             r.Header,
 		Body:               r.Body,
+		BodyRest:           r.BodyRest,
 		MayReuseConnection: r.Idempotent || r.Keyless,
 		RunsOnce:           !r.Idempotent,
 		EchoesAttempt:      r.Service.EchoesAttempt,
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -168,6 +168,7 @@
 		return failed
 	}
 	r.logFailed(failed)
+	r.relay.hold(len(body))
 	r.errorAnswer = &errorAnswer{status: answer.Status, header: answer.Header, body: body}
 	// The endpoint ran the request in the usual time. The request failed, not the
 	// endpoint, so no fault is reported.
