Bound the connections and the frames of other hosts

Cause: accepted connections and frames took descriptors and memory without bound. Change: with descriptors in the settings other hosts have at most three eighths of them; with memory, frames over 4 KiB are charged while they are read, in an eighth that callers can't use. What does not fit ends its connection.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 )
 
 const (
@@ -52,6 +53,9 @@
 	}
 }
 
+// errFrameRefused reports a frame for which this host has no room.
+var errFrameRefused = errors.New("no room for a frame of another host; look for what the host holds in the lines of its memory budget")
+
 // FrameTooLargeError reports a frame larger than maxFrame, received or about to be
 // sent.
 type FrameTooLargeError struct{ Bytes uint32 }
@@ -103,6 +107,8 @@
 	takesOneWay atomic.Bool
 	// ended is closed when no more replies can be read.
 	ended chan struct{}
+	// account is charged for large frames while they are read.
+	account *budget.Account
 }
 
 func newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
@@ -149,6 +155,12 @@
 	if n > maxFrame {
 		return errors.WithStack(&FrameTooLargeError{Bytes: n})
 	}
+	if n > initialFrameBytes {
+		if !c.account.ReserveForHosts(int64(n)) {
+			return errors.WithStack(errFrameRefused)
+		}
+		defer c.account.Add(-int64(n))
+	}
 	// The buffer grows with the bytes that arrive, as the size may be wrong.
 	var data bytes.Buffer
 	data.Grow(min(int(n), initialFrameBytes) + bytes.MinRead)
@@ -259,7 +271,8 @@
 type (
 	serverCodec struct {
 		*codec
-		receive func(request []byte) ([]byte, error)
+		receive   func(request []byte) ([]byte, error)
+		shortages *budget.Reporter
 	}
 	clientCodec struct{ *codec }
 )
@@ -269,6 +282,7 @@
 	// are handled.
 	c.openCalls <- struct{}{}
 	if err := c.readFrame(); err != nil {
+		c.reportRefused(err)
 		return err
 	}
 	for c.lastRead.Delivery != concurrent {
@@ -276,6 +290,7 @@
 			return err
 		}
 		if err := c.readFrame(); err != nil {
+			c.reportRefused(err)
 			return err
 		}
 	}
@@ -283,6 +298,13 @@
 	return nil
 }
 
+// reportRefused reports a frame that could not be read for lack of room.
+func (c serverCodec) reportRefused(err error) {
+	if errors.Is(err, errFrameRefused) {
+		c.shortages.Report(budget.FrameRefused)
+	}
+}
+
 // handleInOrder handles the last frame read, and answers it unless it is a one-way call.
 // net/rpc handles calls concurrently, so it is not used here.
 func (c serverCodec) handleInOrder() error {
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/host"
 	"godwitmoor.example/coordination/pkg/reply/replytest"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/godwitmoord/pkg/common"
 )
 
@@ -183,3 +184,38 @@
 		})
 	}
 }
+
+// Frames of other hosts took memory that the host's bound did not count.
+func TestLargeFrameWithoutRoomEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newService(t)
+		s.common.Budget = budget.New(1)
+		s.common.Budget.Add(s.common.Budget.Limit())
+		held := s.common.Budget.Held()
+		conn := s.accept()
+		defer conn.Close()
+		_, err := conn.Write(sizeOf(maxFrame / 4))
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(callTimeout / 2))
+		_, err = conn.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		is.Equal(s.common.Budget.Held(), held)
+	})
+}
+
+// Connections of other hosts used up the descriptors of the process.
+func TestConnectionsOfOtherHostsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newService(t)
+	is.True(!s.isFull())
+	s.common.Settings.Descriptors = 16
+	for range budget.Connections(16) {
+		is.True(!s.isFull())
+		near, far := net.Pipe()
+		defer near.Close()
+		defer far.Close()
+		s.trackAccepted(near)
+	}
+	is.True(s.isFull())
+}
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -24,6 +24,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"godwitmoor.example/coordination/pkg/host"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/godwitmoord/pkg/common"
 )
 
@@ -149,6 +150,11 @@
 		if err != nil {
 			return
 		}
+		if s.isFull() {
+			s.common.Shortages.Report(budget.HostRefused)
+			_ = conn.Close()
+			continue
+		}
 		if !s.trackAccepted(conn) {
 			return
 		}
@@ -178,6 +184,14 @@
 	}
 }
 
+// isFull reports whether other hosts have as many connections open as they may.
+func (s *Service) isFull() bool {
+	most := budget.Connections(s.common.Settings.Descriptors)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return most > 0 && len(s.accepted) >= most
+}
+
 // trackAccepted records an accepted connection so that Stop can close it. After
 // Stop it closes the connection and returns false.
 func (s *Service) trackAccepted(conn net.Conn) bool {
@@ -199,8 +213,8 @@
 
 func (c *serverConn) run() {
 	codec := newCodec(c.conn, callTimeout)
-	codec.idleTimeout = acceptedIdleTimeout
-	c.service.server.ServeCodec(serverCodec{codec: codec, receive: c.service.receive})
+	codec.idleTimeout, codec.account = acceptedIdleTimeout, c.service.common.Budget
+	c.service.server.ServeCodec(serverCodec{codec: codec, receive: c.service.receive, shortages: c.service.common.Shortages})
 	c.service.mu.Lock()
 	delete(c.service.accepted, c.conn)
 	c.service.mu.Unlock()
@@ -342,6 +356,7 @@
 		return nil, err
 	}
 	codec := s.clientCodec(conn)
+	codec.account = s.common.Budget
 	opened := &client{Client: rpc.NewClientWithCodec(codec), codec: codec, used: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
