Bound what callers make a host hold, and spool answers that are read slowly

Cause: bodies took several times their size until 30 s were over, connections were not bounded, and a caller that read slowly kept the slot of an endpoint. Change: bodies are read in chunks that are charged before they are allocated, must progress, and are given up or refused with 503 (not run) when room is short; sparse ones are slowed together. A listener bounds connections and closes those that hold nothing. Where the deployment spools answers, a write that has blocked for 30 ms continues from a spool, below net/http; a caller that reads nothing is reset. Heads are bounded to 16 KiB and 5 s with the setting. Without the settings and the feature the plain listener and the old bounds apply.

--- /dev/null
+++ b/godwitmoord/pkg/front/body_test.go
@@ -0,0 +1,158 @@
+package front
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/godwitmoord/pkg/budget"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/serving"
+	"godwitmoor.example/godwitmoord/pkg/text"
+)
+
+const testBodyLimit = 4 << 20
+
+// deadlineWriter is a response writer that records the read deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (w *deadlineWriter) SetReadDeadline(deadline time.Time) error {
+	w.deadline = deadline
+	return nil
+}
+
+// slowBody returns step bytes after each pause until its bytes are used up, and nothing
+// more after that until the read deadline.
+type slowBody struct {
+	writer      *deadlineWriter
+	left, step  int
+	pause       time.Duration
+	endsInstead bool
+}
+
+func (b *slowBody) Read(into []byte) (int, error) {
+	if b.left == 0 && b.endsInstead {
+		return 0, io.EOF
+	}
+	arrives := time.Now().Add(b.pause)
+	if b.left == 0 || arrives.After(b.writer.deadline) {
+		time.Sleep(time.Until(b.writer.deadline))
+		return 0, os.ErrDeadlineExceeded
+	}
+	time.Sleep(b.pause)
+	n := min(len(into), b.step, b.left)
+	b.left -= n
+	return n, nil
+}
+
+func (b *slowBody) Close() error { return nil }
+
+// newTestBody returns a body of a chunked request to a host with the given memory.
+func newTestBody(memory int, body io.Reader) *callerBody {
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	if slow, isSlow := body.(*slowBody); isSlow {
+		slow.writer = w
+	}
+	r := httptest.NewRequest(http.MethodPost, "/", body)
+	r.ContentLength = -1
+	s := New(&common.Common{Budget: budget.New(memory)})
+	return &callerBody{service: s, writer: w, request: r, control: http.NewResponseController(w)}
+}
+
+func readTestBody(b *callerBody) (serving.Request, *rejection) {
+	request := serving.Request{}
+	request.Service.BodyLimit = testBodyLimit
+	return request, b.readInto(&request)
+}
+
+// A crowd of bodies that stopped just short of their end stayed open and held their
+// memory for half a minute.
+func TestBodyWithoutProgressIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		_, rejected := readTestBody(newTestBody(64, &slowBody{left: 1 << 20, step: 1 << 20}))
+		is.Equal(rejected.status, http.StatusRequestTimeout)
+		is.Equal(rejected.reason, text.BodyTooSlow)
+		is.True(time.Since(start) <= progressTime+progressStep)
+	})
+}
+
+// A caller with a slow network is not one that misbehaves.
+func TestBodyAboveTheLeastRateIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		request, rejected := readTestBody(newTestBody(64, &slowBody{left: 40 << 10, step: 2 << 10, pause: time.Second, endsInstead: true}))
+		is.Equal(rejected, nil)
+		is.Equal(lengthOf(request), 40<<10)
+	})
+}
+
+// Without the setting, bodies are read as long as before.
+func TestBodyWithoutProgressIsCutAfterItsWholeTimeWithoutABudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		_, rejected := readTestBody(newTestBody(0, &slowBody{left: 1 << 20, step: 1 << 20}))
+		is.Equal(rejected.reason, text.BadBody)
+		is.Equal(time.Since(start), readBodyTimeout)
+	})
+}
+
+func lengthOf(request serving.Request) int {
+	n := len(request.Body)
+	for _, piece := range request.BodyRest {
+		n += len(piece)
+	}
+	return n
+}
+
+// A body took several times its size while it was read, and a declared length took its
+// whole size at once.
+func TestBodyTakesAboutItsOwnSize(t *testing.T) {
+	is := is.New(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 20_011)
+	for _, declared := range []int64{-1, int64(len(sent))} {
+		b := newTestBody(64, iotest.OneByteReader(bytes.NewReader(sent)))
+		b.request.ContentLength = declared
+		request, rejected := readTestBody(b)
+		is.Equal(rejected, nil)
+		is.True(b.service.common.Budget.Held() >= int64(len(sent)))
+		is.True(b.service.common.Budget.Held() <= int64(len(sent)+maxChunkBytes))
+		is.True(bytes.Equal(bytes.Join(append([][]byte{request.Body}, request.BodyRest...), nil), sent))
+		is.True(bytes.Equal(b.whole(), sent))
+		b.close()
+		is.Equal(b.service.common.Budget.Held(), int64(0))
+	}
+}
+
+// What does not fit was read before it was refused.
+func TestBodyDeclaredOverTheLimitIsRefusedUnread(t *testing.T) {
+	is := is.New(t)
+	b := newTestBody(64, iotest.ErrReader(io.ErrUnexpectedEOF))
+	b.request.ContentLength = testBodyLimit + 1
+	_, rejected := readTestBody(b)
+	is.Equal(rejected.status, http.StatusRequestEntityTooLarge)
+}
+
+// A refusal for memory must be one that its caller may repeat.
+func TestBodyWithoutRoomIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newTestBody(4, bytes.NewReader(make([]byte, 3<<20)))
+	_, rejected := readTestBody(b)
+	is.Equal(rejected.status, http.StatusServiceUnavailable)
+	is.Equal(rejected.reason, text.HostFull)
+	is.True(rejected.retryAfter > 0)
+	b.close()
+	is.Equal(b.service.common.Budget.Held(), int64(0))
+}
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -22,6 +21,7 @@
 	"godwitmoor.example/coordination/pkg/claim"
 	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/exchange"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/godwitmoord/pkg/common"
 	"godwitmoor.example/godwitmoord/pkg/kernel"
 	"godwitmoor.example/godwitmoord/pkg/release"
@@ -32,8 +32,12 @@
 const (
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 10 * time.Second
-	readBodyTimeout   = 30 * time.Second
-	idleTimeout       = 90 * time.Second
+	// While memory is bounded, heads are bounded more closely, as short fields need
+	// many times their size. No client within the platform's limits exceeds these.
+	boundedHeaderBytes       = 16 << 10
+	boundedReadHeaderTimeout = 5 * time.Second
+	readBodyTimeout          = 30 * time.Second
+	idleTimeout              = 90 * time.Second
 	// bytesPerToken estimates the tokens of a prompt from its length, as the caller
 	// does not send their number.
 	bytesPerToken = 4
@@ -58,6 +62,8 @@
 	release *release.Service
 	serving *serving.Service
 	server  *http.Server
+	// listener is nil if callers' connections are not bounded and nothing is spooled.
+	listener *boundedListener
 	// stopping is true once this host stops: each answer then closes its connection.
 	stopping atomic.Bool
 }
@@ -85,10 +91,28 @@
 		IdleTimeout:       idleTimeout,
 		ConnContext:       withConnection,
 	}
-	go s.run(listener)
+	if s.common.Budget != nil {
+		s.server.MaxHeaderBytes, s.server.ReadHeaderTimeout = boundedHeaderBytes, boundedReadHeaderTimeout
+	}
+	go s.run(s.bounded(listener))
 	return nil
 }
 
+// bounded returns the listener with the bounds of the settings, and with spooling where
+// the deployment calls for it; without both it returns the listener itself.
+func (s *Service) bounded(listener net.Listener) net.Listener {
+	most := budget.Connections(s.common.Settings.Descriptors)
+	if s.common.Budget == nil && most == 0 && !s.common.Features.SpoolAnswers {
+		return listener
+	}
+	s.listener = &boundedListener{
+		Listener: listener, account: s.common.Budget, shortages: s.common.Shortages, most: most,
+		spools: s.common.Features.SpoolAnswers, unreadTime: unreadTime, fullTime: fullTime, open: map[*callerConn]struct{}{},
+	}
+	s.server.ConnState = recordPhase
+	return s.listener
+}
+
 // handler returns the handler for every method and path. With platform settings
 // there is no router, which would clean or redirect paths: callers of the platform
 // may use a path in any form.
@@ -129,6 +153,9 @@
 		s.common.Log.Warn("requests still in progress at stop-bound were cut off", zap.Error(err))
 		return s.server.Close()
 	}
+	if s.listener != nil {
+		s.listener.awaitSpools(ctx)
+	}
 	return nil
 }
 
@@ -145,13 +172,17 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	body := &callerBody{service: s, writer: w, request: r, control: http.NewResponseController(w)}
+	defer body.close()
 	current := s.release.Current()
 	if current == nil {
+		body.refuse(text.NotReady)
 		s.refuse(w, "", http.StatusServiceUnavailable, serving.Refused{Outcome: text.NotRun, Reason: text.NotReady, RetryAfter: time.Second})
 		return
 	}
-	request, rejected := s.readRequest(w, r, current, arrived)
+	request, rejected := s.readRequest(body, r, current, arrived)
 	if rejected != nil {
+		body.refuse(rejected.reason)
 		s.common.Count("front.faults." + string(rejected.reason))
 		s.common.Log.Info("request refused", zap.String("caller-id", request.CallerID), zap.String("reason", string(rejected.reason)),
 			zap.String("request", request.ID), zap.String("route", request.Route), zap.Int("status", rejected.status),
@@ -159,7 +190,7 @@
 		s.refuse(w, request.ID, rejected.status, serving.Refused{Outcome: text.NotRun, Reason: rejected.reason, RetryAfter: rejected.retryAfter})
 		return
 	}
-	writer := &answerWriter{writer: w, control: http.NewResponseController(w), request: request.ID, host: s.common.Self.Name}
+	writer := &answerWriter{writer: w, control: body.control, request: request.ID, host: s.common.Self.Name}
 	finished := resetUnfinished(r)
 	switch result := s.serving.Serve(r.Context(), request, writer).(type) {
 	case serving.Refused:
@@ -175,16 +206,16 @@
 
 // readRequest converts an HTTP request: with platform settings by the routes of the
 // configuration, otherwise by the services' prefixes and the rules.
-func (s *Service) readRequest(w http.ResponseWriter, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *rejection) {
+func (s *Service) readRequest(body *callerBody, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *rejection) {
 	if s.common.Settings.Platform != nil {
-		return s.readByRoutes(w, r, current, arrived)
+		return s.readByRoutes(body, r, current, arrived)
 	}
-	return s.readByRules(w, r, &current.Configuration, arrived)
+	return s.readByRules(body, r, &current.Configuration, arrived)
 }
 
 // readByRules converts an HTTP request by the services' prefixes and the rules. If
 // it returns a rejection, the request holds only what was read before that.
-func (s *Service) readByRules(w http.ResponseWriter, r *http.Request, c *configuration.Configuration, arrived time.Time) (serving.Request, *rejection) {
+func (s *Service) readByRules(body *callerBody, r *http.Request, c *configuration.Configuration, arrived time.Time) (serving.Request, *rejection) {
 	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Claims: c.Claims}
 	customer, known := customerOf(c, r)
 	if !known {
@@ -208,9 +239,10 @@
 	if rejected := setKey(&request, r.Header.Get(keyHeader)); rejected != nil {
 		return request, rejected
 	}
-	if rejected := readBody(&request, w, r); rejected != nil {
+	if rejected := body.readInto(&request); rejected != nil {
 		return request, rejected
 	}
+	request.Body, request.BodyRest = body.whole(), nil
 	request.Header = endpointHeader(r)
 	request.Parts = sharedParts(exchange.ParseParts(r.Header.Get(exchange.PartsHeader)))
 	request.Subject = request.Key
@@ -307,30 +339,6 @@
 	return nil
 }
 
-// readBody reads the body up to the service's limit.
-func readBody(request *serving.Request, w http.ResponseWriter, r *http.Request) *rejection {
-	control := http.NewResponseController(w)
-	// The read deadline cuts off a caller that sends its body too slowly. It is
-	// removed after the body, because the server goes on reading to notice when the
-	// caller disconnects.
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	limit := request.Service.BodyLimit
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: text.BodyTooLarge}
-	}
-	if err != nil {
-		return &rejection{status: http.StatusBadRequest, reason: text.BadBody}
-	}
-	request.Body = body
-	return nil
-}
-
 // droppedHeaders lists the headers of callers that are not passed on to endpoints:
 // those that only this system may set, and those that are meant for this host.
 var droppedHeaders = []string{
--- /dev/null
+++ b/godwitmoord/pkg/front/listener.go
@@ -0,0 +1,190 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"godwitmoor.example/godwitmoord/pkg/budget"
+)
+
+// spoolPollInterval is how often a stop checks whether spooled parts are sent.
+const spoolPollInterval = 20 * time.Millisecond
+
+// boundedListener accepts callers' connections within the bounds of the host.
+type boundedListener struct {
+	net.Listener
+	account   *budget.Account
+	shortages *budget.Reporter
+	// most bounds the open connections; zero means no bound.
+	most int
+	// spools is set if what callers don't read in time is spooled.
+	spools bool
+	// unreadTime is how long a caller may read nothing while something is spooled for
+	// it, fullTime how long a part of its answer waits for room in a full spool.
+	unreadTime, fullTime time.Duration
+	// spooled is the number of bytes that are spooled, spooling that of the connections
+	// on which some are.
+	spooled, spooling atomic.Int64
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+// Accept returns the next connection for which there is room.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(accepted); c != nil {
+			return c, nil
+		}
+		l.shortages.Report(budget.ConnectionRefused)
+		_ = accepted.Close()
+	}
+}
+
+// admit returns an accepted connection, for which another one may be closed; nil if there
+// is no room for it.
+func (l *boundedListener) admit(accepted net.Conn) *callerConn {
+	if !l.reserve() && (!l.closeOne() || !l.reserve()) {
+		return nil
+	}
+	c := newCallerConn(l, accepted)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c
+}
+
+// reserve charges one more connection, and reports whether there is room for it. It is
+// called by Accept only.
+func (l *boundedListener) reserve() bool {
+	l.mu.Lock()
+	full := l.most > 0 && len(l.open) >= l.most
+	l.mu.Unlock()
+	return !full && l.account.Reserve(budget.ConnectionBytes)
+}
+
+// closeOne closes a connection that holds nothing, and reports whether there was one.
+func (l *boundedListener) closeOne() bool {
+	now := time.Now()
+	l.mu.Lock()
+	connections := make([]budget.Connection, 0, len(l.open))
+	open := make([]*callerConn, 0, len(l.open))
+	for c := range l.open {
+		connections = append(connections, c.state(now))
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	i, found := budget.ConnectionToClose(connections)
+	if !found {
+		return false
+	}
+	l.shortages.Report(budget.ConnectionClosed)
+	_ = open[i].Close()
+	return true
+}
+
+// release charges back a connection that is closed.
+func (l *boundedListener) release(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+	l.account.Add(-budget.ConnectionBytes)
+}
+
+// awaitSpools waits until everything that is spooled is sent or given up, or ctx ends.
+func (l *boundedListener) awaitSpools(ctx context.Context) {
+	for l.spooling.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(spoolPollInterval):
+		}
+	}
+}
+
+// callerConn is the connection of a caller.
+type callerConn struct {
+	net.Conn
+	listener *boundedListener
+	// phase is its budget.ConnectionPhase, phaseStart when that began, in Unix
+	// nanoseconds.
+	phase      atomic.Int32
+	phaseStart atomic.Int64
+	closeOnce  sync.Once
+	// spools is set while what the caller doesn't read in time may be spooled.
+	spools atomic.Bool
+	// raw and tryFunc serve tryWrite, which passes data and result in trying and tried.
+	raw     syscall.RawConn
+	tryFunc func(fd uintptr) bool
+	trying  []byte
+	tried   int
+	spool   spool
+}
+
+func newCallerConn(l *boundedListener, accepted net.Conn) *callerConn {
+	c := &callerConn{Conn: accepted, listener: l}
+	c.setPhase(budget.Opened)
+	if tcp, isTCP := accepted.(*net.TCPConn); isTCP && l.spools {
+		raw, err := tcp.SyscallConn()
+		c.raw, c.tryFunc = raw, c.try
+		c.spools.Store(err == nil)
+		c.spool.conn, c.spool.room = c, make(chan struct{}, 1)
+	}
+	return c
+}
+
+func (c *callerConn) setPhase(phase budget.ConnectionPhase) {
+	c.phaseStart.Store(time.Now().UnixNano())
+	c.phase.Store(int32(phase))
+}
+
+// state returns the connection as the decision sees it.
+func (c *callerConn) state(now time.Time) budget.Connection {
+	return budget.Connection{Phase: budget.ConnectionPhase(c.phase.Load()), Age: now.Sub(time.Unix(0, c.phaseStart.Load()))}
+}
+
+// recordPhase records what a connection does. It is called by the HTTP server.
+func recordPhase(conn net.Conn, state http.ConnState) {
+	c, isCaller := conn.(*callerConn)
+	if !isCaller {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(budget.Serving)
+	case http.StateIdle:
+		c.setPhase(budget.Idle)
+	}
+}
+
+// Close closes the connection once what is spooled for it is sent.
+func (c *callerConn) Close() error {
+	if c.spool.closeLater() {
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *callerConn) closeNow() error {
+	err := c.Conn.Close()
+	c.closeOnce.Do(func() { c.listener.release(c) })
+	return err
+}
+
+// CloseWrite ends the answers of the connection. What is spooled ends with Close.
+func (c *callerConn) CloseWrite() error {
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	if !isTCP || c.spool.isRunning() {
+		return nil
+	}
+	return tcp.CloseWrite()
+}
--- a/godwitmoord/pkg/front/routed.go
+++ b/godwitmoord/pkg/front/routed.go
@@ -31,7 +31,7 @@
 )
 
 // readByRoutes converts an HTTP request by the routes of the configuration.
-func (s *Service) readByRoutes(w http.ResponseWriter, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *rejection) {
+func (s *Service) readByRoutes(body *callerBody, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *rejection) {
 	request := serving.Request{ID: uuid.NewString(), Method: r.Method, Arrived: arrived, Keyless: true, Version: current.Version}
 	call, err := s.common.Dialect.ReadCallerRequest(r.Header)
 	request.CallerID = call.ID
@@ -54,7 +54,7 @@
 	}
 	request.Service = *service
 	setRoute(&request, route, call)
-	if rejected := readBody(&request, w, r); rejected != nil {
+	if rejected := body.readInto(&request); rejected != nil {
 		return request, rejected
 	}
 	request.Path = target
--- a/godwitmoord/pkg/front/unfinished.go
+++ b/godwitmoord/pkg/front/unfinished.go
@@ -24,8 +24,17 @@
 // a stop or with the process. An HTTP/1.0 answer has no chunks: without a
 // Content-Length its body ends where the connection is closed in order.
 func resetUnfinished(r *http.Request) (finished func()) {
-	c, isTCP := r.Context().Value(connectionKey{}).(*net.TCPConn)
-	if !isTCP || r.ProtoAtLeast(1, 1) {
+	if r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	conn := r.Context().Value(connectionKey{})
+	if bounded, isBounded := conn.(*callerConn); isBounded {
+		// What is spooled at the end of the process would be missing without a sign.
+		bounded.spools.Store(false)
+		conn = bounded.Conn
+	}
+	c, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
 		return func() {}
 	}
 	// An error means that the connection is closed already.
--- a/godwitmoord/pkg/text/text.go
+++ b/godwitmoord/pkg/text/text.go
@@ -51,6 +51,8 @@
 	AllPaused         Reason = "all-paused"
 	OwnerLate         Reason = "owner-late"
 	OwnerSilent       Reason = "owner-silent"
+	HostFull          Reason = "host-full"
+	BodyTooSlow       Reason = "body-too-slow"
 )
 
 // Texts returns the texts for each reason. The zero value returns the English ones.
@@ -82,6 +84,8 @@
 	UnknownTier:       {"there is no such tier", "name a tier of the configuration in Request-Tier, or leave it out"},
 	BadTimeout:        {"Request-Timeout is no duration above zero", `write it as "2.5s"`},
 	BadBody:           {"the request's body could not be read", "send the body completely and in time"},
+	BodyTooSlow:       {"the request's body came too slowly", "send the body without pauses of several seconds"},
+	HostFull:          {"the host has no room for the request's body", "send it again after Retry-After"},
 	BodyTooLarge:      {"the request's body is larger than the service takes", "send less, or ask the operators for a higher body-limit"},
 	KeyMissing:        {"a non-idempotent request needs a key", "send a UUID of version 7 as Idempotency-Key, new for each new request"},
 	KeyMalformed:      {"the Idempotency-Key is no UUID of version 7 of the present time", "make a new one with a correct clock for each new request"},
