Read a small body with one allocation less

Change: the reader of a body is an interface instead of a method value, and a body in one chunk needs no list of its own.

--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -13,7 +13,7 @@
 //
 //	account := budget.New(settings.Memory)
 //	var body budget.Body
-//	body.Open(account, rank, customer, giveUp)
+//	body.Open(account, rank, customer, reader)
 //	defer body.Close()
 //	if !body.Grow(n) { ... }
 package budget
@@ -120,15 +120,20 @@
 	return a == nil || a.reserveWithin(n, a.limit+a.limit/reserveDivisor)
 }
 
+// Reader reads a body.
+type Reader interface {
+	// GiveUp makes the read end. It is called once at most, while the account is locked,
+	// so it must not call the account.
+	GiveUp()
+}
+
 // Body is the charge of one body of a request. The zero value bounds nothing. Its
 // methods are called by the goroutine that reads the body.
 type Body struct {
 	account  *Account
 	rank     int
 	customer string
-	// giveUp makes the read of the body end. It is called once at most, with the
-	// account's lock held.
-	giveUp func()
+	reader   Reader
 	// large is set once the body was listed. From then on the account's lock guards
 	// bytes, listed and givenUp.
 	large bool
@@ -142,10 +147,10 @@
 	lastByte atomic.Int64
 }
 
-// Open sets what the charge of a body depends on, before the body is read. giveUp is
-// called if the body is given up for others; its next Grow then fails.
-func (b *Body) Open(a *Account, rank int, customer string, giveUp func()) {
-	b.account, b.rank, b.customer, b.giveUp = a, rank, customer, giveUp
+// Open sets what the charge of a body depends on, before the body is read. The reader is
+// told if the body is given up for others; its next Grow then fails.
+func (b *Body) Open(a *Account, rank int, customer string, reader Reader) {
+	b.account, b.rank, b.customer, b.reader = a, rank, customer, reader
 }
 
 // Grow charges n more bytes, and reports whether there is room for them. If there is
@@ -279,5 +284,5 @@
 	b.givenUp = true
 	a.held.Add(-b.bytes)
 	b.bytes = 0
-	b.giveUp()
+	b.reader.GiveUp()
 }
--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -14,9 +14,14 @@
 
 const testLargeLimit = testMemory / 2 * mebibyte / 8 * 7
 
+// countingReader counts how often it is told to give up.
+type countingReader struct{ givenUp *int }
+
+func (r countingReader) GiveUp() { *r.givenUp++ }
+
 func openBody(a *Account, rank int, customer string, givenUp *int) *Body {
 	b := &Body{}
-	b.Open(a, rank, customer, func() { *givenUp++ })
+	b.Open(a, rank, customer, countingReader{givenUp})
 	return b
 }
 
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -41,8 +41,10 @@
 	request *http.Request
 	control *http.ResponseController
 	charge  budget.Body
-	chunks  [][]byte
-	length  int64
+	// chunks are the body; firstChunk holds them while there is one only.
+	chunks     [][]byte
+	firstChunk [1][]byte
+	length     int64
 	// end is when reading the body ends at the latest. progressEnd is when the next
 	// minProgressBytes must have arrived, stepEnd from when on that may be extended, and
 	// progress what has arrived of them.
@@ -63,7 +65,7 @@
 	if bounded && b.request.ContentLength > limit {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: text.BodyTooLarge}
 	}
-	b.charge.Open(b.service.common.Budget, request.Rank, request.Customer, b.giveUp)
+	b.charge.Open(b.service.common.Budget, request.Rank, request.Customer, b)
 	// The read deadline cuts off a caller that sends its body too slowly. It is
 	// removed after the body, because the server goes on reading to notice when the
 	// caller disconnects.
@@ -107,6 +109,9 @@
 }
 
 func (b *callerBody) add(chunk []byte) {
+	if b.chunks == nil {
+		b.chunks = b.firstChunk[:0]
+	}
 	if len(chunk) > 0 {
 		b.chunks, b.length = append(b.chunks, chunk), b.length+int64(len(chunk))
 	}
@@ -173,8 +178,8 @@
 	return &rejection{status: http.StatusServiceUnavailable, reason: text.HostFull, retryAfter: noRoomRetry}
 }
 
-// giveUp makes the read of the body end.
-func (b *callerBody) giveUp() { _ = b.control.SetReadDeadline(time.Unix(0, 1)) }
+// GiveUp makes the read of the body end.
+func (b *callerBody) GiveUp() { _ = b.control.SetReadDeadline(time.Unix(0, 1)) }
 
 // whole returns the body in one piece, for what needs it so.
 func (b *callerBody) whole() []byte {
@@ -206,6 +211,6 @@
 
 // close charges back what the body holds, at the end of its request.
 func (b *callerBody) close() {
-	b.chunks = nil
+	b.chunks, b.firstChunk = nil, [1][]byte{}
 	b.charge.Close()
 }
