Measure a request with the memory budget and the spool on

Cause: the budget must cost a request less than 2%. Change: the hosts of BenchmarkRequest have memory, descriptors and the term that switches spooling on. Code before the budget ignores them. Streams of forty events and another owner were not run.

--- a/godwitmoord/pkg/app/entry_bench_test.go
+++ b/godwitmoord/pkg/app/entry_bench_test.go
@@ -68,8 +68,8 @@
 		fronts[name] = benchAddress()
 		readiness := benchAddress()
 		text := fmt.Sprintf(`{"name": "%s", "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
-			"heartbeat": "250ms", "dead-after": "1s", "stop-notice": "10ms",
-			"platform": {"store": "%s", "readiness": "%s", "hosts": ["%s"], "key-revocation": "3s", "stop-grace": "5s",
+			"heartbeat": "250ms", "dead-after": "1s", "stop-notice": "10ms", "memory": 284, "descriptors": 1024,
+			"platform": {"store": "%s", "readiness": "%s", "hosts": ["%s"], "key-revocation": "3s", "stop-grace": "5s", "terms": ["pressure"],
 				"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
 			name, fronts[name], peers[i], benchAddress(), strings.TrimPrefix(standin.URL, "http://"), readiness, peers[1-i])
 		parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
