Set the bounds of the spool tests before their server starts

Cause: go test -race reported that the tests wrote bounds that the server reads. Change: the bounds are set before the listener is served. Result: go test -race ./pkg/front -count 3 passes.

--- a/godwitmoord/pkg/front/spool_test.go
+++ b/godwitmoord/pkg/front/spool_test.go
@@ -52,7 +52,8 @@
 	written chan error
 }
 
-func startSpoolServer(t *testing.T, spooled int64) *spoolServer {
+// startSpoolServer starts a server whose listener has other bounds, if change sets them.
+func startSpoolServer(t *testing.T, spooled int64, change func(*boundedListener)) *spoolServer {
 	t.Helper()
 	s := &spoolServer{is: is.New(t), spooled: spooled, sent: make(chan int, 8), written: make(chan error, 8)}
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,12 +62,18 @@
 		Listener: smallListener{inner}, account: budget.New(64), spools: true,
 		unreadTime: 300 * time.Millisecond, fullTime: 200 * time.Millisecond, open: map[*callerConn]struct{}{},
 	}
+	if change != nil {
+		change(s.listener)
+	}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ConnContext: withConnection, ConnState: recordPhase}
 	go func() { _ = s.server.Serve(s.listener) }()
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
 }
 
+// withPatience lets callers read nothing for as long as these tests wait.
+func withPatience(l *boundedListener) { l.unreadTime = spoolWait }
+
 func (s *spoolServer) serve(w http.ResponseWriter, r *http.Request) {
 	finished := resetUnfinished(r)
 	control := http.NewResponseController(w)
@@ -132,8 +139,7 @@
 // The slot of an endpoint stayed taken until a slow caller had read its answer.
 func TestAnswerEndsBeforeASlowCallerReadsIt(t *testing.T) {
 	for _, head := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"} {
-		s := startSpoolServer(t, testSpooled)
-		s.listener.unreadTime = spoolWait
+		s := startSpoolServer(t, testSpooled, withPatience)
 		conn := s.open(t, head)
 		parts := <-s.sent
 		s.is.NoErr(<-s.written)
@@ -152,7 +158,7 @@
 // An answer that was cut because its caller did not read it must not look complete.
 func TestAnswerThatIsNotReadIsReset(t *testing.T) {
 	for _, spooled := range []int64{testSpooled, 2 * maxSpoolBytes} {
-		s := startSpoolServer(t, spooled)
+		s := startSpoolServer(t, spooled, nil)
 		conn := s.open(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		<-s.sent
 		s.awaitNothingHeld()
@@ -169,7 +175,7 @@
 // An answer of HTTP/1.0 ends with its connection, so that of a process that ends with
 // something spooled would look complete.
 func TestAnswerOfHTTP10IsNotSpooled(t *testing.T) {
-	s := startSpoolServer(t, testSpooled)
+	s := startSpoolServer(t, testSpooled, nil)
 	conn := s.open(t, "GET /fixed HTTP/1.0\r\n\r\n")
 	time.Sleep(4 * blockedTime)
 	s.is.Equal(s.listener.spooled.Load(), int64(0))
@@ -180,8 +186,7 @@
 
 // A host that stops ended with answers that were complete and not yet read.
 func TestStopWaitsForWhatIsSpooled(t *testing.T) {
-	s := startSpoolServer(t, testSpooled)
-	s.listener.unreadTime = spoolWait
+	s := startSpoolServer(t, testSpooled, withPatience)
 	conn := s.open(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	parts := <-s.sent
 	s.is.NoErr(<-s.written)
@@ -196,8 +201,7 @@
 
 // A host accepted connections until it had no descriptors left.
 func TestConnectionsAreBounded(t *testing.T) {
-	s := startSpoolServer(t, testSpooled)
-	s.listener.most = 2
+	s := startSpoolServer(t, testSpooled, func(l *boundedListener) { l.most = 2 })
 	idle := s.open(t, "GET /one HTTP/1.1\r\nHost: a\r\n\r\n")
 	_, err := s.readAnswer(idle)
 	s.is.NoErr(err)
