Tell refused bodies from those given up, and leave the time for heads as it was

Cause: a body that was given up while its reader paused was reported as one without room. The shorter time for heads could close connections that a client within the platform's limits keeps idle before its first request.

--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -176,7 +176,6 @@
 	}
 	if !a.reserveWithin(n, limit) && !a.makeRoom(b, n, limit) {
 		b.unlist()
-		b.givenUp = true
 		return false
 	}
 	b.bytes += n
--- a/godwitmoord/pkg/budget/decision.go
+++ b/godwitmoord/pkg/budget/decision.go
@@ -77,8 +77,8 @@
 
 // Pause returns how long the reader of a large body should wait after a read that
 // returned little, given how many large bodies are read at once. It handles many bodies
-// in chunks of one byte, which cost a hundred times the processor time of others: all of
-// them together are read at a rate that one of them may have. A body that comes slowly
+// in chunks of one byte, which cost far more processor time than others of their length:
+// all of them together are read at a bounded rate. A body that comes slowly
 // loses nothing, because more has arrived of it after the pause.
 func Pause(bodies int) time.Duration {
 	return min(time.Duration(max(bodies-1, 0))*pauseStep, maxPause)
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -21,7 +21,7 @@
 	// maxFirstChunkBytes bounds the first chunk of a body whose length was declared.
 	maxFirstChunkBytes = 4 << 10
 	// While memory is bounded, minProgressBytes of a body must arrive in each
-	// progressTime. A caller with a tenth of a modem's rate is above it.
+	// progressTime, 1 KiB a second, which is below the rate of a modem.
 	minProgressBytes = 6 << 10
 	progressTime     = 6 * time.Second
 	// progressStep is how often the time for progress is extended at most.
@@ -155,8 +155,7 @@
 // ended returns why the body that ended with err is refused; nil if it is complete.
 func (b *callerBody) ended(err error) *rejection {
 	if !b.charge.Complete() {
-		b.service.common.Shortages.Report(budget.BodyGivenUp)
-		return &rejection{status: http.StatusServiceUnavailable, reason: text.HostFull, retryAfter: noRoomRetry}
+		return b.noRoom()
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -172,9 +171,14 @@
 	}
 }
 
-// noRoom returns the rejection of a body for whose next chunk there is no room.
+// noRoom returns the rejection of a body for whose next chunk there is no room, or that
+// was given up.
 func (b *callerBody) noRoom() *rejection {
-	b.service.common.Shortages.Report(budget.BodyWithoutRoom)
+	reason := budget.BodyWithoutRoom
+	if b.charge.GivenUp() {
+		reason = budget.BodyGivenUp
+	}
+	b.service.common.Shortages.Report(reason)
 	return &rejection{status: http.StatusServiceUnavailable, reason: text.HostFull, retryAfter: noRoomRetry}
 }
 
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -32,12 +32,11 @@
 const (
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 10 * time.Second
-	// While memory is bounded, heads are bounded more closely, as short fields need
-	// many times their size. No client within the platform's limits exceeds these.
-	boundedHeaderBytes       = 16 << 10
-	boundedReadHeaderTimeout = 5 * time.Second
-	readBodyTimeout          = 30 * time.Second
-	idleTimeout              = 90 * time.Second
+	// boundedHeaderBytes bounds a head while memory is bounded, as short fields need many
+	// times their size. No client within the platform's limits exceeds it.
+	boundedHeaderBytes = 16 << 10
+	readBodyTimeout    = 30 * time.Second
+	idleTimeout        = 90 * time.Second
 	// bytesPerToken estimates the tokens of a prompt from its length, as the caller
 	// does not send their number.
 	bytesPerToken = 4
@@ -92,7 +91,7 @@
 		ConnContext:       withConnection,
 	}
 	if s.common.Budget != nil {
-		s.server.MaxHeaderBytes, s.server.ReadHeaderTimeout = boundedHeaderBytes, boundedReadHeaderTimeout
+		s.server.MaxHeaderBytes = boundedHeaderBytes
 	}
 	go s.run(s.bounded(listener))
 	return nil
