--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -206,8 +206,7 @@
 	if b.service.common.Budget == nil || b.request.Body == http.NoBody {
 		return
 	}
-	switch reason {
-	case text.HostFull, text.BodyTooSlow, text.BodyTooLarge:
+	if reason == text.HostFull || reason == text.BodyTooSlow || reason == text.BodyTooLarge {
 		b.writer.Header().Set("Connection", "close")
 	}
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
