--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -95,17 +95,17 @@
 
 // write sends a request and returns how many bytes may have been sent. It returns
 // before a long body is written.
-func (c *connection) write(head, body []byte) (int, error) {
+func (c *connection) write(head, body []byte, rest [][]byte) (int, error) {
 	_ = c.conn.SetDeadline(time.Time{})
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if len(head)+len(body) <= maxInlineBytes {
+	if len(rest) == 0 && len(head)+len(body) <= maxInlineBytes {
 		return c.conn.Write(append(head, body...))
 	}
 	sent, err := c.conn.Write(head)
 	if err != nil {
 		return sent, err
 	}
-	c.upload = &writer{connection: c, body: body, done: make(chan struct{})}
+	c.upload = &writer{connection: c, body: append(net.Buffers{body}, rest...), done: make(chan struct{})}
 	go c.upload.run()
 	return sent, nil
 }
@@ -113,7 +113,7 @@
 // writer writes a long body while the answer is read.
 type writer struct {
 	connection *connection
-	body       []byte
+	body       net.Buffers
 	// done is closed at the end, after err was set.
 	done chan struct{}
 	err  error
@@ -121,7 +121,7 @@
 
 func (w *writer) run() {
 	defer close(w.done)
-	_, w.err = io.Copy(w.connection.conn, bytes.NewReader(w.body))
+	_, w.err = w.body.WriteTo(w.connection.conn)
 }
 
 // isReusable reports whether the connection can carry another request: the last
