Decide on values how a rollout of a new version goes on

Cause: an operator moves a service to a new version of its endpoints' software, and some versions are bad.

--- /dev/null
+++ b/coordination/pkg/rollout/judgement.go
@@ -0,0 +1,137 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// minBad is the number of bad responses below which no version is found bad, and
+	// minBadAtEndpoint the same for one endpoint.
+	minBad           = 5
+	minBadAtEndpoint = 2
+	// deviations is by how many standard deviations the bad responses must exceed those
+	// expected by the share of the old version.
+	deviations = 4
+	// minExcess is by how much the share of bad responses must exceed that of the old
+	// version, unless there are certainBad of them: half of the number after which a bad
+	// version may get no further requests.
+	minExcess  = 0.03
+	certainBad = 25
+	// minShare is the smallest share of bad responses assumed of the old version.
+	// unknownResponses is the weight of one bad response that is assumed of it, so that
+	// a share of few responses is taken as uncertain.
+	minShare         = 0.005
+	unknownResponses = 20
+	// minOldResponses is the number of recent responses of the old version below which
+	// all its responses since the order are compared.
+	minOldResponses = 40
+	// minRouteResponses of the target on a route are enough, or minRouteShare of the
+	// responses on it where there are few.
+	minRouteResponses = 30
+	minRouteShare     = 0.03
+)
+
+// findsBad reports whether the target is bad by all responses, or by the recent ones.
+func (s Steering) findsBad() bool {
+	return s.isBadIn(s.total) || s.isBadIn(s.recent.results())
+}
+
+// isBadIn reports whether the share of bad responses of the target is clearly above that
+// of the old version on a route or overall. Overall, each route counts as often as the
+// target served it, because it may have served rare routes more often.
+func (s Steering) isBadIn(results Results) bool {
+	overall := comparison{}
+	for _, route := range results.routes() {
+		onRoute := s.compare(results, route, "")
+		if onRoute.isBad() && s.isAtSeveralEndpoints(results, route, onRoute) {
+			return true
+		}
+		overall = overall.plus(onRoute)
+	}
+	return overall.isBad() && s.isAtSeveralEndpoints(results, "", overall)
+}
+
+// isAtSeveralEndpoints reports whether the bad responses came from two endpoints or more,
+// or from all that the target has. Of one endpoint they say nothing about its version. An
+// empty route means all routes.
+func (s Steering) isAtSeveralEndpoints(results Results, route string, whole comparison) bool {
+	known := slices.Concat(s.endpoints, results.targetEndpoints())
+	slices.Sort(known)
+	known = slices.Compact(known)
+	share := whole.expected/float64(whole.counts.Responses) + minExcess/2
+	affected := 0
+	for _, endpoint := range known {
+		c := results.sum(func(source Source) bool {
+			return source.Target && source.Endpoint == endpoint && (route == "" || source.Route == route)
+		})
+		if c.Bad >= minBadAtEndpoint && float64(c.Bad) >= share*float64(c.Responses) {
+			affected++
+		}
+	}
+	return affected >= min(len(known), 2)
+}
+
+// isSuspect reports whether an endpoint of the target is bad by itself.
+func (s Steering) isSuspect(endpoint string) bool {
+	whole := comparison{}
+	for _, route := range s.total.routes() {
+		whole = whole.plus(s.compare(s.total, route, endpoint))
+	}
+	return whole.isBad()
+}
+
+// lackingRoutes returns the routes with requests on which the target responded too
+// seldom, sorted.
+func (s Steering) lackingRoutes() []string {
+	return slices.DeleteFunc(s.total.routes(), func(route string) bool {
+		all := s.total.sum(func(source Source) bool { return source.Route == route })
+		target := s.total.sum(func(source Source) bool { return source.Target && source.Route == route })
+		enough := min(minRouteResponses, max(1, minRouteShare*float64(all.Responses)))
+		return float64(target.Responses) >= enough
+	})
+}
+
+// lacksResponses reports whether the target responded too seldom on all routes together.
+func (s Steering) lacksResponses() bool {
+	all := s.total.sum(func(Source) bool { return true })
+	target := s.total.sum(func(source Source) bool { return source.Target })
+	return float64(target.Responses) < min(minRouteResponses, minRouteShare*float64(all.Responses))
+}
+
+// comparison holds the responses of the target, and how many of them were bad if the
+// target were like the old version.
+type comparison struct {
+	counts             Counts
+	expected, variance float64
+}
+
+// compare returns the comparison on one route, at one endpoint or, if that is empty, at all.
+func (s Steering) compare(results Results, route, endpoint string) comparison {
+	counts := results.sum(func(source Source) bool {
+		return source.Target && source.Route == route && (endpoint == "" || source.Endpoint == endpoint)
+	})
+	isOld := func(source Source) bool { return !source.Target && source.Route == route }
+	old := results.sum(isOld)
+	if old.Responses < minOldResponses {
+		old = s.total.sum(isOld)
+	}
+	share := max(minShare, float64(old.Bad+1)/float64(old.Responses+unknownResponses))
+	n := float64(counts.Responses)
+	return comparison{counts: counts, expected: n * share, variance: n * share * (1 - share)}
+}
+
+func (c comparison) plus(other comparison) comparison {
+	return comparison{
+		counts: c.counts.plus(other.counts), expected: c.expected + other.expected, variance: c.variance + other.variance,
+	}
+}
+
+// isBad reports whether the bad responses are clearly more than expected.
+func (c comparison) isBad() bool {
+	bad, responses := float64(c.counts.Bad), float64(c.counts.Responses)
+	if c.counts.Bad < minBad || bad <= c.expected+deviations*math.Sqrt(c.variance) {
+		return false
+	}
+	return bad >= c.expected+minExcess*responses || c.counts.Bad >= certainBad
+}
