Let the core of an owner steer which versions get requests

Cause: the owner grants every request, so it can hold a bound on a version over all hosts. Change: event Steered bars versions, allows a trial at one endpoint or gives all requests to one version; action Judged tells of bad responses, compared with what the old version takes. Without a Steered event nothing changes.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -35,7 +35,7 @@
 )
 
 // Action is a decision of the core. It is one of Granted, Queued, Refused, Suspended,
-// CrashFound, PartsHeld, PartsCleared and LimitChanged.
+// CrashFound, PartsHeld, PartsCleared, LimitChanged and Judged.
 type Action interface{ action() }
 
 type (
--- a/coordination/pkg/permit/ask.go
+++ b/coordination/pkg/permit/ask.go
@@ -19,6 +19,9 @@
 	Parts []string `json:"parts,omitempty"`
 	// Host is the entry host of the request.
 	Host string `json:"host"`
+	// Route is the request's route, where rollouts compare versions by route; otherwise
+	// it is empty.
+	Route string `json:"route,omitempty"`
 	// Tier is the rank of the request's tier; 0 is the highest.
 	Tier int `json:"tier"`
 	// Deadline is when the whole answer must have arrived.
--- a/coordination/pkg/permit/configure.go
+++ b/coordination/pkg/permit/configure.go
@@ -40,4 +40,5 @@
 			delete(c.endpoints, name)
 		}
 	}
+	c.steer()
 }
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -80,6 +80,7 @@
 	freeEndpoints []*endpoint
 	skipped       []*waiter
 	shedBuffer    []*waiter
+	steering      steering
 	actions       []Action
 }
 
@@ -98,12 +99,15 @@
 	case Asked:
 		c.ask(e.Ask)
 	case Withdrawn:
+		c.judgeWithdrawn(e.ID)
 		c.withdraw(e.ID)
 	case Finished:
+		c.judgeFinished(e)
 		c.finish(e.ID, e.Usage)
 	case Progressed:
 		c.progress(e.ID, e.Usage)
 	case Failed:
+		c.judgeFailed(e)
 		c.fail(e)
 	case Limited:
 		c.limitRate(e.Limit)
@@ -119,6 +123,8 @@
 		c.report(e)
 	case Marked:
 		c.mark(e)
+	case Steered:
+		c.setSteering(e.Steering)
 	case HostLost:
 		c.loseHost(e.Host)
 	case Ticked:
@@ -167,10 +173,12 @@
 func (c *Core) mark(e Marked) {
 	if target := c.endpoints[e.Endpoint]; target != nil {
 		target.closed, target.changed = !e.Open, true
+		c.steer()
 	}
 }
 
 func (c *Core) tick() {
+	c.judgeOverdue()
 	c.releaseLost()
 	for _, e := range c.endpointOrder {
 		c.concludeCrash(e)
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -41,7 +41,9 @@
 	rules EndpointRules
 	// closed is set while the endpoint must get no new requests for a reason other
 	// than the configuration.
-	closed  bool
+	closed bool
+	// barred is set while its version must get no new requests.
+	barred  bool
 	permits []*heldPermit
 	// failures counts the failures since the last answer. Until pausedUntil the
 	// endpoint gets no requests, and after that one at a time until it answers.
@@ -92,7 +94,7 @@
 	return e
 }
 
-func (e *endpoint) open() bool { return !e.closed && !e.rules.Leaving }
+func (e *endpoint) open() bool { return !e.closed && !e.rules.Leaving && !e.barred }
 
 // hasFreeSlot reports whether one more request may be sent. While a new owner settles,
 // half of each limit is reserved for permits that have not been listed to it yet.
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -9,6 +9,8 @@
 	PrefillSpeed float64 `json:"prefill-speed,omitempty"`
 	DecodeSpeed  float64 `json:"decode-speed,omitempty"`
 	Leaving      bool    `json:"leaving,omitempty"`
+	// Version is the version of the endpoint's software; empty if it states none.
+	Version string `json:"version,omitempty"`
 }
 
 // EarlierGrants holds the persisted grants of earlier owners that a new owner has
@@ -29,7 +31,7 @@
 
 // Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
 // Progressed, Finished, Failed, Stalled, Warned, Limited, Paused, Listed, Reported,
-// Marked, HostLost and Ticked.
+// Marked, Steered, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 // TimeOf returns when an event arrived.
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -26,6 +26,7 @@
 	suspending       bool
 	// lostAt is when the host of the permit was lost, or zero.
 	lostAt Instant
+	watch  attemptWatch
 }
 
 // hold records a permit at an endpoint and estimates how long its request takes.
@@ -85,7 +86,7 @@
 	if h == nil {
 		return
 	}
-	h.endpoint.fail(c.now, e.Fault)
+	c.failEndpoint(h.endpoint, e.Fault)
 	if e.Begun {
 		c.clearParts(h.ask)
 	}
--- a/coordination/pkg/permit/learned_rates.go
+++ b/coordination/pkg/permit/learned_rates.go
@@ -11,6 +11,9 @@
 	Total        time.Duration `json:"total,omitempty"`
 	// Begun is set if the endpoint began a successful answer.
 	Begun bool `json:"begun,omitempty"`
+	// Error is set if the endpoint answered with an error of its own, where rollouts
+	// compare versions.
+	Error bool `json:"error,omitempty"`
 }
 
 // LearnedRates holds the costs that an owner has learned for one endpoint. A cost of
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -184,10 +184,10 @@
 	largerWait := c.hasLargerWaiters()
 	for _, e := range c.freeEndpoints {
 		estimate := e.estimate(a, c.now)
-		if !c.inTime(w, e, estimate) || e.isPausedFor(a.Host, c.now) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) {
+		if !c.inTime(w, e, estimate) || e.isPausedFor(a.Host, c.now) || (avoids && slices.Contains(a.Avoid, e.rules.Name)) || !c.admits(a, e) {
 			continue
 		}
-		score := e.score(estimate)
+		score := c.steeredScore(e, e.score(estimate))
 		wasteful := c.wastesRate(w, e)
 		if wasteful && largerWait {
 			continue
@@ -261,6 +261,7 @@
 func (c *Core) grant(w *waiter, e *endpoint) {
 	c.countServed(w)
 	h := c.hold(w.ask, e)
+	c.watch(h)
 	e.pacer.take(c.now)
 	c.actions = append(c.actions, Granted{
 		ID:              w.ask.ID,
--- a/coordination/pkg/permit/record.go
+++ b/coordination/pkg/permit/record.go
@@ -87,6 +87,8 @@
 		return decode[Reported](l.Event)
 	case "marked":
 		return decode[Marked](l.Event)
+	case "steered":
+		return decode[Steered](l.Event)
 	case "host-lost":
 		return decode[HostLost](l.Event)
 	case "ticked":
@@ -134,6 +136,8 @@
 		return "reported"
 	case Marked:
 		return "marked"
+	case Steered:
+		return "steered"
 	case HostLost:
 		return "host-lost"
 	case Ticked:
@@ -161,6 +165,8 @@
 		return "limit-changed"
 	case PartsCleared:
 		return "parts-cleared"
+	case Judged:
+		return "judged"
 	default:
 		return "unknown"
 	}
--- a/coordination/pkg/permit/record_test.go
+++ b/coordination/pkg/permit/record_test.go
@@ -25,6 +25,7 @@
 		permit.Listed{At: at, Host: "entry-1"},
 		permit.Reported{At: at, Endpoint: "engine-1", Running: 3},
 		permit.Marked{At: at, Endpoint: "engine-1", Open: true},
+		permit.Steered{At: at, Steering: permit.Steering{Target: "2", Barred: []string{"2"}, Trial: permit.Trial{Endpoint: "engine-1", UpTo: 12, Routes: []string{"order"}}}},
 		permit.HostLost{At: at, Host: "entry-1"},
 		permit.Ticked{At: at},
 	}
