--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -132,6 +132,11 @@
 	// Born is the time at which this incarnation of the endpoint started, in Unix
 	// milliseconds; zero if unknown.
 	Born int64 `json:"born,omitempty"`
+	// Version is the version of the endpoint's software; empty if it states none.
+	Version string `json:"version,omitempty"`
+	// ColdLeft is how much longer the endpoint was slow after its start when it said so;
+	// it is not set for endpoints without a version.
+	ColdLeft document.Duration `json:"cold-left,omitempty"`
 }
 
 // Rule sets the idempotency and the default tier of the requests that match it.
