Roll out new versions from the owner of a service

Cause: orders of rollouts were not carried out. Change: hosts that watch the configuration read the orders in the same watch where the settings have exposure-share; the owner steers its core, writes the record and then the status under conditions, from a goroutine of its own.

--- a/godwitmoord/pkg/app/platform_test.go
+++ b/godwitmoord/pkg/app/platform_test.go
@@ -45,6 +45,8 @@
 	engines []string
 	// quota is the customer's quota in tokens per second; zero means that of the stand-in.
 	quota int
+	// platformSettings are further settings of the hosts that start next.
+	platformSettings string
 	// log is the log of the hosts that start next; nil for none.
 	log *zap.Logger
 }
@@ -133,9 +135,9 @@
 	keyRevocation := cmp.Or(s.keyRevocation, 3*time.Second)
 	text := fmt.Sprintf(`{"name": %q, "data-centre": "a", "listen": "%s", "peer-listen": "%s", "status-listen": "%s",
 		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": %q,
-		"platform": {"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": %q, "stop-grace": "5s",
+		"platform": {%s"store": "%s", "readiness": "%s", "hosts": %s, "key-revocation": %q, "stop-grace": "5s",
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), cmp.Or(s.stopNotice, 10*time.Millisecond).String(), strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts, keyRevocation.String())
+		h.name, h.frontAddress, h.peerAddress, freeAddress(s.t), cmp.Or(s.stopNotice, 10*time.Millisecond).String(), s.platformSettings, strings.TrimPrefix(h.store, "http://"), h.readinessAddress, hosts, keyRevocation.String())
 	parsed, err := settings.Parse("host.jsonc", []byte(text), settings.Overrides{})
 	s.is.NoErr(err)
 	s.is.Equal(parsed.Platform.KeyRevocation, document.Duration(keyRevocation))
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -103,6 +103,7 @@
 	Configuration(value []byte) (int64, configuration.Configuration, error)
 	// Endpoint decodes the entry of an endpoint and the name of its service.
 	Endpoint(name string, value []byte) (string, configuration.Endpoint, error)
+	rolloutLayout
 }
 
 // Service keeps the configuration, the endpoints and the hosts of this process
@@ -126,6 +127,7 @@
 	// has not succeeded yet.
 	unconfirmed atomic.Bool
 	standIn     standIn
+	orders      orders
 
 	mu    sync.Mutex
 	table Table
@@ -164,7 +166,7 @@
 	s.notices.Handle(leavingTopic, s.acceptLeaving)
 	s.publishHosts()
 	s.configurationFollower = &follower{
-		service: s, prefix: s.layout.ConfigurationKey(), wanted: s.provesConfiguration, prompt: true, watchDuration: s.freshnessBudget().watch,
+		service: s, prefix: s.configurationPrefix(), wanted: s.provesConfiguration, prompt: true, watchDuration: s.freshnessBudget().watch,
 		batchDelay: constant(configurationBatchDelay), maxPause: s.maxRetryPause(urgentRetryPause),
 		apply: s.installConfiguration, afterCall: s.recordProof,
 	}
@@ -188,6 +190,7 @@
 func (s *Service) installConfiguration(u update) {
 	for _, c := range u.changes {
 		if c.Removed || c.Entry.Key != s.layout.ConfigurationKey() {
+			s.readOrder(c)
 			continue
 		}
 		version, decoded, err := s.layout.Configuration(c.Entry.Value)
--- /dev/null
+++ b/godwitmoord/pkg/discovery/rollouts_test.go
@@ -0,0 +1,51 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/keyvalue"
+	"godwitmoor.example/coordination/pkg/rollout"
+	"godwitmoor.example/platform"
+)
+
+// newHostWithRollouts returns a lone host of a deployment with rollouts.
+func newHostWithRollouts() *Service {
+	s := newLoneHost()
+	s.layout = platform.Layout{}
+	s.common.Settings.Platform.ExposureShare = 0.1
+	return s
+}
+
+// orderAt returns the change by which an order is written at a revision.
+func orderAt(revision int64, value string) keyvalue.Change {
+	return keyvalue.Change{Entry: keyvalue.Entry{Key: "op/rollout/desk", Value: []byte(value), Revision: revision}}
+}
+
+// Guards against an older order, an unreadable one or a removal that replaces the newest.
+func TestNewestReadableOrderIsCarriedOut(t *testing.T) {
+	is := is.New(t)
+	s := newHostWithRollouts()
+	is.True(s.acceptOrder(orderAt(5, `{"Service":"desk","Target":"v2","DurationS":60}`)))
+	newest := []rollout.Order{{Service: "desk", Target: "v2", Duration: time.Minute, Revision: 5}}
+	is.True(!s.acceptOrder(orderAt(4, `{"Service":"desk","Target":"v1","DurationS":60}`)))
+	is.True(!s.acceptOrder(orderAt(5, `{"Service":"desk","Target":"v2","DurationS":60}`)))
+	is.True(!s.acceptOrder(orderAt(6, `{"Service":"pool"`)))
+	removal := orderAt(7, "")
+	removal.Removed = true
+	is.True(!s.acceptOrder(removal))
+	is.Equal(s.RolloutOrders(), newest)
+}
+
+// Guards against further keys in the watch of a deployment without rollouts, and against
+// orders there.
+func TestOrdersAreWatchedOnlyWhereThereAreRollouts(t *testing.T) {
+	is := is.New(t)
+	s := newHostWithRollouts()
+	is.Equal(s.configurationPrefix(), "op/")
+	s.common.Settings.Platform.ExposureShare = 0
+	is.Equal(s.configurationPrefix(), "op/config")
+	is.True(!s.acceptOrder(orderAt(5, `{"Service":"desk","Target":"v2","DurationS":60}`)))
+	is.Equal(len(s.RolloutOrders()), 0)
+}
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -118,6 +118,9 @@
 	if c.Entry.Key == s.layout.ConfigurationKey() {
 		return s.acceptConfiguration(c)
 	}
+	if s.isOrder(c.Entry.Key) {
+		return s.acceptOrder(c)
+	}
 	name, isEndpoint := s.layout.EndpointName(c.Entry.Key)
 	return isEndpoint && s.acceptEndpoint(name, c, shared.Grace-n.Age)
 }
--- a/godwitmoord/pkg/dispatch/owner.go
+++ b/godwitmoord/pkg/dispatch/owner.go
@@ -110,6 +110,9 @@
 		r := &heldReader{writer: &o.grantWriter}
 		go r.loop(ctx)
 	}
+	if err := o.startRollouts(ctx); err != nil {
+		return err
+	}
 	go o.run(changes)
 	if o.common.Settings.Platform != nil {
 		// On the platform every poll has a cost and its result is late; the
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -46,7 +46,8 @@
 	// told are the hosts that were told of the grants last.
 	told []string
 	// pageNumber counts the times at which the grants were written or reported.
-	pageNumber int64
+	pageNumber   int64
+	rolloutTally rolloutTally
 }
 
 // configure queues the rules of the current configuration as an event.
@@ -82,7 +83,7 @@
 		Version:       current.Version,
 		QueueLimit:    service.QueueLimit,
 		GoodputWeight: current.Configuration.GoodputWeight,
-		Endpoints:     endpointRules(service),
+		Endpoints:     s.versionedRules(endpointRules(service), service.Endpoints),
 		Settle:        settleTime,
 	}
 	s.owner.addLimits(&event, service, &current.Configuration, s.quotaShare())
@@ -117,6 +118,7 @@
 		event.EarlierGrants = earlier.grants
 		s.step(event)
 	}
+	s.steerAtStart()
 	s.adoptHeld(earlier.held)
 	s.queuePage(nil)
 	ticker := time.NewTicker(tickInterval)
@@ -137,6 +139,7 @@
 				s.step(permit.Ticked{At: instantNow()})
 			}
 			s.persistGrants()
+			s.observeShift()
 		}
 	}
 }
@@ -175,6 +178,7 @@
 	s.eventNumber++
 	line := permit.Line{Service: s.service, Owner: s.owner.common.Self.Name, Epoch: s.epoch, Number: s.eventNumber}
 	s.owner.record.Add(record.Line{Decision: &record.Decision{Line: line, Event: event, Actions: slices.Clone(actions)}})
+	s.tallyRollout(actions)
 	for _, action := range actions {
 		s.sendDecision(action)
 	}
--- a/godwitmoord/pkg/serving/attempt_run.go
+++ b/godwitmoord/pkg/serving/attempt_run.go
@@ -66,7 +66,7 @@
 	if r.impliesNotRun(answer.Status) {
 		err := &attempt.LostError{Address: grant.Permit.Endpoint, Cause: &ErrorAnswerError{Status: answer.Status}}
 		r.logFailed(err)
-		grant.Done(permit.Usage{Total: time.Since(start)})
+		grant.Done(r.withStatus(permit.Usage{Total: time.Since(start)}, answer.Status))
 		return err
 	}
 	err := r.relay.forward(answer)
@@ -88,7 +88,7 @@
 		r.returnFailed(ctx, grant, err)
 		return err
 	}
-	grant.Done(r.relay.usage(r.request, start, eventsBefore))
+	grant.Done(r.withStatus(r.relay.usage(r.request, start, eventsBefore), answer.Status))
 	return nil
 }
 
--- a/godwitmoord/pkg/serving/request_run.go
+++ b/godwitmoord/pkg/serving/request_run.go
@@ -74,6 +74,7 @@
 		Request:      request.ID,
 		Subject:      request.Subject,
 		Parts:        request.Parts,
+		Route:        r.comparedRoute(),
 		Tier:         request.Rank,
 		PromptTokens: request.PromptTokens,
 		AnswerTokens: max(request.AnswerTokens-r.relay.position.events, 0),
--- a/godwitmoord/pkg/serving/without_claim.go
+++ b/godwitmoord/pkg/serving/without_claim.go
@@ -172,7 +172,7 @@
 	// The endpoint ran the request in the usual time. The request failed, not the
 	// endpoint, so no fault is reported.
 	took := time.Since(start)
-	grant.Done(permit.Usage{FirstByte: took, Total: took})
+	grant.Done(r.withStatus(permit.Usage{FirstByte: took, Total: took}, answer.Status))
 	return failed
 }
 
