Leave short faults and halts of the owner out of a version's judgement

Cause: bad responses come together. In the shift no old version shows the same fault beside, and an owner that was halted took unread responses for missing. Change: the half seconds with the most bad responses don't count, one in the canary and three in the shift; permits are judged overdue 0.5 s later, and not for 1 s after a gap of ticks.

--- a/coordination/pkg/permit/steering.go
+++ b/coordination/pkg/permit/steering.go
@@ -18,6 +18,12 @@
 	maxPaceRatio     = 4
 	// maxPacedRoutes bounds the routes of which the pace is known.
 	maxPacedRoutes = 256
+	// overdueMargin is how much later a permit without a response counts as bad, as the
+	// message of its end may be under way. An owner that saw no tick for maxTickGap may
+	// have such messages waiting, and judges no permit so for overduePause.
+	overdueMargin = 500 * time.Millisecond
+	maxTickGap    = 250 * time.Millisecond
+	overduePause  = time.Second
 )
 
 // Steering states which versions of the endpoints' software may get requests. The zero
@@ -73,6 +79,9 @@
 	targetGrants int
 	// paces holds, by route, how long responses of other versions took.
 	paces map[string]pace
+	// tickedAt is when the core ticked last. Before overdueFrom no permit is judged for
+	// having no response.
+	tickedAt, overdueFrom Instant
 }
 
 // pace is how long the responses on a route take, relative to the estimate for their
@@ -218,9 +227,14 @@
 // judgeOverdue judges permits that take too long already: their callers may leave before
 // a response comes.
 func (c *Core) judgeOverdue() {
-	if c.steering.Target == "" {
+	s := &c.steering
+	if s.Target == "" {
 		return
 	}
+	if c.now.Since(s.tickedAt) > maxTickGap {
+		s.overdueFrom = c.now.After(overduePause)
+	}
+	s.tickedAt = c.now
 	for _, e := range c.endpointOrder {
 		for _, h := range e.permits {
 			c.judgeIfOverdue(h)
@@ -236,7 +250,8 @@
 }
 
 func (c *Core) judgeIfOverdue(h *heldPermit) {
-	if h.watch.watched && c.isSlow(h, c.now.Since(h.grantedAt)) {
+	late := c.now < c.steering.overdueFrom
+	if h.watch.watched && !late && c.isSlow(h, c.now.Since(h.grantedAt)-overdueMargin) {
 		c.judge(h, true)
 	}
 }
--- a/coordination/pkg/rollout/rollout.go
+++ b/coordination/pkg/rollout/rollout.go
@@ -148,6 +148,7 @@
 	// total are the results since the order; recent shows faults that begin late.
 	total     Results
 	recent    window
+	peaks     peaks
 	endpoints []string
 	// quietSince is when the last permit of another version was returned; zero while
 	// there are some.
@@ -194,6 +195,7 @@
 	s.exposed += o.Exposed
 	s.total = s.total.Plus(o.Results)
 	s.recent = s.recent.with(o.Now, o.Results)
+	s.peaks = s.peaks.with(o.Now, o.Results)
 	s.endpoints = o.Endpoints
 	switch {
 	case !o.Quiet:
