Write the status of a rollout before further records

Cause: a test found that a core that uses up its reserve at once kept the status of a second order from being written until the shift. Change: the status goes first; tests of two owners at once, of a store that is down or loses replies, and of a successor. Result: tests of package dispatch pass, with -race as well.

--- a/godwitmoord/pkg/dispatch/rollout_store.go
+++ b/godwitmoord/pkg/dispatch/rollout_store.go
@@ -19,15 +19,15 @@
 		c.kind = readRecord
 	case !s.active:
 		return
+	case s.state == claimed && due == s.steering.Stage() && s.written != s.status():
+		c.kind, c.revision = writeStatus, s.statusRevision
+		c.record = s.steering.Record(due, 0)
 	case s.state == unclaimed || due != s.steering.Stage() || s.recordIsDue(now):
 		c.kind, c.revision = writeRecord, s.revision
 		c.record = s.steering.Record(due, s.steering.ToReserve())
 		if due == rollout.Reverted {
 			c.barred = s.withReverted(s.steering.Order().Target)
 		}
-	case s.written != s.status():
-		c.kind, c.revision = writeStatus, s.statusRevision
-		c.record = s.steering.Record(due, 0)
 	default:
 		return
 	}
