--- a/coordination/pkg/rollout/rollout.go
+++ b/coordination/pkg/rollout/rollout.go
@@ -303,7 +303,7 @@
 	next := burst{number: s.burst.number + 1, began: s.now, upTo: s.exposed + min(room, burstSize)}
 	next.endpoint = canary[next.number%len(canary)]
 	if next.number%(2*canaryEndpoints) >= canaryEndpoints {
-		next.routes = s.lackingRoutes()
+		next.endpoint, next.routes = s.leastTried(canary, next.endpoint)
 	}
 	s.burst = next
 	return s
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -14,6 +14,9 @@
 // of it from the hosts that it meets. The revisions of the store decide which of two
 // statements about a key is the newer.
 //
+// Where there are rollouts of new versions of endpoints, the hosts that watch the
+// configuration read the orders in the same watch.
+//
 // # Usage
 //
 //	service := discovery.New(common, notices, store, layout)
