Let a rollout go on where its owner changes often

Cause: with 24 hosts on a loaded machine owners changed often, and each took the whole reserve as sent, so that neither good nor bad versions were judged. Change: the reserve is 24 requests, and late in the rollout a few responses suffice. Endpoints have no version where there are no rollouts.

--- a/coordination/pkg/rollout/rollout.go
+++ b/coordination/pkg/rollout/rollout.go
@@ -84,9 +84,11 @@
 	canaryPart = 0.5
 	// The canary ends after shiftFraction of the time if there are enough responses, and
 	// after latestShift at the latest, so that faults that begin late show in the canary,
-	// and old requests can end before the deadline.
-	shiftFraction = 0.45
-	latestShift   = 0.6
+	// and old requests can end before the deadline. After fewResponsesShift few responses
+	// suffice: changes of owners may have used up what the canary may get.
+	shiftFraction     = 0.45
+	latestShift       = 0.6
+	fewResponsesShift = 0.75
 	// burstSize is how many requests an endpoint gets in a row in the canary: more than
 	// its slots, so that it is as busy as an endpoint of the old version.
 	burstSize = 12
@@ -97,8 +99,9 @@
 	// canaryEndpoints is how many endpoints share the canary: it takes two to tell a bad
 	// version from a bad endpoint.
 	canaryEndpoints = 2
-	// reserveStep is how many further requests a stored record allows.
-	reserveStep = 4 * burstSize
+	// reserveStep is how many further requests a stored record allows. A new owner takes
+	// them as sent.
+	reserveStep = 2 * burstSize
 	// quietTime is how long no permit may be known at endpoints of other versions before
 	// they may stop. Hosts list their permits every two seconds.
 	quietTime = 3 * time.Second
--- a/coordination/pkg/rollout/rollout_test.go
+++ b/coordination/pkg/rollout/rollout_test.go
@@ -294,6 +294,27 @@
 	s.checkBad(is)
 }
 
+// Guards against a good version that never completes as its owner changes often, and each
+// new one takes the whole reserve as sent.
+func TestGoodVersionIsCompletedUnderManyOwners(t *testing.T) {
+	for seed := range uint64(8) {
+		is := is.New(t)
+		s := newSimulation(seed)
+		s.rate = 20
+		next := time.Duration(0)
+		s.isBad = func(a attempt, _ *rand.Rand) bool {
+			if a.after >= next && s.steering.Stage() == rollout.Canary {
+				next = a.after + 5*time.Second
+				s.steering = s.steering.Record(rollout.Canary, s.steering.ToReserve()).Resume(bounds, start.Add(a.after))
+			}
+			return false
+		}
+		s.run()
+		is.Equal(s.steering.Stage(), rollout.Completed)
+		is.True(s.ended < duration)
+	}
+}
+
 // Guards against orders that would never end or name nothing.
 func TestOrderThatCannotBeCarriedOutIsAnError(t *testing.T) {
 	is := is.New(t)
--- a/godwitmoord/pkg/discovery/rollouts.go
+++ b/godwitmoord/pkg/discovery/rollouts.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"go.uber.org/zap"
+	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/rollout"
 )
@@ -62,6 +63,15 @@
 	return true
 }
 
+// versioned returns an endpoint without its version where there are no rollouts, so that
+// what the entry says of it changes nothing there.
+func (s *Service) versioned(e configuration.Endpoint) configuration.Endpoint {
+	if !s.common.RollsOut() {
+		e.Version, e.ColdLeft = "", 0
+	}
+	return e
+}
+
 // configurationPrefix returns the prefix of the keys that are watched with the
 // configuration: its own, and those of the orders of rollouts where there are some.
 func (s *Service) configurationPrefix() string {
--- a/godwitmoord/pkg/discovery/rollouts_test.go
+++ b/godwitmoord/pkg/discovery/rollouts_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/configuration"
+	"godwitmoor.example/coordination/pkg/document"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/rollout"
 	"godwitmoor.example/platform"
@@ -48,4 +50,6 @@
 	is.Equal(s.configurationPrefix(), "op/config")
 	is.True(!s.acceptOrder(orderAt(5, `{"Service":"desk","Target":"v2","DurationS":60}`)))
 	is.Equal(len(s.RolloutOrders()), 0)
+	e := configuration.Endpoint{Name: "i-1", Version: "v2", ColdLeft: document.Duration(time.Second)}
+	is.Equal(s.versioned(e), configuration.Endpoint{Name: "i-1"})
 }
