--- a/coordination/pkg/permit/ask.go
+++ b/coordination/pkg/permit/ask.go
@@ -21,6 +21,9 @@
 	Host string `json:"host"`
 	// DataCentre is the data centre of the entry host; empty if it does not matter.
 	DataCentre string `json:"data-centre,omitempty"`
+	// Route is the request's route, where rollouts compare versions by route; otherwise
+	// it is empty.
+	Route string `json:"route,omitempty"`
 	// Tier is the rank of the request's tier; 0 is the highest.
 	Tier int `json:"tier"`
 	// Deadline is when the whole answer must have arrived.
--- a/coordination/pkg/permit/event.go
+++ b/coordination/pkg/permit/event.go
@@ -10,6 +10,8 @@
 	DecodeSpeed  float64 `json:"decode-speed,omitempty"`
 	Leaving      bool    `json:"leaving,omitempty"`
 	DataCentre   string  `json:"data-centre,omitempty"`
+	// Version is the version of the endpoint's software; empty if it states none.
+	Version string `json:"version,omitempty"`
 }
 
 // EarlierGrants holds the persisted grants of earlier owners that a new owner has
@@ -29,8 +31,8 @@
 }
 
 // Event is an input of the core. It is one of Configured, Regained, Shared, Asked, Withdrawn,
-// Progressed, Finished, Failed, Stalled, Warned, Limited, Slowed, Measured,
-// Paused, Listed, Settled, Reported, Marked, HostLost and Ticked.
+// Progressed, Finished, Failed, Stalled, Warned, Limited, Slowed, Measured, Paused,
+// Listed, Settled, Reported, Marked, Steered, HostLost and Ticked.
 type Event interface{ at() Instant }
 
 // TimeOf returns when an event arrived.
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -31,6 +31,7 @@
 	suspending       bool
 	// lostAt is when the host of the permit was lost, or zero.
 	lostAt Instant
+	watch  attemptWatch
 }
 
 // hold records a permit at an endpoint and estimates how long its request takes.
@@ -91,7 +92,7 @@
 	if h == nil {
 		return
 	}
-	h.endpoint.fail(c.now, e.Fault)
+	c.failEndpoint(h.endpoint, e.Fault)
 	if e.Begun {
 		c.clearParts(h.ask)
 	}
--- a/coordination/pkg/permit/learned_rates.go
+++ b/coordination/pkg/permit/learned_rates.go
@@ -16,6 +16,9 @@
 	// Slowness is what the head of the answer said of the endpoint's slowness; zero if
 	// it said nothing.
 	Slowness float64 `json:"slowness,omitempty"`
+	// Error is set if the endpoint answered with an error of its own, where rollouts
+	// compare versions.
+	Error bool `json:"error,omitempty"`
 }
 
 // LearnedRates holds the costs that an owner has learned for one endpoint. A cost of
--- a/godwitmoord/pkg/discovery/discovery.go
+++ b/godwitmoord/pkg/discovery/discovery.go
@@ -14,6 +14,9 @@
 // of it from the hosts that it meets. The revisions of the store decide which of two
 // statements about a key is the newer.
 //
+// Where there are rollouts of new versions of endpoints, the hosts that watch the
+// configuration read the orders in the same watch.
+//
 // # Usage
 //
 //	service := discovery.New(common, notices, store, layout)
@@ -103,6 +106,7 @@
 	Configuration(value []byte) (int64, configuration.Configuration, error)
 	// Endpoint decodes the entry of an endpoint and the name of its service.
 	Endpoint(name string, value []byte) (string, configuration.Endpoint, error)
+	rolloutLayout
 }
 
 // Service keeps the configuration, the endpoints and the hosts of this process
@@ -126,6 +130,7 @@
 	// has not succeeded yet.
 	unconfirmed atomic.Bool
 	standIn     standIn
+	orders      orders
 
 	mu    sync.Mutex
 	table Table
@@ -177,7 +182,7 @@
 	s.notices.Handle(leavingTopic, s.acceptLeaving)
 	s.publishHosts()
 	s.configurationFollower = &follower{
-		service: s, prefix: s.layout.ConfigurationKey(), wanted: s.provesConfiguration, prompt: true, watchDuration: s.freshnessBudget().watch,
+		service: s, prefix: s.configurationPrefix(), wanted: s.provesConfiguration, prompt: true, watchDuration: s.freshnessBudget().watch,
 		batchDelay: constant(configurationBatchDelay), maxPause: s.maxRetryPause(urgentRetryPause),
 		apply: s.installConfiguration, afterCall: s.recordProof,
 	}
@@ -205,6 +210,7 @@
 	}
 	for _, c := range u.changes {
 		if c.Entry.Key != s.layout.ConfigurationKey() {
+			s.readOrder(c)
 			continue
 		}
 		s.storeVersion.Store(0)
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -55,7 +55,8 @@
 	// pageLost is set while this host's page may be missing from a restored store.
 	pageLost atomic.Bool
 	// pageNumber counts the times at which the grants were written or reported.
-	pageNumber int64
+	pageNumber   int64
+	rolloutTally rolloutTally
 }
 
 // configure queues the rules of the current configuration as an event.
@@ -91,7 +92,7 @@
 		Version:       current.Version,
 		QueueLimit:    service.QueueLimit,
 		GoodputWeight: current.Configuration.GoodputWeight,
-		Endpoints:     endpointRules(service),
+		Endpoints:     s.versionedRules(endpointRules(service), service.Endpoints),
 		Settle:        settleTime,
 	}
 	s.owner.addLimits(&event, service, &current.Configuration, s.quotaShare())
@@ -128,6 +129,7 @@
 		s.step(event)
 		s.handover.begin(time.Now())
 	}
+	s.steerAtStart()
 	s.adoptHeld(earlier.held)
 	s.queuePage(nil)
 	ticker := time.NewTicker(tickInterval)
@@ -150,6 +152,7 @@
 				s.step(permit.Ticked{At: instantNow()})
 			}
 			s.persistGrants()
+			s.observeShift()
 		}
 	}
 }
@@ -188,6 +191,7 @@
 	s.eventNumber++
 	line := permit.Line{Service: s.service, Owner: s.owner.common.Self.Name, Epoch: s.epoch, Number: s.eventNumber}
 	s.owner.record.Add(record.Line{Decision: &record.Decision{Line: line, Event: event, Actions: slices.Clone(actions)}})
+	s.tallyRollout(actions)
 	for _, action := range actions {
 		s.sendDecision(action)
 	}
