Hide the values of unknown fields of customers in problems

Only fields named keys or token-sha256 were hidden, so a token or key under a misspelled field was printed by validate, diff and apply. Values of a customer are now shown only for name, tiers, rank and quota. The new test failed before.

--- a/coordination/pkg/configuration/check.go
+++ b/coordination/pkg/configuration/check.go
@@ -24,6 +24,9 @@
 	sha256HexadecimalLength = 64
 )
 
+// publicCustomerFields are the fields of a customer whose values may be shown.
+var publicCustomerFields = []string{"name", "tiers", "rank", "quota"}
+
 // Parse decodes a configuration and checks every setting. Problems are returned
 // as a *document.ProblemsError; each has the file, the line, the field and a
 // remedy. What could be decoded is checked also if other fields could not.
@@ -69,16 +72,25 @@
 	})
 }
 
+// withoutSecrets removes the values that may be a token or a key. An unknown field of a
+// customer may be a misspelled one of these.
 func withoutSecrets(problems []document.Problem) []document.Problem {
 	for i := range problems {
-		p := &problems[i]
-		if strings.HasPrefix(p.Field, "/customers/") && (strings.Contains(p.Field, "/keys") || strings.HasSuffix(p.Field, "/token-sha256")) {
-			p.Value = ""
+		if mayBeSecret(problems[i].Field) {
+			problems[i].Value = ""
 		}
 	}
 	return problems
 }
 
+// mayBeSecret reports whether the value of a field may be a token or a key.
+func mayBeSecret(field string) bool {
+	item, ofCustomer := strings.CutPrefix(field, "/customers/")
+	_, member, _ := strings.Cut(item, "/")
+	member, _, _ = strings.Cut(member, "/")
+	return ofCustomer && !slices.Contains(publicCustomerFields, member)
+}
+
 // checker collects the problems of one configuration.
 type checker struct {
 	configuration *Configuration
--- a/coordination/pkg/configuration/review_test.go
+++ b/coordination/pkg/configuration/review_test.go
@@ -224,3 +224,17 @@
 		is.True(strings.HasPrefix(found.Problems[i].String(), want))
 	}
 }
+
+// Guards against tokens and keys that are shown because their field is misspelled.
+func TestValueOfAnUnknownFieldOfACustomerIsNotShown(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{"token", "key", "api-key"} {
+		text := strings.Replace(routedText, `"keys": ["secret-1"]`, `"`+field+`": "secret-1"`, 1)
+		_, err := configuration.Parse("f", []byte(text))
+		var found *document.ProblemsError
+		is.True(errors.As(err, &found))
+		is.Equal(len(found.Problems), 1)
+		is.Equal(found.Problems[0].Field, "/customers/0/"+field)
+		is.Equal(found.Problems[0].Value, "")
+	}
+}
