Count replies that are refused for lack of room

Frames refused in connections that this host opened closed the connection without a count or a line. The codec itself now reports them, in both directions. The new test failed before.

--- a/godwitmoord/pkg/peer/codec.go
+++ b/godwitmoord/pkg/peer/codec.go
@@ -107,8 +107,10 @@
 	takesOneWay atomic.Bool
 	// ended is closed when no more replies can be read.
 	ended chan struct{}
-	// account is charged for large frames while they are read.
-	account *budget.Account
+	// account is charged for large frames while they are read, and shortages reports
+	// those for which it has no room.
+	account   *budget.Account
+	shortages *budget.Reporter
 }
 
 func newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
@@ -157,6 +159,7 @@
 	}
 	if n > initialFrameBytes {
 		if !c.account.ReserveForHosts(int64(n)) {
+			c.shortages.Report(budget.FrameRefused)
 			return errors.WithStack(errFrameRefused)
 		}
 		defer c.account.Add(-int64(n))
@@ -271,8 +274,7 @@
 type (
 	serverCodec struct {
 		*codec
-		receive   func(request []byte) ([]byte, error)
-		shortages *budget.Reporter
+		receive func(request []byte) ([]byte, error)
 	}
 	clientCodec struct{ *codec }
 )
@@ -282,7 +284,6 @@
 	// are handled.
 	c.openCalls <- struct{}{}
 	if err := c.readFrame(); err != nil {
-		c.reportRefused(err)
 		return err
 	}
 	for c.lastRead.Delivery != concurrent {
@@ -290,7 +291,6 @@
 			return err
 		}
 		if err := c.readFrame(); err != nil {
-			c.reportRefused(err)
 			return err
 		}
 	}
@@ -298,13 +298,6 @@
 	return nil
 }
 
-// reportRefused reports a frame that could not be read for lack of room.
-func (c serverCodec) reportRefused(err error) {
-	if errors.Is(err, errFrameRefused) {
-		c.shortages.Report(budget.FrameRefused)
-	}
-}
-
 // handleInOrder handles the last frame read, and answers it unless it is a one-way call.
 // net/rpc handles calls concurrently, so it is not used here.
 func (c serverCodec) handleInOrder() error {
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -219,3 +219,18 @@
 	}
 	is.True(s.isFull())
 }
+
+// Replies that were refused for lack of room were neither counted nor logged.
+func TestReplyWithoutRoomIsCounted(t *testing.T) {
+	is := is.New(t)
+	s := newService(t)
+	s.common.Budget = budget.New(1)
+	s.common.Budget.Add(2 * s.common.Budget.Limit())
+	s.common.Shortages = &budget.Reporter{Log: zap.NewNop(), Account: s.common.Budget, Count: s.common.Count}
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	go func() { _, _ = far.Write(sizeOf(maxFrame / 4)) }()
+	is.True(errors.Is(s.clientCodec(near).readFrame(), errFrameRefused))
+	is.Equal(metrics.GetOrRegisterCounter("budget."+string(budget.FrameRefused), s.common.Metrics).Count(), int64(1))
+}
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -212,9 +212,9 @@
 }
 
 func (c *serverConn) run() {
-	codec := newCodec(c.conn, callTimeout)
-	codec.idleTimeout, codec.account = acceptedIdleTimeout, c.service.common.Budget
-	c.service.server.ServeCodec(serverCodec{codec: codec, receive: c.service.receive, shortages: c.service.common.Shortages})
+	codec := c.service.newCodec(c.conn, callTimeout)
+	codec.idleTimeout = acceptedIdleTimeout
+	c.service.server.ServeCodec(serverCodec{codec: codec, receive: c.service.receive})
 	c.service.mu.Lock()
 	delete(c.service.accepted, c.conn)
 	c.service.mu.Unlock()
@@ -356,7 +356,6 @@
 		return nil, err
 	}
 	codec := s.clientCodec(conn)
-	codec.account = s.common.Budget
 	opened := &client{Client: rpc.NewClientWithCodec(codec), codec: codec, used: time.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -369,7 +368,14 @@
 }
 
 func (s *Service) clientCodec(conn net.Conn) clientCodec {
-	return clientCodec{newCodec(conn, s.timeout())}
+	return clientCodec{s.newCodec(conn, s.timeout())}
+}
+
+// newCodec returns a codec whose frames are charged to the host's account.
+func (s *Service) newCodec(conn net.Conn, frameTimeout time.Duration) *codec {
+	c := newCodec(conn, frameTimeout)
+	c.account, c.shortages = s.common.Budget, s.common.Shortages
+	return c
 }
 
 // discard closes a connection and keeps later calls from using it.
