--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -137,10 +137,14 @@
 	now := time.Now()
 	b.charge.Progressed(now)
 	b.progress += n
-	if b.progress < minProgressBytes || now.Before(b.stepEnd) || b.charge.GivenUp() {
+	if b.progress < minProgressBytes || now.Before(b.stepEnd) {
 		return
 	}
 	b.extend(now, true)
+	// The extension may have undone the deadline that GiveUp set meanwhile.
+	if b.charge.GivenUp() {
+		b.GiveUp()
+	}
 }
 
 // extend sets the read deadline.
--- a/godwitmoord/pkg/front/body_test.go
+++ b/godwitmoord/pkg/front/body_test.go
@@ -24,9 +24,15 @@
 type deadlineWriter struct {
 	*httptest.ResponseRecorder
 	deadline time.Time
+	// beforeSet, if set, is called before the next deadline is set.
+	beforeSet func()
 }
 
 func (w *deadlineWriter) SetReadDeadline(deadline time.Time) error {
+	if before := w.beforeSet; before != nil {
+		w.beforeSet = nil
+		before()
+	}
 	w.deadline = deadline
 	return nil
 }
@@ -156,3 +162,24 @@
 	b.close()
 	is.Equal(b.service.common.Budget.Held(), int64(0))
 }
+
+// A body that was given up while its read deadline was extended went on being read, and
+// held memory that was charged to another one.
+func TestExtendedDeadlineDoesNotUndoGivingUp(t *testing.T) {
+	is := is.New(t)
+	b := newTestBody(1, nil)
+	account := b.service.common.Budget
+	b.charge.Open(account, 1, "desk", b)
+	is.True(b.charge.Grow(2 * budget.SmallBytes))
+	now := time.Now()
+	b.end = now.Add(readBodyTimeout)
+	w := b.writer.(*deadlineWriter)
+	w.beforeSet = func() {
+		var other budget.Body
+		other.Open(account, 0, "shop", b)
+		is.True(other.Grow(account.Limit() * 7 / 8)) // all that large bodies may hold
+	}
+	b.progressed(minProgressBytes)
+	is.True(b.charge.GivenUp())
+	is.True(w.deadline.Before(now))
+}
