Choose only connections that close at once to make room

An idle connection with a running spool closes once that is sent. It was chosen for each new connection, which was then refused although other idle connections could be closed.

--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -75,14 +77,11 @@
 // closeOne closes a connection that holds nothing, and reports whether there was one.
 func (l *boundedListener) closeOne() bool {
 	now := time.Now()
-	l.mu.Lock()
-	connections := make([]budget.Connection, 0, len(l.open))
-	open := make([]*callerConn, 0, len(l.open))
-	for c := range l.open {
+	open := l.withoutSpool()
+	connections := make([]budget.Connection, 0, len(open))
+	for _, c := range open {
 		connections = append(connections, c.state(now))
-		open = append(open, c)
 	}
-	l.mu.Unlock()
 	i, found := budget.ConnectionToClose(connections)
 	if !found {
 		return false
@@ -92,6 +91,16 @@
 	return true
 }
 
+// withoutSpool returns the connections that can be closed at once. The locks of spools are
+// taken without that of the listener, since a spool that closes its connection takes
+// them in the other order.
+func (l *boundedListener) withoutSpool() []*callerConn {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	return slices.DeleteFunc(open, func(c *callerConn) bool { return c.spool.isRunning() })
+}
+
 // release charges back a connection that is closed.
 func (l *boundedListener) release(c *callerConn) {
 	l.mu.Lock()
