Send answers directly while the host has no room for spools

A write that blocked for 30 ms while the spools of others took all room waited for a signal that only its own spool gives, and reset the connection after 2 s, though its caller read. While nothing of a connection is spooled, it now writes to the connection, and resets it only if the caller reads nothing for that time. The test of a caller that reads failed before; that of one that reads nothing passed before and guards the bound.

--- a/godwitmoord/pkg/front/spool.go
+++ b/godwitmoord/pkg/front/spool.go
@@ -116,12 +116,16 @@
 	return s.running
 }
 
-// add spools data. It waits for room, and fails if none comes in time.
+// add spools data. It waits for room, and fails if none comes in time. While nothing of
+// the connection is spooled and the host has no room, it sends the data itself.
 func (s *spool) add(data []byte) (int, error) {
 	added := 0
 	var full <-chan time.Time
 	for {
 		n, err := s.put(data[added:])
+		if n == 0 && err == nil && !s.isRunning() {
+			n, err = s.send(data[added:])
+		}
 		added += n
 		if err != nil || added == len(data) {
 			return added, err
@@ -138,6 +142,21 @@
 	}
 }
 
+// send sends data without spooling it, and fails if the caller reads none of it in time.
+func (s *spool) send(data []byte) (int, error) {
+	_ = s.conn.Conn.SetWriteDeadline(time.Now().Add(s.conn.listener.fullTime))
+	n, err := s.conn.Conn.Write(data)
+	_ = s.conn.Conn.SetWriteDeadline(time.Time{})
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if n == 0 {
+		s.fail(budget.SpoolFull)
+		return 0, errUnread
+	}
+	return n, nil
+}
+
 // put spools as much of data as there is room for, and starts the goroutine if it does
 // not run.
 func (s *spool) put(data []byte) (int, error) {
--- a/godwitmoord/pkg/front/spool_test.go
+++ b/godwitmoord/pkg/front/spool_test.go
@@ -231,3 +231,46 @@
 	}
 	return n
 }
+
+// A connection that closes only once its spool is sent was chosen again and again, so that
+// new connections were refused beside others that could be closed at once.
+func TestConnectionWithASpoolIsNotClosedForANewOne(t *testing.T) {
+	is := is.New(t)
+	l := &boundedListener{open: map[*callerConn]struct{}{}}
+	admitIdle := func() *callerConn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		c := l.admit(near)
+		c.setPhase(budget.Idle)
+		return c
+	}
+	spooling, idle := admitIdle(), admitIdle()
+	spooling.spool.running = true
+	spooling.phaseStart.Store(0)
+	is.True(l.closeOne())
+	_, isOpen := l.open[idle]
+	is.True(!isOpen)
+	is.True(!l.closeOne()) // the other one can't be closed yet
+	is.True(!spooling.spool.closing)
+}
+
+// Callers that read, if slowly, were reset while the spools of others took all room.
+func TestAnswerIsSentWhileTheHostHasNoRoomForSpools(t *testing.T) {
+	s := startSpoolServer(t, testSpooled, func(l *boundedListener) { l.spooled.Store(hostSpoolBytes) })
+	conn := s.open(t, "GET /fixed HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(4 * blockedTime)
+	body, err := s.readAnswer(conn)
+	s.is.NoErr(err)
+	s.is.Equal(len(body), testPartsFixed*testPartBytes)
+}
+
+// A caller that reads nothing must not hold its endpoint while the host has no room for
+// spools.
+func TestUnreadAnswerIsResetWhileTheHostHasNoRoomForSpools(t *testing.T) {
+	s := startSpoolServer(t, testSpooled, func(l *boundedListener) { l.spooled.Store(hostSpoolBytes) })
+	conn := s.open(t, "GET /fixed HTTP/1.1\r\nHost: a\r\n\r\n")
+	s.is.True(<-s.sent < testPartsFixed)
+	s.is.True(<-s.written != nil)
+	_, err := readAll(conn)
+	s.is.True(err != nil) // a reset, no orderly end
+}
