--- a/godwitmoord/pkg/attempt/connection.go
+++ b/godwitmoord/pkg/attempt/connection.go
@@ -148,13 +148,13 @@
 	}
 }
 
-// awaitWritten waits until the request is written or can't be, no longer than longest, and
+// awaitWritten waits until the request is written or can't be, no longer than timeout, and
 // reports whether it was written completely.
-func (c *connection) awaitWritten(longest time.Duration) bool {
+func (c *connection) awaitWritten(timeout time.Duration) bool {
 	if c.upload != nil {
 		select {
 		case <-c.upload.done:
-		case <-time.After(longest):
+		case <-time.After(timeout):
 		}
 	}
 	return c.isWritten()
--- a/godwitmoord/pkg/budget/decision.go
+++ b/godwitmoord/pkg/budget/decision.go
@@ -78,8 +78,8 @@
 // Pause returns how long the reader of a large body should wait after a read that
 // returned little, given how many large bodies are read at once. It handles many bodies
 // in chunks of one byte, which cost far more processor time than others of their length:
-// all of them together are read at a bounded rate. A body that comes slowly
-// loses nothing, because more has arrived of it after the pause.
+// all of them together are read at a bounded rate. A body that arrives
+// slowly is not delayed, because more of it has arrived after the pause.
 func Pause(bodies int) time.Duration {
 	return min(time.Duration(max(bodies-1, 0))*pauseStep, maxPause)
 }
@@ -104,8 +104,8 @@
 	Age time.Duration
 }
 
-// headTime is how long a client of these days needs at most to send the head of its
-// first request, unless its network fails.
+// headTime is how long a client whose network works needs at most to send the head of its
+// first request.
 const headTime = time.Second
 
 // ConnectionToClose decides which connection is closed when a host may open no more:
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -100,12 +100,12 @@
 // bounded returns the listener with the bounds of the settings, and with spooling where
 // the deployment calls for it; without both it returns the listener itself.
 func (s *Service) bounded(listener net.Listener) net.Listener {
-	most := budget.Connections(s.common.Settings.Descriptors)
-	if s.common.Budget == nil && most == 0 && !s.common.Features.SpoolAnswers {
+	maxOpen := budget.Connections(s.common.Settings.Descriptors)
+	if s.common.Budget == nil && maxOpen == 0 && !s.common.Features.SpoolAnswers {
 		return listener
 	}
 	s.listener = &boundedListener{
-		Listener: listener, account: s.common.Budget, shortages: s.common.Shortages, most: most,
+		Listener: listener, account: s.common.Budget, shortages: s.common.Shortages, maxOpen: maxOpen,
 		spools: s.common.Features.SpoolAnswers, unreadTime: unreadTime, fullTime: fullTime, open: map[*callerConn]struct{}{},
 	}
 	s.server.ConnState = recordPhase
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -22,8 +22,8 @@
 	net.Listener
 	account   *budget.Account
 	shortages *budget.Reporter
-	// most bounds the open connections; zero means no bound.
-	most int
+	// maxOpen bounds the open connections; zero means no bound.
+	maxOpen int
 	// spools is set if what callers don't read in time is spooled.
 	spools bool
 	// unreadTime is how long a caller may read nothing while something is spooled for
@@ -69,7 +69,7 @@
 // called by Accept only.
 func (l *boundedListener) reserve() bool {
 	l.mu.Lock()
-	full := l.most > 0 && len(l.open) >= l.most
+	full := l.maxOpen > 0 && len(l.open) >= l.maxOpen
 	l.mu.Unlock()
 	return !full && l.account.Reserve(budget.ConnectionBytes)
 }
--- a/godwitmoord/pkg/front/spool.go
+++ b/godwitmoord/pkg/front/spool.go
@@ -253,11 +253,11 @@
 
 // reserveSpool charges n bytes for a spool, and reports whether there is room.
 func (l *boundedListener) reserveSpool(n int) bool {
-	most := int64(hostSpoolBytes)
+	limit := int64(hostSpoolBytes)
 	if l.account != nil {
-		most = min(most, l.account.Limit()/spoolDivisor)
+		limit = min(limit, l.account.Limit()/spoolDivisor)
 	}
-	if l.spooled.Add(int64(n)) <= most && l.account.Reserve(int64(n)) {
+	if l.spooled.Add(int64(n)) <= limit && l.account.Reserve(int64(n)) {
 		return true
 	}
 	l.spooled.Add(int64(-n))
--- a/godwitmoord/pkg/front/spool_test.go
+++ b/godwitmoord/pkg/front/spool_test.go
@@ -71,8 +71,8 @@
 	return s
 }
 
-// withPatience lets callers read nothing for as long as these tests wait.
-func withPatience(l *boundedListener) { l.unreadTime = spoolWait }
+// withLongUnreadTime lets callers read nothing for as long as these tests wait.
+func withLongUnreadTime(l *boundedListener) { l.unreadTime = spoolWait }
 
 func (s *spoolServer) serve(w http.ResponseWriter, r *http.Request) {
 	finished := resetUnfinished(r)
@@ -139,7 +139,7 @@
 // The slot of an endpoint stayed taken until a slow caller had read its answer.
 func TestAnswerEndsBeforeASlowCallerReadsIt(t *testing.T) {
 	for _, head := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"} {
-		s := startSpoolServer(t, testSpooled, withPatience)
+		s := startSpoolServer(t, testSpooled, withLongUnreadTime)
 		conn := s.open(t, head)
 		parts := <-s.sent
 		s.is.NoErr(<-s.written)
@@ -186,7 +186,7 @@
 
 // A host that stops ended with answers that were complete and not yet read.
 func TestStopWaitsForWhatIsSpooled(t *testing.T) {
-	s := startSpoolServer(t, testSpooled, withPatience)
+	s := startSpoolServer(t, testSpooled, withLongUnreadTime)
 	conn := s.open(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	parts := <-s.sent
 	s.is.NoErr(<-s.written)
@@ -201,7 +201,7 @@
 
 // A host accepted connections until it had no descriptors left.
 func TestConnectionsAreBounded(t *testing.T) {
-	s := startSpoolServer(t, testSpooled, func(l *boundedListener) { l.most = 2 })
+	s := startSpoolServer(t, testSpooled, func(l *boundedListener) { l.maxOpen = 2 })
 	idle := s.open(t, "GET /one HTTP/1.1\r\nHost: a\r\n\r\n")
 	_, err := s.readAnswer(idle)
 	s.is.NoErr(err)
--- a/godwitmoord/pkg/peer/peer.go
+++ b/godwitmoord/pkg/peer/peer.go
@@ -186,10 +186,10 @@
 
 // isFull reports whether other hosts have as many connections open as they may.
 func (s *Service) isFull() bool {
-	most := budget.Connections(s.common.Settings.Descriptors)
+	maxAccepted := budget.Connections(s.common.Settings.Descriptors)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return most > 0 && len(s.accepted) >= most
+	return maxAccepted > 0 && len(s.accepted) >= maxAccepted
 }
 
 // trackAccepted records an accepted connection so that Stop can close it. After
