--- a/godwitmoor/pkg/commands/diff.go
+++ b/godwitmoor/pkg/commands/diff.go
@@ -33,7 +33,7 @@
 			if err := printDiff(ctx, newConfigurationStore(c), report, file.configuration); err != nil {
 				return err
 			}
-			return result(file.warnings)
+			return warningsError(file.warnings)
 		},
 	}
 }
--- a/godwitmoor/pkg/commands/report.go
+++ b/godwitmoor/pkg/commands/report.go
@@ -127,8 +127,8 @@
 	return errors.Wrap(json.NewEncoder(r.out).Encode(line), "print a JSON line")
 }
 
-// result returns the error of a check that found these warnings; nil without any.
-func result(warnings []document.Problem) error {
+// warningsError returns the error of a check that found these warnings; nil without any.
+func warningsError(warnings []document.Problem) error {
 	if len(warnings) == 0 {
 		return nil
 	}
--- a/godwitmoor/pkg/commands/validate.go
+++ b/godwitmoor/pkg/commands/validate.go
@@ -31,7 +31,7 @@
 			if err := report.valid(file.configuration); err != nil {
 				return err
 			}
-			return result(file.warnings)
+			return warningsError(file.warnings)
 		},
 	}
 }
