Word comments on the memory account and on loads plainly

The package comment says what giving up a body means, a charge is returned rather than charged back, and fields are described by what they hold.

--- a/coordination/pkg/configuration/configuration.go
+++ b/coordination/pkg/configuration/configuration.go
@@ -134,8 +134,8 @@
 	Born int64 `json:"born,omitempty"`
 	// Version is the version of the endpoint's software; empty if it states none.
 	Version string `json:"version,omitempty"`
-	// ColdLeft is how much longer the endpoint was slow after its start when it said so;
-	// it is not set for endpoints without a version.
+	// ColdLeft is how much longer the endpoint expected to be slow after its start when it
+	// reported this; it is not set for endpoints without a version.
 	ColdLeft document.Duration `json:"cold-left,omitempty"`
 }
 
--- a/coordination/pkg/document/document.go
+++ b/coordination/pkg/document/document.go
@@ -26,7 +26,8 @@
 )
 
 const (
-	// maxDecodeProblems bounds the decoding of a document that has another format.
+	// maxDecodeProblems bounds how often a document is decoded, as one of another format
+	// has a problem in each field.
 	maxDecodeProblems = 100
 	// maxValueBytes is the longest value that is shown with a problem.
 	maxValueBytes = 200
--- a/coordination/pkg/exchange/load.go
+++ b/coordination/pkg/exchange/load.go
@@ -11,7 +11,7 @@
 	loadValues = 3
 	// usualPercent is the slowness, in percent, of a machine that works as usual.
 	usualPercent = 100
-	// maxSlowness is the largest slowness that is taken as one.
+	// maxSlowness is the largest multiple that is accepted as a slowness.
 	maxSlowness = 100
 )
 
@@ -23,7 +23,7 @@
 	// Slowness is how long work takes on the endpoint's machine now, as a multiple of
 	// the usual; zero if that is not known.
 	Slowness float64
-	// Unreadable is set if the answer names something that is no slowness.
+	// Unreadable is set if the fourth value is not a slowness.
 	Unreadable bool
 }
 
--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -1,7 +1,8 @@
-// Package budget keeps the account of what a host holds for callers, endpoints and
-// other hosts, and decides what is given up when there is no more room.
+// Package budget keeps the account of the memory that a host holds for callers, endpoints
+// and other hosts, and decides which request bodies are given up (their reading ends, and
+// their requests are refused) when there is no more room.
 //
-// Memory is charged before it is used, and charged back when it is released. Charging
+// Memory is charged before it is used, and the charge is returned when it is released. Charging
 // costs one atomic addition. Bodies of more than SmallBytes are also listed while they
 // are read, so that some of them can be given up for others; the decision itself is
 // pure, see Displace.
@@ -93,8 +94,8 @@
 	return a.limit
 }
 
-// Add charges n bytes that are held in any case, or charges them back if n is below
-// zero.
+// Add charges n bytes that are held in any case, or returns their charge if n is
+// below zero.
 func (a *Account) Add(n int64) {
 	if a != nil {
 		a.held.Add(n)
@@ -200,7 +201,7 @@
 }
 
 // Pause returns how long the reader of the body should wait after a read that returned n
-// bytes only, see Pause.
+// bytes only; see the function Pause.
 func (b *Body) Pause(n int) time.Duration {
 	if !b.large || n >= sparseReadBytes {
 		return 0
@@ -222,7 +223,7 @@
 	return !b.givenUp
 }
 
-// Close charges back what the body holds.
+// Close returns the charge of the body.
 func (b *Body) Close() {
 	if b.account == nil {
 		return
@@ -276,7 +277,7 @@
 	return a.reserveWithin(n, limit)
 }
 
-// giveUp charges back what a body holds and makes its read end. The memory itself is
+// giveUp returns the charge of a body and makes its read end. The memory itself is
 // released when the read has ended. The account's lock is held.
 func (a *Account) giveUp(b *Body) {
 	b.unlist()
--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -49,7 +49,7 @@
 	})
 }
 
-// A crowd of large bodies that were given up for each other would all begin again, and
+// Many large bodies that were given up for each other would all begin again, and
 // none would be completed.
 func TestLatestOfEqualBodiesIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -216,7 +216,7 @@
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
-// close charges back what the body holds, at the end of its request.
+// close returns the charge of the body, at the end of its request.
 func (b *callerBody) close() {
 	b.chunks, b.firstChunk = nil, [1][]byte{}
 	b.charge.Close()
--- a/godwitmoord/pkg/front/body_test.go
+++ b/godwitmoord/pkg/front/body_test.go
@@ -81,7 +81,7 @@
 	return request, b.readInto(&request)
 }
 
-// A crowd of bodies that stopped just short of their end stayed open and held their
+// Many bodies that stopped just short of their end stayed open and held their
 // memory for half a minute.
 func TestBodyWithoutProgressIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -101,7 +101,7 @@
 	return slices.DeleteFunc(open, func(c *callerConn) bool { return c.spool.isRunning() })
 }
 
-// release charges back a connection that is closed.
+// release returns the charge of a connection that is closed.
 func (l *boundedListener) release(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/godwitmoord/pkg/front/spool.go
+++ b/godwitmoord/pkg/front/spool.go
@@ -219,7 +219,7 @@
 	return nil
 }
 
-// sent charges back n bytes that the caller has got.
+// sent returns the charge of n bytes that the caller has got.
 func (s *spool) sent(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,7 +234,7 @@
 	}
 }
 
-// fail resets the connection and charges back what is left.
+// fail resets the connection and returns the charge of what is left.
 func (s *spool) fail(reason budget.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -264,7 +264,7 @@
 	return false
 }
 
-// releaseSpool charges back n bytes of a spool.
+// releaseSpool returns the charge of n bytes of a spool.
 func (l *boundedListener) releaseSpool(n int) {
 	l.spooled.Add(int64(-n))
 	l.account.Add(int64(-n))
--- a/godwitmoord/pkg/serving/relay.go
+++ b/godwitmoord/pkg/serving/relay.go
@@ -108,8 +108,8 @@
 	// disconnects; callerGone is set when that happens.
 	readsToEnd bool
 	callerGone bool
-	// account is charged for what is held of answers beside a small buffer, and held is
-	// what it was charged for.
+	// account is charged for what is held of answers beyond a small buffer, and held is
+	// the number of bytes charged.
 	account *budget.Account
 	held    int64
 }
@@ -121,7 +121,7 @@
 	r.held += int64(n)
 }
 
-// release charges back what was held, at the end of the request.
+// release returns the charge of what was held, at the end of the request.
 func (r *relay) release() {
 	r.account.Add(-r.held)
 	r.held = 0
