Let reserved slots serve one returned request

Cause: the promise to a refused caller stayed in the memory of refusals for 5 s. Each request with the same subject and customer that arrived in this time was placed in the queue of returned requests, ahead of those that meet their goals, though slots were reserved for one.

Change: the first request that returns takes the promise. Further ones keep the first goal and count as returned without a reservation.

Result: TestReservedSlotsServeOneReturnedRequest, which fails without the change (a second copy is served before a new request that meets its goal).

--- a/coordination/pkg/permit/return_schedule.go
+++ b/coordination/pkg/permit/return_schedule.go
@@ -115,7 +115,8 @@
 }
 
 // recogniseReturn marks a request that was refused before, and comes back no sooner than
-// its caller was told to.
+// its caller was told to. Slots were reserved for one request, so only the first one of the
+// subject that returns gets them.
 func (c *Core) recogniseReturn(w *waiter) {
 	if !c.fair.enabled || w.ask.Subject == "" || len(c.refusedGoals.goals) == 0 {
 		return
@@ -123,6 +124,10 @@
 	refused, found := c.refusedGoals.goals[w.ask.subjectKey()]
 	w.returned = found && c.now.After(returnStep) >= refused.retryAt
 	w.promised = w.returned && refused.promised
+	if w.promised {
+		refused.promised = false
+		c.refusedGoals.goals[w.ask.subjectKey()] = refused
+	}
 }
 
 // turn orders the requests of one queue before their urgency: first those of earlier
--- a/coordination/pkg/permit/return_schedule_test.go
+++ b/coordination/pkg/permit/return_schedule_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"godwitmoor.example/coordination/pkg/permit"
 )
 
 // Guards against refused callers that all come back at once.
@@ -62,6 +63,38 @@
 	is.Equal(p.nextGranted(), "ask-0")
 }
 
+// Guards against serving many requests with the subject of one refused request on the slots
+// that were reserved for that one.
+func TestReservedSlotsServeOneReturnedRequest(t *testing.T) {
+	is := is.New(t)
+	p := newSharedPool(t)
+	p.askFor("customer", "running", 20)
+	for i := range 16 {
+		p.askFor("customer", fmt.Sprint("ask-", i), 20)
+	}
+	promised, retryAfter := "", 4*time.Second
+	for id, refused := range p.refused {
+		if refused.RetryAfter < retryAfter {
+			promised, retryAfter = id, refused.RetryAfter
+		}
+	}
+	is.True(promised != "")
+	for range 16 {
+		p.nextGranted()
+	}
+	p.advance(retryAfter)
+	p.askFor("customer", "running-again", 20)
+	for i := range 4 {
+		p.step(permit.Asked{At: p.now, Ask: permit.Ask{
+			ID: fmt.Sprint("copy-", i), Request: fmt.Sprint("copy-", i), Subject: promised, Customer: "customer", Tier: 1,
+			PromptTokens: 1000, AnswerTokens: 20, Deadline: p.now.After(12 * time.Second), Goal: p.now.After(time.Second),
+		}})
+	}
+	p.askFor("customer", "new", 20)
+	is.Equal(p.nextGranted(), "copy-0")
+	is.Equal(p.nextGranted(), "new")
+}
+
 // Guards against refusing callers a second time although they come back when told.
 func TestFewerReturningCallersAreRefusedAgain(t *testing.T) {
 	is := is.New(t)
