Log expensive round trips without the entry's lock

Cause: the entry read the configuration and the membership and wrote a log line while it held the lock that each grant and each answer needs.

Change: heldList reads the round trips before it takes the lock, and logRoundTrips holds the lock only to compare and store the last names.

Result: no change of messages or lines; the tests of dispatch pass with -race.

--- a/godwitmoord/pkg/dispatch/data_centres.go
+++ b/godwitmoord/pkg/dispatch/data_centres.go
@@ -49,8 +49,7 @@
 	return expensive
 }
 
-// logRoundTrips logs a change of the data centres to which the way is expensive. The
-// caller holds e.mu.
+// logRoundTrips logs a change of the data centres to which the way is expensive.
 func (e *Entry) logRoundTrips(service string, trips []permit.RoundTrip) {
 	names := make([]string, len(trips))
 	times := make([]time.Duration, len(trips))
@@ -58,10 +57,15 @@
 		names[i], times[i] = trip.To, trip.Time
 	}
 	text := strings.Join(names, " ")
-	if e.expensive[service] == text {
+	e.mu.Lock()
+	changed := e.expensive[service] != text
+	if changed {
+		e.expensive[service] = text
+	}
+	e.mu.Unlock()
+	if !changed {
 		return
 	}
-	e.expensive[service] = text
 	e.common.Log.Info("expensive ways to data centres changed", zap.String("service", service), zap.Strings("to", names), zap.Durations("round-trips", times))
 }
 
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -120,11 +120,11 @@
 
 // heldList returns the list of the permits of a service that are held here.
 func (e *Entry) heldList(service string) entryMessage {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	permits := []permit.Permit{}
 	trips := e.expensiveRoundTrips(service)
 	e.logRoundTrips(service, trips)
+	permits := []permit.Permit{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, g := range e.held {
 		if g.service == service {
 			permits = append(permits, g.Permit)
