--- a/coordination/pkg/permit/slowness_test.go
+++ b/coordination/pkg/permit/slowness_test.go
@@ -261,6 +261,16 @@
 	}
 }
 
+// Guards against a report of a slowness that the owner has heard of, because the message
+// with the grant was lost and the repeated one does not say it.
+func TestRepeatedGrantSaysWhatTheOwnerHeardOfASlowness(t *testing.T) {
+	p := twoEngines(t)
+	p.slow("one", 2.5, 0)
+	p.slow("other", 2.5, 0)
+	p.is.Equal(p.granted("a").Slowness, 2.5)
+	p.is.Equal(p.granted("a").Slowness, 2.5)
+}
+
 // Guards against a record with slow endpoints that does not replay.
 func TestRecordOfSlowEnginesReplaysIdentically(t *testing.T) {
 	is := is.New(t)
