Name the relative times of routes in the rollout's state

Cause: the steering of rollouts called them paces, a word that the glossary and the records use for the learned rates of endpoints.

Change: relativeTime, relativeTimes and names of their constants; a plainer comment of setSteering.

Result: no change of behaviour; the tests of permit pass.

--- a/coordination/pkg/permit/steering.go
+++ b/coordination/pkg/permit/steering.go
@@ -10,14 +10,14 @@
 	// bad, and slowMargin the least excess.
 	slowRatio  = 2.5
 	slowMargin = 20 * time.Millisecond
-	// paceRate is the weight of the newest response in the mean pace of a route,
-	// minPaceResponses the number of responses from which it is known. A response that
-	// took longer than maxPaceRatio times the mean counts as that.
-	paceRate         = 0.1
-	minPaceResponses = 3
-	maxPaceRatio     = 4
-	// maxPacedRoutes bounds the routes of which the pace is known.
-	maxPacedRoutes = 256
+	// relativeTimeRate is the weight of the newest response in the mean relative time of a
+	// route, minRouteResponses the number of responses from which it is known. A response
+	// that took longer than maxRelativeTime times the mean counts as that.
+	relativeTimeRate  = 0.1
+	minRouteResponses = 3
+	maxRelativeTime   = 4
+	// maxTimedRoutes bounds the routes of which the relative time is known.
+	maxTimedRoutes = 256
 	// overdueMargin is how much later a permit without a response counts as bad, as the
 	// message of its end may be under way. An owner that saw no tick for maxTickGap may
 	// have such messages waiting, and judges no permit so for overduePause.
@@ -77,16 +77,17 @@
 	Steering
 	// targetGrants counts the permits granted at endpoints of targets.
 	targetGrants int
-	// paces holds, by route, how long responses of other versions took.
-	paces map[string]pace
+	// relativeTimes holds, by route, how long responses of other versions than the target
+	// took.
+	relativeTimes map[string]relativeTime
 	// tickedAt is when the core ticked last. Before overdueFrom no permit is judged for
 	// having no response.
 	tickedAt, overdueFrom Instant
 }
 
-// pace is how long the responses on a route take, relative to the estimate for their
+// relativeTime is how long the responses on a route take, relative to the estimate for their
 // endpoint: requests of different routes to a plain service take different times.
-type pace struct {
+type relativeTime struct {
 	ratio     float64
 	responses int
 }
@@ -100,9 +101,8 @@
 	watched bool
 }
 
-// setSteering replaces what versions may get requests. An endpoint that begins a trial
-// begins it without its earlier failures, as its pauses would keep the trial from showing
-// anything.
+// setSteering replaces which versions may get requests. The earlier failures of an endpoint
+// that begins a trial are forgotten, as it would get no requests while it is paused for them.
 func (c *Core) setSteering(s Steering) {
 	begins := s.Trial.Endpoint != "" && (s.Trial.Endpoint != c.steering.Trial.Endpoint || s.Trial.UpTo != c.steering.Trial.UpTo)
 	if e := c.endpoints[s.Trial.Endpoint]; begins && e != nil {
@@ -212,7 +212,7 @@
 	}
 	slow := c.isSlow(h, e.Usage.Total)
 	if h.endpoint.rules.Version != c.steering.Target && !e.Usage.Error {
-		c.learnPace(h, e.Usage.Total)
+		c.learnRelativeTime(h, e.Usage.Total)
 	}
 	c.judge(h, e.Usage.Error || slow)
 }
@@ -270,32 +270,32 @@
 // isSlow reports whether a response takes much longer than others on its route, for the
 // work of the request.
 func (c *Core) isSlow(h *heldPermit, took time.Duration) bool {
-	known := c.steering.paces[h.ask.Route]
-	if h.watch.expected == 0 || known.responses < minPaceResponses {
+	known := c.steering.relativeTimes[h.ask.Route]
+	if h.watch.expected == 0 || known.responses < minRouteResponses {
 		return false
 	}
 	usual := time.Duration(float64(h.watch.expected) * known.ratio)
 	return took > time.Duration(slowRatio*float64(usual)) && took > usual+slowMargin
 }
 
-// learnPace updates the pace of a route by a response of an old endpoint.
-func (c *Core) learnPace(h *heldPermit, took time.Duration) {
+// learnRelativeTime updates the relative time of a route by a response of an old endpoint.
+func (c *Core) learnRelativeTime(h *heldPermit, took time.Duration) {
 	s := &c.steering
-	known, found := s.paces[h.ask.Route]
-	if took <= 0 || h.watch.expected <= 0 || (!found && len(s.paces) >= maxPacedRoutes) {
+	known, found := s.relativeTimes[h.ask.Route]
+	if took <= 0 || h.watch.expected <= 0 || (!found && len(s.relativeTimes) >= maxTimedRoutes) {
 		return
 	}
 	ratio := took.Seconds() / h.watch.expected.Seconds()
 	if found {
-		ratio = min(ratio, maxPaceRatio*known.ratio)
+		ratio = min(ratio, maxRelativeTime*known.ratio)
 	}
-	rate := max(paceRate, 1/float64(known.responses+1))
+	rate := max(relativeTimeRate, 1/float64(known.responses+1))
 	known.ratio += rate * (ratio - known.ratio)
 	known.responses++
-	if s.paces == nil {
-		s.paces = map[string]pace{}
+	if s.relativeTimes == nil {
+		s.relativeTimes = map[string]relativeTime{}
 	}
-	s.paces[h.ask.Route] = known
+	s.relativeTimes[h.ask.Route] = known
 }
 
 // TargetGrants returns the number of permits that this core granted at endpoints of the
