Compute the slots left to later queues, and the last start on time, once

Cause: the slots that a queue leaves to those after it were computed in shed and in servableWork, and the latest start of a request that meets its goal in two functions of wait.go. A change of one would have missed the other.

Change: slotsAfter and latestOnTimeStart.

Result: no change of behaviour; the tests of permit pass.

--- a/coordination/pkg/permit/fair_share.go
+++ b/coordination/pkg/permit/fair_share.go
@@ -186,9 +186,7 @@
 			}
 			ahead += w.work
 		}
-		if served.kind == onTimeQueue {
-			slotsLeft = max(minSlotShare*slots, slotsLeft-served.tier.offeredSlots(c.now))
-		}
+		slotsLeft = c.slotsAfter(served, slots, slotsLeft)
 	}
 	return ahead, all
 }
--- a/coordination/pkg/permit/wait.go
+++ b/coordination/pkg/permit/wait.go
@@ -31,7 +31,7 @@
 		return
 	}
 	first := c.fastestFirstPart(w.ask)
-	onTime := w.ask.Goal.After(-c.rates.overshoot.withMargin(first))
+	onTime := c.latestOnTimeStart(w.ask, first)
 	if !w.late && c.now <= onTime {
 		w.latestStart = min(w.latestStart, onTime)
 		return
@@ -42,6 +42,12 @@
 	}
 }
 
+// latestOnTimeStart returns when a request must start for its first part to come by its
+// goal, given the time to the first part.
+func (c *Core) latestOnTimeStart(a Ask, first time.Duration) Instant {
+	return a.Goal.After(-c.rates.overshoot.withMargin(first))
+}
+
 // fastestFirstPart returns the time to the first part at the fastest open endpoint,
 // without the prompts queued there.
 func (c *Core) fastestFirstPart(a Ask) time.Duration {
@@ -79,7 +85,7 @@
 // moveIfLate moves a request that can no longer meet its goal to the late queue of its
 // tier, and reports whether it did.
 func (c *Core) moveIfLate(w *waiter) bool {
-	if w.late || w.ask.Goal == 0 || w.ask.Begun || c.now <= w.ask.Goal.After(-c.rates.overshoot.withMargin(c.fastestFirstPart(w.ask))) {
+	if w.late || w.ask.Goal == 0 || w.ask.Begun || c.now <= c.latestOnTimeStart(w.ask, c.fastestFirstPart(w.ask)) {
 		return false
 	}
 	heap.Remove(c.queueOf(w), w.position)
@@ -131,12 +137,17 @@
 	workAhead, slotsLeft := 0.0, slots
 	for _, served := range c.serveOrder {
 		workAhead = c.shedQueue(served.queue(), workAhead, slotsLeft)
-		if served.kind == onTimeQueue {
-			// Further requests of this queue keep arriving and are served before
-			// those of the queues after it.
-			slotsLeft = max(minSlotShare*slots, slotsLeft-served.tier.offeredSlots(c.now))
-		}
+		slotsLeft = c.slotsAfter(served, slots, slotsLeft)
+	}
+}
+
+// slotsAfter returns how many of all slots a queue leaves to those after it. Further
+// requests that are on time keep arriving, and are served before those queues.
+func (c *Core) slotsAfter(served servedQueue, slots, slotsLeft float64) float64 {
+	if served.kind != onTimeQueue {
+		return slotsLeft
 	}
+	return max(minSlotShare*slots, slotsLeft-served.tier.offeredSlots(c.now))
 }
 
 // shedQueue refuses the requests of one queue that cannot be served in time. It takes
