Explain rounds, slowness and expensive ways where they are declared

Cause: comments used rounds, ways and moments without saying what they are, and names said neither what a slowness is relative to nor who stated it.

Change: fairShare says what a round is, dataCentres what an expensive way is, the package comment names the further decisions. Renamed: heard to lastUnusual, heardAt to arrivedAt, inUsualMoment to atMeanSlowness, slow to setSlowness.

--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -13,7 +13,7 @@
 		// The grant was lost in transit, or it crossed the repeated ask.
 		c.actions = append(c.actions, Granted{
 			ID: a.ID, Host: a.Host, Endpoint: h.endpoint.rules.Name, Estimate: h.estimate, Limit: h.endpoint.pacer.limit,
-			Slowness: h.endpoint.slowness.heard(), Leaves: c.leaves(a, h.endpoint),
+			Slowness: h.endpoint.slowness.lastUnusual(), Leaves: c.leaves(a, h.endpoint),
 		})
 		return
 	}
--- a/coordination/pkg/permit/core.go
+++ b/coordination/pkg/permit/core.go
@@ -24,6 +24,12 @@
 // The core refuses a request as soon as no endpoint can finish it in time, and
 // refuses requests of the lowest tier first when the queue is full.
 //
+// With weights (Configured.Weights) queues are served by value for the time that they take
+// instead. Further decisions apply where the configuration or an event calls for them:
+// shares of customers that compete (Configured.FairShare), load on the machines of
+// endpoints (Slowed), data centres that are far apart (Measured) and versions of the
+// endpoints' software (Steered).
+//
 // # Usage
 //
 //	var core permit.Core
@@ -116,7 +122,7 @@
 	case Limited:
 		c.limitRate(e.Limit)
 	case Slowed:
-		c.slow(e)
+		c.setSlowness(e)
 	case Measured:
 		c.dataCentres.measure(e)
 	case Paused:
--- a/coordination/pkg/permit/data_centres.go
+++ b/coordination/pkg/permit/data_centres.go
@@ -23,7 +23,7 @@
 	return tightestGoal > 0 && roundTrip.Seconds() > expensiveShare*tightestGoal.Seconds()
 }
 
-// dataCentrePair is the way from one data centre to another.
+// dataCentrePair names the way from one data centre to another.
 type dataCentrePair struct{ from, to string }
 
 // measuredTrip is a round trip, and when it was reported.
@@ -32,9 +32,12 @@
 	at   Instant
 }
 
-// dataCentres decides what it costs a request to leave its data centre. The zero value
+// dataCentres decides what it costs a request to leave its data centre. A way, from one data
+// centre to another, is expensive if IsExpensive holds for its round trip. The zero value
 // knows no expensive way, and charges nothing.
 type dataCentres struct {
+	// trips holds the expensive ways that hosts reported lately, use the slots in use by
+	// data centre.
 	trips map[dataCentrePair]measuredTrip
 	use   map[string]slotUse
 }
@@ -47,7 +50,7 @@
 	return max(0, float64(u.slots-u.inUse)) / float64(max(u.slots, 1))
 }
 
-// measure records the expensive ways from a data centre.
+// measure records the round trips of the expensive ways from a data centre.
 func (d *dataCentres) measure(e Measured) {
 	if e.DataCentre == "" {
 		return
@@ -87,9 +90,9 @@
 
 // charge returns what is added to the score of an endpoint for a request of another data
 // centre: the round trip, and a part of the score as large as the share of free slots in
-// the data centre of the request. So a request stays where endpoints are about as busy,
-// leaves where they are much busier than elsewhere, and is as well off elsewhere once all
-// slots here are in use. From a data centre without open endpoints all requests leave.
+// the data centre of the request. So a request stays while its own endpoints are about as
+// busy as others and leaves when they are much busier; once all their slots are in use, only
+// the round trip is charged. From a data centre without open endpoints all requests leave.
 func (d *dataCentres) charge(a Ask, e *endpoint, score time.Duration) time.Duration {
 	trip, expensive := d.expensive(a, e)
 	if !expensive {
--- a/coordination/pkg/permit/endpoint.go
+++ b/coordination/pkg/permit/endpoint.go
@@ -77,7 +77,7 @@
 	crashWatch crashWatch
 	pacer      ratePacer
 	slowness   slowness
-	// shared is what is learned about all endpoints of the service.
+	// shared is what the owner learns about all endpoints of the service together.
 	shared *serviceRates
 	// hostPauses holds until when the endpoint wants no requests of single hosts.
 	hostPauses map[string]Instant
--- a/coordination/pkg/permit/fair_share.go
+++ b/coordination/pkg/permit/fair_share.go
@@ -28,21 +28,24 @@
 )
 
 // fairShare divides what endpoints can serve between the customers that compete for it.
-// The zero value does not.
+// It does so in rounds: each round serves every customer one share, which is proportional
+// to its weight. Requests of the first round are within their customer's share, those of
+// later rounds beyond it. The zero value divides nothing.
 type fairShare struct {
 	enabled bool
 	// weights holds the weights of the customers that have a quota. Others have the
 	// mean weight.
 	weights    map[string]float64
 	meanWeight float64
-	// customers holds the customers with waiting requests or recent grants by name, and
-	// order the same in the order of their first requests, so that sums over them do not
-	// depend on the order of a map.
+	// customers holds, by name, the customers with waiting requests or recent grants.
+	// order lists them by their first requests, so that sums over them do not depend on
+	// the order of a map.
 	customers map[string]*customerWork
 	order     []*customerWork
 	// granted is the work granted to all customers.
 	granted decayingWork
-	// decision counts the decisions on shares. moved is a buffer of one of them.
+	// decision is the number of the present decision on shares. moved is its buffer for
+	// the requests whose rounds change.
 	decision uint64
 	moved    []movedWaiter
 }
@@ -54,8 +57,9 @@
 	granted decayingWork
 	// grantedAt is when the customer was last granted a slot.
 	grantedAt Instant
-	// ahead is the work of the customer's requests before the one that is looked at in
-	// a decision. decision is the last one in which the customer had waiting requests.
+	// ahead is the work of the customer's waiting requests that the present decision has
+	// already assigned to rounds. decision is the number of the last decision in which the
+	// customer had waiting requests.
 	ahead    float64
 	decision uint64
 }
@@ -249,8 +253,9 @@
 	return int(min(begin/(share*k.weight)+roundingSlack, maxRound))
 }
 
-// expireUnordered moves or refuses the requests that are too late in a queue whose head says
-// nothing of the others, because other things count before the latest start.
+// expireUnordered moves or refuses the requests that are too late in a queue that is not
+// ordered by the latest start alone. In such a queue a later request may be too late although
+// the first one is not.
 func (c *Core) expireUnordered(q *queue) {
 	if !c.fair.enabled || len(*q) == 0 {
 		return
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -70,7 +70,7 @@
 	if usage.Begun {
 		c.clearParts(h.ask)
 	}
-	h.endpoint.learn(h, h.endpoint.inUsualMoment(usage))
+	h.endpoint.learn(h, h.endpoint.atMeanSlowness(usage))
 	c.release(id, h)
 	c.concludeCrash(h.endpoint)
 }
@@ -80,7 +80,7 @@
 func (c *Core) progress(id string, usage Usage) {
 	if h := c.held[id]; h != nil && !h.learnedFirstPart {
 		h.learnedFirstPart = true
-		h.endpoint.learnFirstPart(h, h.endpoint.inUsualMoment(usage))
+		h.endpoint.learnFirstPart(h, h.endpoint.atMeanSlowness(usage))
 		if usage.Begun {
 			c.clearParts(h.ask)
 		}
--- a/coordination/pkg/permit/hosts.go
+++ b/coordination/pkg/permit/hosts.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// settle ends the settling period: no permit is left that this owner doesn't know.
+// settle ends the settling period early, as all hosts have listed their permits. From then
+// on the endpoints' full limits apply.
 func (c *Core) settle() {
 	if c.now >= c.settledAt {
 		return
--- a/coordination/pkg/permit/interleaving.go
+++ b/coordination/pkg/permit/interleaving.go
@@ -5,8 +5,9 @@
 const (
 	// interleavingRate is the weight of the newest sample.
 	interleavingRate = 0.05
-	// clearlyInterleaved is how many times longer the queued prompts must be than what a
-	// pause of an answer explains, to show that the endpoint went on with answers meanwhile.
+	// clearlyInterleaved is the ratio of the tokens of the queued prompts to those that a
+	// pause of an answer explains from which the endpoint must have gone on with the answer
+	// while it processed the prompts.
 	clearlyInterleaved = 2
 	// interleavingMargin is how much longer than usual a pause may be.
 	interleavingMargin = 1.3
--- a/coordination/pkg/permit/place.go
+++ b/coordination/pkg/permit/place.go
@@ -25,16 +25,17 @@
 	// maxTries is how many pairs of a waiting request and a free endpoint are tried at
 	// an event; with more, only what changed is.
 	maxTries = 512
-	// longAnswerFactor is how many times as long as guessed an answer may well get.
+	// longAnswerFactor is the ratio to its guessed length up to which an answer is
+	// expected to grow.
 	longAnswerFactor = 2
 	// smallWorkShare is the share of the mean work below which a request counts as small.
 	smallWorkShare = 0.5
 )
 
-// rankQueues sorts the queues of the tiers with present or recent requests into the order in which they are served. Without weights
-// the higher tier goes first, and within a tier the requests that have begun. With
-// weights it is the c-mu rule: first the queue with the highest value for each
-// second that a request occupies a slot.
+// rankQueues sorts the queues of the tiers with present or recent requests into the order
+// in which they are served. Without weights the higher tier goes first, and within a tier
+// the requests that have begun. With weights it is the c-mu rule: first the queue with the
+// highest value for each second that a request occupies a slot.
 func (c *Core) rankQueues() {
 	c.serveOrder = c.serveOrder[:0]
 	for _, t := range c.tiers {
@@ -215,9 +216,8 @@
 	return best
 }
 
-// mayOutlast reports whether the answer may well end after the deadline at the endpoint,
-// because its length is only guessed. It would occupy its slot until then in vain, while
-// a shorter one would do there.
+// mayOutlast reports whether an answer longer than guessed would end after the deadline at
+// the endpoint. It would occupy a slot until then and be lost.
 func (c *Core) mayOutlast(a Ask, e *endpoint) bool {
 	longest := time.Duration(float64(e.expectedTime(a)) * longAnswerFactor)
 	return a.Goal > 0 && a.AnswerTokens > 0 && c.now.After(longest) > a.Deadline
@@ -288,7 +288,7 @@
 		ReportFirstPart: c.wantsFirstPart(w.ask, e),
 		Rates:           c.ratesOf(e),
 		Limit:           e.pacer.limit,
-		Slowness:        e.slowness.heard(),
+		Slowness:        e.slowness.lastUnusual(),
 		Leaves:          c.leaves(w.ask, e),
 	})
 	if !e.hasFreeSlot(c.now, c.now < c.settledAt) || !c.acceptsMore(e) {
--- a/coordination/pkg/permit/return_schedule.go
+++ b/coordination/pkg/permit/return_schedule.go
@@ -13,21 +13,21 @@
 	// waits at most before it asks again.
 	returnWaitShare = 1.0 / 3
 	// returnReserve is the share of the slots that is kept for returning requests even
-	// if arriving ones fill all slots. It bounds what promises cost these.
+	// if arriving ones fill all slots. It bounds what reservations take from arriving ones.
 	returnReserve = 0.05
 	// returnedValue is the value of an answer whose caller came back when it was told to
 	// and for which slots were reserved, relative to one that meets its goal. It is above
-	// 1, since a promise that yields to arriving requests is not kept under overload.
+	// 1, as under overload arriving requests would otherwise take the reserved slots.
 	returnedValue = 2.0
 )
 
-// returnSchedule holds the work that refused callers were told to bring back, by time
-// step. The zero value holds none.
+// returnSchedule holds the work of refused requests for whose return slots are reserved,
+// by time step. The zero value holds none.
 type returnSchedule struct {
 	// oldest is the number of the oldest step, counted from instant 0.
 	oldest int64
-	// within holds the work of requests within their customers' shares, and all that of
-	// these and others, in slot-seconds.
+	// within holds the work of requests within their customers' shares, all the work of
+	// all requests, both in slot-seconds.
 	within, all [returnSteps]float64
 	// spare is the number of slots that returning requests can count on, as computed
 	// at spareAt.
--- a/coordination/pkg/permit/slowness.go
+++ b/coordination/pkg/permit/slowness.go
@@ -25,38 +25,39 @@
 	maxMeanSlowness  = 10
 )
 
-// SlownessDiffers reports whether an owner that last heard of one slowness has to hear of
-// another one. Zero stands for the usual.
-func SlownessDiffers(heard, named float64) bool {
-	if heard == 0 {
-		heard = usualSlowness
+// SlownessDiffers reports whether a slowness that an endpoint states differs enough from
+// the one that the owner knows to be reported. A known one of zero stands for the usual.
+func SlownessDiffers(known, stated float64) bool {
+	if known == 0 {
+		known = usualSlowness
 	}
-	return math.Abs(named-heard) >= slownessStep*heard
+	return math.Abs(stated-known) >= slownessStep*known
 }
 
 // IsUnusual reports whether a slowness differs from the usual.
 func IsUnusual(slowness float64) bool { return SlownessDiffers(usualSlowness, slowness) }
 
-// slowness is what an endpoint said last of how long work takes on its machine, as a
-// multiple of the usual. The zero value is one that it never named.
+// slowness is what an endpoint stated last of how long work takes on its machine, as a
+// multiple of the usual. The zero value is that of an endpoint that never stated one.
 type slowness struct {
-	value   float64
-	heardAt Instant
-	// mean is the mean of the values of its responses, zero if none named one. The rates
-	// of the endpoint are those at this mean: an endpoint that is always slow has slow
-	// rates, although what it says last is soon too old.
+	value     float64
+	arrivedAt Instant
+	// mean is the moving average of the values of its responses; zero if none stated one.
+	// The rates of the endpoint are those at this mean, so that an endpoint that is always
+	// slow has slow rates even when its last value is too old to count.
 	mean float64
 }
 
 // set applies what an answer said that arrived at a time, unless a later one is known.
-func (s *slowness) set(value float64, heardAt Instant) {
-	if value > 0 && heardAt >= s.heardAt {
-		s.value, s.heardAt = value, heardAt
+func (s *slowness) set(value float64, arrivedAt Instant) {
+	if value > 0 && arrivedAt >= s.arrivedAt {
+		s.value, s.arrivedAt = value, arrivedAt
 	}
 }
 
-// heard returns what a host need not report: the last value, or zero if that is usual.
-func (s slowness) heard() float64 {
+// lastUnusual returns the last value, or zero if that is usual. Hosts need not report it
+// again.
+func (s slowness) lastUnusual() float64 {
 	if !IsUnusual(s.value) {
 		return 0
 	}
@@ -71,10 +72,11 @@
 	return max(value, minSlowness)
 }
 
-// at returns the slowness, as a multiple of the endpoint's mean, that is assumed at a time, and for how long it is expected to
-// last from then on. The assumption returns evenly to the usual.
+// at returns the slowness that is assumed at a time, as a multiple of the endpoint's mean,
+// and for how long it is expected to last from then on. The value falls off linearly to the
+// usual.
 func (s slowness) at(now Instant) (value float64, left time.Duration) {
-	age := max(now.Since(s.heardAt), 0)
+	age := max(now.Since(s.arrivedAt), 0)
 	if s.value == 0 || age >= SlownessSpan {
 		return usualSlowness, 0
 	}
@@ -90,43 +92,45 @@
 		return usual
 	}
 	whole := time.Duration(float64(usual) * (value - usualSlowness))
-	most := lostTime(left, value)
+	bound := lostTime(left, value)
 	if value < usualSlowness {
-		return usual + max(whole, most)
+		return usual + max(whole, bound)
 	}
-	return usual + min(whole, most)
+	return usual + min(whole, bound)
 }
 
-// lostTime returns how much of a time is lost to a slowness that lasts as long.
+// lostTime returns how much of a time is lost to a slowness that lasts for all of it. It is
+// negative for a slowness below the usual, at which time is gained.
 func lostTime(took time.Duration, value float64) time.Duration {
 	return time.Duration(float64(took) * (1 - usualSlowness/value))
 }
 
-// inUsualMoment returns the usage as it would be at the endpoint's mean slowness, so that a
-// slow moment is not learned as a slow endpoint, and adds to the mean.
-func (e *endpoint) inUsualMoment(u Usage) Usage {
+// atMeanSlowness returns the usage as it would be at the endpoint's mean slowness, so that a
+// short slowdown is not learned as a slow endpoint. It also updates the mean.
+func (e *endpoint) atMeanSlowness(u Usage) Usage {
 	isMeasured := u.FirstByte > 0 || u.Total > 0
 	if !isMeasured || (u.Slowness <= 0 && e.slowness.mean == 0) {
 		return u
 	}
-	named := u.Slowness
-	if named <= 0 {
-		named = usualSlowness
+	stated := u.Slowness
+	if stated <= 0 {
+		stated = usualSlowness
 	}
-	u = u.without(e.slowness.relative(named))
-	e.slowness.addToMean(named)
+	u = u.without(e.slowness.relative(stated))
+	e.slowness.addToMean(stated)
 	return u
 }
 
-func (s *slowness) addToMean(named float64) {
+func (s *slowness) addToMean(stated float64) {
 	if s.mean == 0 {
 		s.mean = usualSlowness
 	}
-	s.mean += meanSlownessRate * (min(named, maxMeanSlowness) - s.mean)
+	s.mean += meanSlownessRate * (min(stated, maxMeanSlowness) - s.mean)
 }
 
-// without returns the usage less what was lost to a slowness. That is known at the first
-// part of the answer only, so it applies to the times next to it.
+// without returns the usage less the time that was lost to a slowness. The slowness is
+// known only for the first part of the answer, so that it applies for at most SlownessSpan
+// before and after that.
 func (u Usage) without(value float64) Usage {
 	rest := u.Total - u.FirstByte
 	lostInRest := lostTime(min(rest, SlownessSpan), value)
@@ -137,8 +141,8 @@
 	return u
 }
 
-// slow applies what an endpoint says of its slowness.
-func (c *Core) slow(e Slowed) {
+// setSlowness applies what an endpoint states of its slowness.
+func (c *Core) setSlowness(e Slowed) {
 	target := c.endpoints[e.Endpoint]
 	if target == nil {
 		return
