Read the serving hosts only while a handover awaits lists

Cause: the owner read and sorted the names of all serving hosts, under the lock of the membership, at each list of a host, also long after the handover.

Change: checkHandover returns first if nothing is awaited; its comments say what is recorded.

--- a/godwitmoord/pkg/dispatch/handover.go
+++ b/godwitmoord/pkg/dispatch/handover.go
@@ -8,14 +8,15 @@
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
-// settleTime is how long a new owner at the most leaves room for permits that entries
-// hold but have not listed to it yet.
+// settleTime is the longest time for which a new owner reserves slots for permits that
+// entries hold but have not listed to it yet.
 const settleTime = time.Second
 
-// handover tells when a new owner of a service knows all permits that earlier owners
-// granted. The zero value waits for nothing.
+// handover tells when all hosts have listed their permits to a new owner of a service. The
+// zero value waits for nothing.
 type handover struct {
-	// began is when this host became the owner; zero if nothing is awaited.
+	// began is when this host became the owner; zero if nothing is awaited. listed holds
+	// the hosts that have listed their permits since then.
 	began  time.Time
 	listed map[string]bool
 }
@@ -39,10 +40,10 @@
 // checkHandover ends the settling period once all hosts have listed their permits.
 func (s *serviceOwner) checkHandover(event permit.Event) {
 	list, isList := event.(permit.Listed)
-	if !isList {
+	began := s.handover.began
+	if !isList || began.IsZero() {
 		return
 	}
-	began := s.handover.began
 	if !s.handover.complete(list.Host, s.owner.members.ServingNames()) {
 		return
 	}
