Say what the entry's and the owner's slowness and share reports hold

Cause: comments spoke of lines, of what was heard and named, and of ways, without saying whose value it is and when it is replaced.

Change: comments; heardSlowness is knownSlowness, as a report replaces it, and namedSlowness is statedSlowness.

Result: no change of behaviour; the tests of dispatch pass.

--- a/godwitmoord/pkg/dispatch/data_centres.go
+++ b/godwitmoord/pkg/dispatch/data_centres.go
@@ -28,8 +28,8 @@
 	return tightest
 }
 
-// expensiveRoundTrips returns the round trips to the data centres that a request of a
-// service should not be sent to without need, in order of their names.
+// expensiveRoundTrips returns the round trips from here to other data centres that are
+// expensive for a service (see permit.IsExpensive), sorted by data centre.
 func (e *Entry) expensiveRoundTrips(service string) []permit.RoundTrip {
 	current := e.localOwner.release.Current()
 	if current == nil {
--- a/godwitmoord/pkg/dispatch/decisions.go
+++ b/godwitmoord/pkg/dispatch/decisions.go
@@ -80,7 +80,7 @@
 		service:         p.service,
 		suspect:         p.ask.Suspect(),
 		limit:           m.Limit,
-		heardSlowness:   m.Slowness,
+		knownSlowness:   m.Slowness,
 		owner:           from.Name,
 	}
 	e.held[m.ID] = grant
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -96,10 +96,10 @@
 	limits map[string]map[string]permit.RateLimit
 	// pauses holds the pauses that endpoints want from this host, by endpoint.
 	pauses map[string]wantedPause
-	// slownesses holds what endpoints said last of an unusual slowness, by endpoint.
-	slownesses map[string]namedSlowness
-	// expensive holds the names of the data centres to which the way is expensive, by
-	// service.
+	// slownesses holds the unusual slowness that endpoints stated last, by endpoint.
+	slownesses map[string]statedSlowness
+	// expensive holds the names of the data centres to which the way was expensive when it
+	// was logged last, separated by spaces, by service.
 	expensive map[string]string
 	// warnings holds what owners learned about parts of prompts, by service.
 	warnings map[string]*warnings
@@ -139,7 +139,7 @@
 		pauses:    map[string]wantedPause{},
 		warnings:  map[string]*warnings{},
 
-		slownesses: map[string]namedSlowness{},
+		slownesses: map[string]statedSlowness{},
 		expensive:  map[string]string{},
 	}
 }
--- a/godwitmoord/pkg/dispatch/grant.go
+++ b/godwitmoord/pkg/dispatch/grant.go
@@ -30,9 +30,10 @@
 	suspect      permit.Suspect
 	// limit is the limit of the endpoint that the owner knew of at the grant; nil if none.
 	limit *permit.RateLimit
-	// heardSlowness is what the owner had heard of the endpoint's slowness at the grant;
-	// zero if nothing. slowness is what the last head of an answer said of it.
-	heardSlowness, slowness float64
+	// knownSlowness is the endpoint's slowness that the owner knows, from the grant or from
+	// a report of this permit; zero if it knows none. slowness is what the head of the last
+	// answer stated.
+	knownSlowness, slowness float64
 	owner                   string
 	// stop cancels the attempt when the owner suspends the permit for a request of
 	// a higher tier; suspended is set when the owner has done so.
--- a/godwitmoord/pkg/dispatch/limits.go
+++ b/godwitmoord/pkg/dispatch/limits.go
@@ -69,8 +69,8 @@
 	event.Partial = quotaShare < 1
 }
 
-// weightOf returns the weight of a customer beside others that compete with it: what its
-// quota allows it in the long run.
+// weightOf returns the weight of a customer's fair share: the tokens per second that its
+// quota allows in the long run. It is zero where fair shares are off.
 func (o *Owner) weightOf(quota *configuration.Quota) float64 {
 	if !o.common.Features.FairShare {
 		return 0
--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -9,9 +9,9 @@
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
-// servicesWithNewOwner returns the services whose owner has changed since the last call:
-// those in use here, and those that were, because a new owner also waits for the lists of
-// hosts without permits.
+// servicesWithNewOwner returns the services whose owner has changed since the last call.
+// It includes services that were in use here earlier, because a new owner waits for the
+// lists of hosts without permits too.
 func (e *Entry) servicesWithNewOwner() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/godwitmoord/pkg/dispatch/share_report.go
+++ b/godwitmoord/pkg/dispatch/share_report.go
@@ -11,17 +11,17 @@
 // of customers.
 const shareLogInterval = 5 * time.Second
 
-// shareReport counts the refusals beyond the shares of customers since the last line
-// about them. The zero value has counted none.
+// shareReport counts, since the last log line about them, the refusals beyond the shares of
+// customers and those of callers that came back when told. The zero value has counted none.
 type shareReport struct {
 	loggedAt time.Time
-	// beyond counts the refusals by customer, again those of callers that came back when
-	// they were told to.
+	// beyond counts the refusals beyond shares by customer, again those of callers that
+	// came back when they were told to.
 	beyond map[string]int
 	again  int
 }
 
-// add counts a refusal, and reports whether a line is due.
+// add counts a refusal, and returns whether a log line is due.
 func (r *shareReport) add(a permit.Refused) bool {
 	if a.BeyondShare != "" {
 		if r.beyond == nil {
--- a/godwitmoord/pkg/dispatch/slowness.go
+++ b/godwitmoord/pkg/dispatch/slowness.go
@@ -23,8 +23,8 @@
 	return permit.Slowed{At: now, Endpoint: r.Endpoint, Slowness: r.Value, Age: r.Age}
 }
 
-// namedSlowness is a slowness that an endpoint named, and when its answer arrived.
-type namedSlowness struct {
+// statedSlowness is a slowness that an endpoint stated, and when its answer arrived.
+type statedSlowness struct {
 	value float64
 	at    time.Time
 }
@@ -36,22 +36,23 @@
 	if !permit.IsUnusual(value) {
 		return
 	}
-	maps.DeleteFunc(e.slownesses, func(_ string, named namedSlowness) bool { return named.isOld() })
-	e.slownesses[endpoint] = namedSlowness{value: value, at: time.Now()}
+	maps.DeleteFunc(e.slownesses, func(_ string, stated statedSlowness) bool { return stated.isOld() })
+	e.slownesses[endpoint] = statedSlowness{value: value, at: time.Now()}
 }
 
-func (n namedSlowness) isOld() bool { return time.Since(n.at) >= permit.SlownessSpan }
+func (s statedSlowness) isOld() bool { return time.Since(s.at) >= permit.SlownessSpan }
 
 // ReportSlowness records what an answer says of the slowness of its endpoint. It sends a
-// message to the owner only if that differs from what the owner had heard at the grant:
-// the messages that end a permit tell the rest.
+// message to the owner only if that differs from what the owner knew at the grant, or from
+// what this permit reported since. Other values reach the owner with the message that ends
+// the permit.
 func (g *Grant) ReportSlowness(value float64) {
 	e := g.entry
 	e.mu.Lock()
 	e.storeSlowness(g.Permit.Endpoint, value)
-	differs := permit.SlownessDiffers(g.heardSlowness, value)
+	differs := permit.SlownessDiffers(g.knownSlowness, value)
 	if differs {
-		g.heardSlowness = value
+		g.knownSlowness = value
 	}
 	g.slowness = value
 	e.mu.Unlock()
@@ -75,31 +76,31 @@
 	return g.slowness
 }
 
-// latestSlowness returns what any answer of the endpoint to this host said last of an
-// unusual slowness, to be told with a message that is sent anyway; nil if that is too old
-// to be of use.
+// latestSlowness returns the last slowness that the endpoint stated to this host in any
+// answer, to be added to a message that is sent anyway. It is nil if that was the usual one,
+// or is too old to be of use.
 func (g *Grant) latestSlowness() *slownessReport {
 	g.entry.mu.Lock()
 	defer g.entry.mu.Unlock()
-	named, known := g.entry.slownesses[g.Permit.Endpoint]
-	if !known || named.isOld() {
+	stated, known := g.entry.slownesses[g.Permit.Endpoint]
+	if !known || stated.isOld() {
 		return nil
 	}
-	return &slownessReport{Endpoint: g.Permit.Endpoint, Value: named.value, Age: time.Since(named.at)}
+	return &slownessReport{Endpoint: g.Permit.Endpoint, Value: stated.value, Age: time.Since(stated.at)}
 }
 
-// slowdowns observes what the endpoints of a service say of their slowness. The zero
-// value has observed nothing.
+// slowdowns summarises the reports of slow endpoints of a service for the log. The zero
+// value has no reports.
 type slowdowns struct {
 	loggedAt time.Time
-	// endpoints holds the endpoints that were slow since the last line, slowest is the
+	// endpoints holds the endpoints that were slow since the last log line, slowest is the
 	// report of the slowest one, and reports the number of reports.
 	endpoints map[string]bool
 	slowest   permit.Slowed
 	reports   int
 }
 
-// observe counts a report, and reports whether a line about slow endpoints is due.
+// observe counts a report, and returns whether a log line about slow endpoints is due.
 func (s *slowdowns) observe(report permit.Slowed) bool {
 	s.reports++
 	if report.Slowness > 1 && permit.IsUnusual(report.Slowness) {
--- a/godwitmoord/pkg/dispatch/slowness_test.go
+++ b/godwitmoord/pkg/dispatch/slowness_test.go
@@ -24,7 +24,7 @@
 
 // grantOf returns a grant for an endpoint of whose slowness the owner heard.
 func (e *Entry) grantOf(endpoint string, heard float64) *Grant {
-	return &Grant{entry: e, service: "pool", owner: e.common.Self.Name, heardSlowness: heard, Permit: permit.Permit{ID: "ask", Endpoint: endpoint}}
+	return &Grant{entry: e, service: "pool", owner: e.common.Self.Name, knownSlowness: heard, Permit: permit.Permit{ID: "ask", Endpoint: endpoint}}
 }
 
 // next returns the next event that the owner received.
