--- a/coordination/pkg/permit/return_schedule.go
+++ b/coordination/pkg/permit/return_schedule.go
@@ -13,21 +13,21 @@
 	// waits at most before it asks again.
 	returnWaitShare = 1.0 / 3
 	// returnReserve is the share of the slots that is kept for returning requests even
-	// if arriving ones fill all slots. It bounds what promises cost these.
+	// if arriving ones fill all slots. It bounds what reservations take from arriving ones.
 	returnReserve = 0.05
 	// returnedValue is the value of an answer whose caller came back when it was told to
 	// and for which slots were reserved, relative to one that meets its goal. It is above
-	// 1, since a promise that yields to arriving requests is not kept under overload.
+	// 1, as under overload arriving requests would otherwise take the reserved slots.
 	returnedValue = 2.0
 )
 
-// returnSchedule holds the work that refused callers were told to bring back, by time
-// step. The zero value holds none.
+// returnSchedule holds the work of refused requests for whose return slots are reserved,
+// by time step. The zero value holds none.
 type returnSchedule struct {
 	// oldest is the number of the oldest step, counted from instant 0.
 	oldest int64
-	// within holds the work of requests within their customers' shares, and all that of
-	// these and others, in slot-seconds.
+	// within holds the work of requests within their customers' shares, all the work of
+	// all requests, both in slot-seconds.
 	within, all [returnSteps]float64
 	// spare is the number of slots that returning requests can count on, as computed
 	// at spareAt.
@@ -115,7 +115,8 @@
 }
 
 // recogniseReturn marks a request that was refused before, and comes back no sooner than
-// its caller was told to.
+// its caller was told to. Slots were reserved for one request, so only the first one of the
+// subject that returns gets them.
 func (c *Core) recogniseReturn(w *waiter) {
 	if !c.fair.enabled || w.ask.Subject == "" || len(c.refusedGoals.goals) == 0 {
 		return
@@ -123,6 +124,10 @@
 	refused, found := c.refusedGoals.goals[w.ask.subjectKey()]
 	w.returned = found && c.now.After(returnStep) >= refused.retryAt
 	w.promised = w.returned && refused.promised
+	if w.promised {
+		refused.promised = false
+		c.refusedGoals.goals[w.ask.subjectKey()] = refused
+	}
 }
 
 // turn orders the requests of one queue before their urgency: first those of earlier
