Recognise a copied entry that states a version without rollouts

Where a deployment has no rollouts, the version in an endpoint's entry is dropped before the endpoint is stored, but the entry of a restored copy was compared with its version. So an endpoint that had left came back into use after a restore of the store.

The version is dropped before both. The new test fails without the change.

--- a/godwitmoord/pkg/discovery/endpoints.go
+++ b/godwitmoord/pkg/discovery/endpoints.go
@@ -54,12 +54,13 @@
 		s.common.Log.Warn("endpoint entry not used", zap.String("endpoint", name), zap.Error(err))
 		return s.markMissing(name, c.Entry.Revision, grace), false
 	}
+	endpoint = s.versioned(endpoint)
 	if s.table.LeftBefore(endpoint, c.Entry.Revision) {
 		s.common.Count("store.endpoints.older")
 		s.common.Log.Info("entry of an endpoint that left before the store was restored", zap.String("endpoint", name), zap.Int64("revision", c.Entry.Revision))
 		return false, false
 	}
-	changed = s.table.Put(service, s.versioned(endpoint), c.Entry.Revision)
+	changed = s.table.Put(service, endpoint, c.Entry.Revision)
 	if changed {
 		s.common.Log.Info("endpoint found", zap.String("endpoint", name), zap.String("service", service),
 			zap.String("address", endpoint.Address), zap.Bool("leaving", endpoint.Leaving), zap.Int64("revision", c.Entry.Revision))
--- a/godwitmoord/pkg/discovery/rollouts_test.go
+++ b/godwitmoord/pkg/discovery/rollouts_test.go
@@ -53,3 +53,20 @@
 	e := configuration.Endpoint{Name: "i-1", Version: "v2", ColdLeft: document.Duration(time.Second)}
 	is.Equal(s.versioned(e), configuration.Endpoint{Name: "i-1"})
 }
+
+// Guards against the use of an endpoint that left before the store was restored, where its
+// entry states a version and the deployment has no rollouts.
+func TestEndpointWithAVersionThatLeftStaysAwayWithoutRollouts(t *testing.T) {
+	is := is.New(t)
+	s := newHostWithRollouts()
+	s.common.Settings.Platform.ExposureShare = 0
+	value := []byte(`{"Service":"desk","Address":"127.0.0.1:1","Zone":"a","Slots":2,"State":"ready","Version":"v1"}`)
+	written := func(revision int64) keyvalue.Change {
+		return keyvalue.Change{Entry: keyvalue.Entry{Key: "servers/i-1", Value: value, Revision: revision}}
+	}
+	changed, usable := s.applyChange("i-1", written(5), 0)
+	is.True(changed && usable)
+	s.table.MarkMissing("i-1", 6, time.Now())
+	changed, usable = s.applyChange("i-1", written(keyvalue.InEra(1, 5)), 0)
+	is.True(!changed && !usable)
+}
