Do not take the version of a leaving endpoint for the one in use

Until an owner has read the record of a rollout, it bars all versions but that of the endpoint that started first. If that one was leaving, no endpoint got requests, for as long as the store was away.

Leaving endpoints are passed over, as where it is asked whether another version accepts requests. The new test fails without the change.

--- a/godwitmoord/pkg/dispatch/rollout_tally.go
+++ b/godwitmoord/pkg/dispatch/rollout_tally.go
@@ -96,12 +96,12 @@
 }
 
 // youngVersions returns the versions of endpoints other than that of the endpoint that
-// started first, which is taken for the one in use. The target of an order is not,
-// unless there is no other.
+// started first, which is taken for the one in use. A leaving endpoint and the target of
+// an order are not, unless there is no other.
 func youngVersions(endpoints []configuration.Endpoint, target string) []string {
 	oldest := -1
 	for i, e := range endpoints {
-		if target != "" && e.Version == target {
+		if e.Leaving || (target != "" && e.Version == target) {
 			continue
 		}
 		if oldest < 0 || (e.Born > 0 && (endpoints[oldest].Born == 0 || e.Born < endpoints[oldest].Born)) {
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -234,3 +234,13 @@
 	is.Equal(r.steering.Stage(), rollout.Reverted)
 	is.Equal(r.steering.Order().Revision, again.Revision)
 }
+
+// Guards against an owner that gives no endpoint any requests while the store is away,
+// because the endpoint that started first is leaving.
+func TestVersionOfALeavingEndpointIsNotTakenForTheOneInUse(t *testing.T) {
+	is := is.New(t)
+	endpoints := []configuration.Endpoint{{Name: "i-0", Version: "v1", Born: 1, Leaving: true}, {Name: "i-1", Version: "v2", Born: 2}}
+	is.Equal(youngVersions(endpoints, ""), []string{"v1"})
+	endpoints[0].Leaving = false
+	is.Equal(youngVersions(endpoints, ""), []string{"v2"})
+}
