Forget cold endpoints that the service has no more

The marks of cold endpoints were kept for each endpoint that ever left while it was cold, for the life of the process.

They are removed with the endpoint. The new test fails without the change.

--- a/godwitmoord/pkg/dispatch/rollout.go
+++ b/godwitmoord/pkg/dispatch/rollout.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"godwitmoor.example/coordination/pkg/configuration"
 	"godwitmoor.example/coordination/pkg/keyvalue"
 	"godwitmoor.example/coordination/pkg/permit"
 	"godwitmoor.example/coordination/pkg/rollout"
@@ -232,8 +234,10 @@
 // warmEndpoints returns the endpoints of a version that accept requests and are not slow
 // from their start any more.
 func (s *serviceRollout) warmEndpoints(now time.Time, version string) []string {
+	endpoints := s.service.endpoints()
+	s.cold.prune(endpoints)
 	var names []string
-	for _, e := range s.service.endpoints() {
+	for _, e := range endpoints {
 		if e.Version == version && !e.Leaving && s.cold.isWarm(e.Name, e.ColdLeft.Std(), now) {
 			names = append(names, e.Name)
 		}
@@ -264,6 +268,13 @@
 	return !now.Before(mark.until)
 }
 
+// prune removes the marks of endpoints that the service has no more.
+func (c coldMarks) prune(endpoints []configuration.Endpoint) {
+	maps.DeleteFunc(c, func(name string, _ coldMark) bool {
+		return !slices.ContainsFunc(endpoints, func(e configuration.Endpoint) bool { return e.Name == name })
+	})
+}
+
 // steer tells the core which versions may get requests, if that changed.
 func (s *serviceRollout) steer() {
 	steering := s.wanted()
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -244,3 +244,15 @@
 	endpoints[0].Leaving = false
 	is.Equal(youngVersions(endpoints, ""), []string{"v2"})
 }
+
+// Guards against memory that grows with each endpoint that was ever started.
+func TestEndpointsThatAreGoneLeaveNoColdMark(t *testing.T) {
+	is := is.New(t)
+	r := newRolloutHost(t, "entry-1", &memoryStore{}).rollout
+	r.cold.isWarm("i-9", time.Second, time.Now())
+	r.cold.isWarm("i-2", time.Second, time.Now())
+	r.warmEndpoints(time.Now(), "v3")
+	_, known := r.cold["i-2"]
+	is.True(known)
+	is.Equal(len(r.cold), 1)
+}
