Read the record again after an interrupted ownership

A host that lost a service while it wrote the record of its rollout, and got the service back before the reply came, took the record for its own, although another owner may have written it since.

Such a reply claims nothing, so the record is read first. The new test fails without the change.

--- a/godwitmoord/pkg/dispatch/rollout_store.go
+++ b/godwitmoord/pkg/dispatch/rollout_store.go
@@ -107,8 +107,9 @@
 		return
 	}
 	s.revision, s.recordedAt = result.outcome.Revision, now
-	if written.Order != s.steering.Order() || !s.isOwner {
-		// A newer order arrived meanwhile, or this host is not the owner any more.
+	if written.Order != s.steering.Order() || s.state == unread {
+		// A newer order arrived meanwhile, or this host was not the owner for a while and
+		// another one may have written the record since.
 		return
 	}
 	s.state, s.barred = claimed, result.call.barred
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -256,3 +256,13 @@
 	is.True(known)
 	is.Equal(len(r.cold), 1)
 }
+
+// Guards against a host that lost the service while it wrote the record, got it back, and
+// goes on without reading what another owner wrote in between.
+func TestWriteFromBeforeAChangeOfOwnersClaimsNothing(t *testing.T) {
+	is := is.New(t)
+	r := &serviceRollout{active: true, isOwner: true, state: unread, steering: rollout.New(orderOfV2, rollout.Bounds{Share: 0.1, Slack: 50}, time.Now())}
+	call := &storeCall{kind: writeRecord, record: r.steering.Record(rollout.Canary, 24)}
+	r.applyRecord(storeCallResult{call: call, outcome: keyvalue.Outcome{Applied: true, Revision: 8}}, time.Now())
+	is.Equal(r.state, unread)
+}
