Compute the responses that are enough on a route in one place

The counts of a route, and the share that an endpoint of the canary has of them, were computed at three places. leastTried was the longer for it.

enoughOn and triedShare compute them now. Decisions are the same: the tests of the package pass unchanged.

--- a/coordination/pkg/rollout/judgement.go
+++ b/coordination/pkg/rollout/judgement.go
@@ -90,9 +90,8 @@
 // seldom, sorted.
 func (s Steering) lackingRoutes() []string {
 	return slices.DeleteFunc(s.total.routes(), func(route string) bool {
-		all := s.total.sum(func(source Source) bool { return source.Route == route })
 		target := s.total.sum(func(source Source) bool { return source.Target && source.Route == route })
-		return float64(target.Responses) >= enoughOn(all)
+		return float64(target.Responses) >= s.enoughOn(route)
 	})
 }
 
@@ -103,26 +102,30 @@
 	endpoint, least := otherwise, math.Inf(1)
 	for _, candidate := range canary {
 		for _, route := range s.total.routes() {
-			all := s.total.sum(func(source Source) bool { return source.Route == route })
-			at := s.total[Source{Target: true, Route: route, Endpoint: candidate}]
-			enough := enoughOn(all) / canaryEndpoints
-			if tried := float64(at.Responses) / enough; tried < min(1, least) {
+			if tried := s.triedShare(candidate, route); tried < min(1, least) {
 				endpoint, least = candidate, tried
 			}
 		}
 	}
 	for _, route := range s.total.routes() {
-		all := s.total.sum(func(source Source) bool { return source.Route == route })
-		at := s.total[Source{Target: true, Route: route, Endpoint: endpoint}]
-		if float64(at.Responses) < enoughOn(all)/canaryEndpoints {
+		if s.triedShare(endpoint, route) < 1 {
 			routes = append(routes, route)
 		}
 	}
 	return endpoint, routes
 }
 
-// enoughOn returns how many responses of the target are enough on a route with so many.
-func enoughOn(all Counts) float64 {
+// triedShare returns how many responses an endpoint of the canary gave on a route, as a
+// share of those that are enough from one endpoint.
+func (s Steering) triedShare(endpoint, route string) float64 {
+	at := s.total[Source{Target: true, Route: route, Endpoint: endpoint}]
+	return float64(at.Responses) / (s.enoughOn(route) / canaryEndpoints)
+}
+
+// enoughOn returns how many responses of the target are enough on a route, which depends
+// on the responses of all versions there.
+func (s Steering) enoughOn(route string) float64 {
+	all := s.total.sum(func(source Source) bool { return source.Route == route })
 	return min(minResponses, max(1, minRouteShare*float64(all.Responses)))
 }
 
