Name and explain parts of rollouts and eras in plain words

Some names and comments needed knowledge of the discussion behind them: versions were "young", an endpoint "leaves despite", a process "knows better".

with is withVersion, youngVersions is versionsBesidesOldest, and leavesDespite is isLeavingDespite. Comments say the same in the usual terms. No behaviour changes.

--- a/coordination/pkg/permit/steering.go
+++ b/coordination/pkg/permit/steering.go
@@ -121,8 +121,8 @@
 	e.fail(c.now, fault)
 }
 
-// steer applies which versions may get requests. Under the load of a rollout, endpoints
-// that may get none count neither as free nor as capacity.
+// steer applies which versions may get requests. Endpoints that may get none count neither
+// as free nor as capacity.
 func (c *Core) steer() {
 	s := &c.steering
 	only := s.Only != "" && slices.ContainsFunc(c.endpointOrder, func(e *endpoint) bool {
@@ -190,8 +190,9 @@
 }
 
 // expectedOfOthers returns how long the request, and its prompt, take at an endpoint of
-// another version than the target, on average; zero if that is not known. By what the
-// target's own endpoints have learned, a slow version would be as usual.
+// another version than the target, on average; zero if that is not known. The rates that
+// the target's own endpoints have learned are not used: they include the slowness of a bad
+// version.
 func (c *Core) expectedOfOthers(a Ask) (whole, prompt time.Duration) {
 	count := 0
 	for _, e := range c.endpointOrder {
--- a/coordination/pkg/rollout/rollout.go
+++ b/coordination/pkg/rollout/rollout.go
@@ -182,10 +182,10 @@
 // Stage returns the present stage.
 func (s Steering) Stage() Stage { return s.stage }
 
-// Exposed returns how many requests the target got, and Requests how many its service did.
+// Exposed returns how many requests the target got since the order.
 func (s Steering) Exposed() int { return s.exposed }
 
-// Requests returns how many requests the service got.
+// Requests returns how many requests the service got since the order, the target's included.
 func (s Steering) Requests() int { return s.requests }
 
 // Deadline returns the time by which the rollout has to end.
@@ -275,6 +275,7 @@
 	return isQuiet && len(s.endpoints) > 0 && s.now.Sub(s.stageSince) >= minShiftTime
 }
 
+// fraction returns a part of the time from the order to its deadline.
 func (s Steering) fraction(part float64) time.Duration {
 	return time.Duration(part * float64(s.order.Duration))
 }
--- a/godwitmoord/pkg/discovery/eras.go
+++ b/godwitmoord/pkg/discovery/eras.go
@@ -20,8 +20,8 @@
 	restoredAt time.Time
 }
 
-// observe records the era of a revision and reports whether the store was restored since
-// the one before. The first era that a host learns is not a restore, as it has written
+// observe records an era, and returns the one known before and whether the store was
+// restored since. The first era that a host learns is not a restore, as it has written
 // nothing before.
 func (r *eraRecord) observe(era int64, now time.Time) (before int64, restored bool) {
 	r.mu.Lock()
@@ -50,8 +50,8 @@
 // that was before the host first heard of the store, and whether the store ever did.
 func (s *Service) RestoredAt() (at time.Time, ever bool) { return s.eras.last() }
 
-// observeRevision takes notice of a revision that the store, or a host that was told by it,
-// stated. If the store was restored since, what this host wrote there is written again.
+// observeRevision records the era of a revision that the store or another host stated. If
+// it shows that the store was restored, what this host wrote there is written again.
 func (s *Service) observeRevision(revision int64) {
 	era := keyvalue.EraOf(revision)
 	before, restored := s.eras.observe(era, time.Now())
--- a/godwitmoord/pkg/discovery/table.go
+++ b/godwitmoord/pkg/discovery/table.go
@@ -55,7 +55,7 @@
 	if t.observations == nil {
 		t.observations = map[string]observation{}
 	}
-	e.Leaving = e.Leaving || previous.leavesDespite(e, revision)
+	e.Leaving = e.Leaving || previous.isLeavingDespite(e, revision)
 	if born, said := t.leaving[e.Name]; said && (e.Born > born || (e.Born == 0 && previous.missing)) {
 		delete(t.leaving, e.Name)
 	}
@@ -63,10 +63,10 @@
 	return !found || previous.missing || previous.service != service || !reflect.DeepEqual(previous.endpoint, e)
 }
 
-// leavesDespite reports whether an endpoint is leaving although an entry does not say so,
-// because the entry is of a restored copy from before the endpoint's own. It holds until
-// the endpoint writes its entry again.
-func (o observation) leavesDespite(e configuration.Endpoint, revision int64) bool {
+// isLeavingDespite reports whether an endpoint is leaving although an entry does not say
+// so: the entry is from a restored copy, taken before the endpoint wrote that it leaves. It
+// holds until the endpoint writes its entry again.
+func (o observation) isLeavingDespite(e configuration.Endpoint, revision int64) bool {
 	era, known := keyvalue.EraOf(revision), keyvalue.EraOf(o.revision)
 	isCopied := era > known || (era > 0 && revision == o.revision)
 	return isCopied && !o.missing && o.endpoint.Leaving && o.endpoint.Born == e.Born
--- a/godwitmoord/pkg/dispatch/rollout.go
+++ b/godwitmoord/pkg/dispatch/rollout.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// rolloutInterval is how often the rollouts are looked at. It adds to the time until a
-	// bad version gets no more requests.
+	// rolloutInterval is how often the rollouts advance. It adds to the time until a bad
+	// version gets no more requests.
 	rolloutInterval = 100 * time.Millisecond
 	// recordInterval is how often a record is written while a rollout is under way.
 	// minRecordPause is the shortest pause between two calls of the store for a service,
@@ -25,8 +25,8 @@
 	storePause     = 500 * time.Millisecond
 )
 
-// rollouts steers the rollouts of the services that this host owns. It works beside the
-// decisions, which never wait for the store.
+// rollouts steers the rollouts of the services that this host owns. It runs in a goroutine
+// of its own, so decisions never wait for the store.
 type rollouts struct {
 	owner    *Owner
 	store    rolloutStore
@@ -59,13 +59,14 @@
 		case <-ctx.Done():
 			return
 		case <-r.store.RolloutOrdered():
-			// Until then the new version gets requests like any other.
+			// A new order is applied at once: until it is, the new version may get
+			// requests like any other.
 		case <-time.After(rolloutInterval):
 		}
 	}
 }
 
-// advance looks at the rollouts of all services once.
+// advance advances the rollouts of all services by one step.
 func (r *rollouts) advance(ctx context.Context) {
 	orders := map[string]rollout.Order{}
 	for _, order := range r.store.RolloutOrders() {
@@ -309,13 +310,13 @@
 	case stage == rollout.Reverted:
 		return permit.Steering{Barred: barred}
 	case s.steering.Due() == rollout.Reverted:
-		return permit.Steering{Target: target, Barred: with(barred, target)}
+		return permit.Steering{Target: target, Barred: withVersion(barred, target)}
 	case s.state != claimed && s.hasOtherThan(target):
-		return permit.Steering{Target: target, Barred: with(barred, target)}
+		return permit.Steering{Target: target, Barred: withVersion(barred, target)}
 	case s.isShifting() || !s.hasOtherThan(target):
 		return permit.Steering{Target: target, Barred: barred, Only: target}
 	}
-	steering := permit.Steering{Target: target, Barred: with(barred, target)}
+	steering := permit.Steering{Target: target, Barred: withVersion(barred, target)}
 	if trial := s.steering.Trial(); trial.Left > 0 {
 		steering.Trial = permit.Trial{Endpoint: trial.Endpoint, UpTo: s.grants + trial.Left, Routes: trial.Routes}
 	}
@@ -326,7 +327,7 @@
 // rollout, or not yet.
 func (s *serviceRollout) wantedWithoutRollout() permit.Steering {
 	if s.state == unread {
-		return permit.Steering{Barred: youngVersions(s.service.endpoints(), s.newest.Target)}
+		return permit.Steering{Barred: versionsBesidesOldest(s.service.endpoints(), s.newest.Target)}
 	}
 	return permit.Steering{Barred: s.barred}
 }
@@ -335,13 +336,13 @@
 // this host has heard of and does not carry out.
 func (s *serviceRollout) barredNow() []string {
 	if s.hasNewer() && s.newest.Target != s.steering.Order().Target {
-		return with(s.barred, s.newest.Target)
+		return withVersion(s.barred, s.newest.Target)
 	}
 	return s.barred
 }
 
-// with returns versions and one more.
-func with(versions []string, version string) []string {
+// withVersion returns versions with one more, unless they contain it.
+func withVersion(versions []string, version string) []string {
 	if slices.Contains(versions, version) {
 		return versions
 	}
--- a/godwitmoord/pkg/dispatch/rollout_record.go
+++ b/godwitmoord/pkg/dispatch/rollout_record.go
@@ -94,8 +94,8 @@
 	return r
 }
 
-// storeCall is one call of the store for a rollout. It runs beside the decisions and sends
-// its result.
+// storeCall is one call of the store for a rollout. It runs in a goroutine of its own and
+// sends its result to done.
 type storeCall struct {
 	store   rolloutStore
 	service string
--- a/godwitmoord/pkg/dispatch/rollout_store.go
+++ b/godwitmoord/pkg/dispatch/rollout_store.go
@@ -40,8 +40,8 @@
 	return writtenStatus{revision: s.steering.Order().Revision, state: statusOf(s.steering.Stage())}
 }
 
-// statusOf returns the stage by which operators are told: that of a rollout under way is
-// always the same.
+// statusOf returns the stage that the status shows: operators are told only that a rollout
+// is under way, and how it ended.
 func statusOf(stage rollout.Stage) rollout.Stage {
 	if stage.Final() {
 		return stage
@@ -59,7 +59,7 @@
 
 // withReverted returns the barred versions with one more; the oldest are dropped.
 func (s *serviceRollout) withReverted(version string) []string {
-	barred := with(s.barred, version)
+	barred := withVersion(s.barred, version)
 	return barred[max(0, len(barred)-maxBarredVersions):]
 }
 
@@ -121,8 +121,8 @@
 	}
 }
 
-// adopt takes over the record that was read. What this process wrote itself it knows
-// better.
+// adopt continues from the record that was read. If this process wrote it, its own state
+// is kept, which is newer.
 func (s *serviceRollout) adopt(result storeCallResult, now time.Time) {
 	if !s.isOwner {
 		return
--- a/godwitmoord/pkg/dispatch/rollout_tally.go
+++ b/godwitmoord/pkg/dispatch/rollout_tally.go
@@ -67,7 +67,7 @@
 // steerAtStart bars all versions but the oldest one until this host knows of rollouts.
 func (s *serviceOwner) steerAtStart() {
 	if s.owner.common.RollsOut() {
-		s.step(permit.Steered{At: instantNow(), Steering: permit.Steering{Barred: youngVersions(s.endpoints(), "")}})
+		s.step(permit.Steered{At: instantNow(), Steering: permit.Steering{Barred: versionsBesidesOldest(s.endpoints(), "")}})
 	}
 }
 
@@ -95,10 +95,10 @@
 	return rules
 }
 
-// youngVersions returns the versions of endpoints other than that of the endpoint that
+// versionsBesidesOldest returns the versions of endpoints other than that of the endpoint that
 // started first, which is taken for the one in use. A leaving endpoint and the target of
 // an order are not, unless there is no other.
-func youngVersions(endpoints []configuration.Endpoint, target string) []string {
+func versionsBesidesOldest(endpoints []configuration.Endpoint, target string) []string {
 	oldest := -1
 	for i, e := range endpoints {
 		if e.Leaving || (target != "" && e.Version == target) {
@@ -108,17 +108,17 @@
 			oldest = i
 		}
 	}
-	var young []string
+	var others []string
 	for _, e := range endpoints {
 		if oldest >= 0 && e.Version != endpoints[oldest].Version {
-			young = append(young, e.Version)
+			others = append(others, e.Version)
 		}
 	}
-	slices.Sort(young)
-	return slices.Compact(young)
+	slices.Sort(others)
+	return slices.Compact(others)
 }
 
-// logSteering logs that other versions may get requests than before.
+// logSteering logs a change of the versions that may get requests.
 func (s *serviceOwner) logSteering(steering permit.Steering) {
 	s.owner.common.Log.Info("versions steered", zap.String("service", s.service), zap.String("target", steering.Target),
 		zap.Strings("barred", steering.Barred), zap.String("only", steering.Only))
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -240,9 +240,9 @@
 func TestVersionOfALeavingEndpointIsNotTakenForTheOneInUse(t *testing.T) {
 	is := is.New(t)
 	endpoints := []configuration.Endpoint{{Name: "i-0", Version: "v1", Born: 1, Leaving: true}, {Name: "i-1", Version: "v2", Born: 2}}
-	is.Equal(youngVersions(endpoints, ""), []string{"v1"})
+	is.Equal(versionsBesidesOldest(endpoints, ""), []string{"v1"})
 	endpoints[0].Leaving = false
-	is.Equal(youngVersions(endpoints, ""), []string{"v2"})
+	is.Equal(versionsBesidesOldest(endpoints, ""), []string{"v2"})
 }
 
 // Guards against memory that grows with each endpoint that was ever started.
