Write records of rollouts again after a restore, and leave replaced orders replaced

Cause: after the store came back from an earlier copy, the record stayed at the stage of the copy, so the next owner began a reverted rollout anew; an order of the copy that a newer one had replaced counted as a new one. Change: the owner that wrote the record last keeps its state and writes the record and the status again; a host remembers the orders that it saw replaced.

--- a/godwitmoord/pkg/discovery/rollouts.go
+++ b/godwitmoord/pkg/discovery/rollouts.go
@@ -15,6 +15,9 @@
 // rolloutRecordPrefix is the prefix of the names of the records of rollouts.
 const rolloutRecordPrefix = "rollout/"
 
+// maxReplacedOrders bounds the replaced orders of a service that are remembered.
+const maxReplacedOrders = 16
+
 // rolloutLayout is the part of a Layout that describes rollouts.
 type rolloutLayout interface {
 	// OperatorPrefix returns the prefix of the configuration's key and of the orders.
@@ -31,6 +34,8 @@
 type orders struct {
 	mu        sync.Mutex
 	byService map[string]rollout.Order
+	// replaced holds the orders that a newer one replaced, the newest last.
+	replaced map[string][]rollout.Order
 	// added gets a value after an order was added; nil until somebody waits for that.
 	added chan struct{}
 }
@@ -49,11 +54,16 @@
 func (o *orders) add(order rollout.Order) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if known, found := o.byService[order.Service]; found && known.Revision >= order.Revision {
+	known, found := o.byService[order.Service]
+	if (found && known.Revision >= order.Revision) || o.wasReplaced(order) {
 		return false
 	}
 	if o.byService == nil {
-		o.byService = map[string]rollout.Order{}
+		o.byService, o.replaced = map[string]rollout.Order{}, map[string][]rollout.Order{}
+	}
+	if found {
+		replaced := append(o.replaced[order.Service], known)
+		o.replaced[order.Service] = replaced[max(0, len(replaced)-maxReplacedOrders):]
 	}
 	o.byService[order.Service] = order
 	select {
@@ -63,6 +73,16 @@
 	return true
 }
 
+// wasReplaced reports whether an order is one that a newer one replaced before the store
+// came back from an earlier copy, which lacks the newer one. o.mu is held.
+func (o *orders) wasReplaced(order rollout.Order) bool {
+	return slices.ContainsFunc(o.replaced[order.Service], func(earlier rollout.Order) bool {
+		isCopy := keyvalue.WithoutEra(earlier.Revision) == keyvalue.WithoutEra(order.Revision) &&
+			keyvalue.EraOf(earlier.Revision) < keyvalue.EraOf(order.Revision)
+		return isCopy && earlier.Target == order.Target && earlier.Duration == order.Duration
+	})
+}
+
 // versioned returns an endpoint without its version where there are no rollouts, so that
 // what the entry says of it changes nothing there.
 func (s *Service) versioned(e configuration.Endpoint) configuration.Endpoint {
--- a/godwitmoord/pkg/discovery/rollouts_test.go
+++ b/godwitmoord/pkg/discovery/rollouts_test.go
@@ -70,3 +70,20 @@
 	changed, usable = s.applyChange("i-1", written(keyvalue.InEra(1, 5)), 0)
 	is.True(!changed && !usable)
 }
+
+// A copy of the store may lack the newest order and hold the one before, with a number of a
+// later era. Carrying that out again would bar the version that was ordered last.
+func TestOrderThatWasReplacedDoesNotReturnWithACopyOfTheStore(t *testing.T) {
+	is := is.New(t)
+	var o orders
+	before := rollout.Order{Service: "desk", Target: "v2", Duration: time.Minute, Revision: 5}
+	newest := rollout.Order{Service: "desk", Target: "v3", Duration: time.Minute, Revision: 9}
+	is.True(o.add(before))
+	is.True(o.add(newest))
+	copied := before
+	copied.Revision = keyvalue.InEra(1, before.Revision)
+	is.True(!o.add(copied))
+	again := newest
+	again.Revision = keyvalue.InEra(1, 7)
+	is.True(o.add(again)) // the operator writes the newest one again
+}
--- a/godwitmoord/pkg/dispatch/rollout.go
+++ b/godwitmoord/pkg/dispatch/rollout.go
@@ -136,8 +136,13 @@
 	failing  bool
 	// recordedAt is when the record was written last; written is the status that the store
 	// holds, at statusRevision.
-	recordedAt     time.Time
-	written        writtenStatus
+	recordedAt time.Time
+	written    writtenStatus
+	// restoredAt is when the store came back from an earlier copy, as far as this host has
+	// acted on it. keepsOwn is set until it has read the record of that copy, which does not
+	// replace the newer state that this host holds.
+	restoredAt     time.Time
+	keepsOwn       bool
 	statusRevision int64
 }
 
@@ -164,6 +169,7 @@
 		s.apply(result, now)
 	default:
 	}
+	s.checkRestore()
 	s.accept(order, now)
 	s.observe(now)
 	s.steer()
@@ -172,10 +178,25 @@
 	}
 }
 
+// checkRestore makes this host write the record and the status again after the store came
+// back from an earlier copy, if the record was its own.
+func (s *serviceRollout) checkRestore() {
+	at, _ := s.rollouts.store.RestoredAt()
+	if at.Equal(s.restoredAt) {
+		return
+	}
+	s.restoredAt = at
+	if !s.active || s.state != claimed {
+		return
+	}
+	s.state, s.keepsOwn = unread, true
+	s.written, s.statusRevision = writtenStatus{}, 0
+}
+
 // accept begins the rollout of a new order once the record of the one before is known.
 func (s *serviceRollout) accept(order rollout.Order, now time.Time) {
 	s.newest = order
-	if s.hasNewer() && s.state != unread {
+	if s.hasNewer() && (s.state != unread || s.keepsOwn) {
 		s.begin(order, now)
 	}
 }
--- a/godwitmoord/pkg/dispatch/rollout_record.go
+++ b/godwitmoord/pkg/dispatch/rollout_record.go
@@ -26,6 +26,9 @@
 	RolloutOrders() []rollout.Order
 	// RolloutOrdered returns a channel that gets a value after a new order arrived.
 	RolloutOrdered() <-chan struct{}
+	// RestoredAt returns when this host saw the store come back from an earlier copy, zero if
+	// it saw none do so.
+	RestoredAt() (at time.Time, ever bool)
 	// ReadRolloutRecord returns the record of a service, or the zero Entry if there is none.
 	ReadRolloutRecord(ctx context.Context, service string) (keyvalue.Entry, error)
 	// WriteRolloutRecord and WriteRolloutStatus write if the entry still has the given
--- a/godwitmoord/pkg/dispatch/rollout_store.go
+++ b/godwitmoord/pkg/dispatch/rollout_store.go
@@ -128,6 +128,10 @@
 		return
 	}
 	s.revision = result.entry.Revision
+	if s.keepsOwn {
+		s.keepsOwn, s.state = false, unclaimed
+		return
+	}
 	if !result.entry.Found() {
 		s.state = claimed
 		if s.active {
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -31,6 +31,8 @@
 	down         bool
 	loseReplies  bool
 	recordWrites int
+	// restoredAt is when the store came back from an earlier copy; zero if it never did.
+	restoredAt time.Time
 }
 
 var errDown = errors.New("the store is down")
@@ -38,6 +40,27 @@
 func (s *memoryStore) RolloutOrders() []rollout.Order  { return s.orders }
 func (s *memoryStore) RolloutOrdered() <-chan struct{} { return nil }
 
+func (s *memoryStore) RestoredAt() (at time.Time, ever bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restoredAt, !s.restoredAt.IsZero()
+}
+
+// copied returns a copy of what the store holds.
+func (s *memoryStore) copied() *memoryStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &memoryStore{record: s.record, statusAt: s.statusAt, stages: s.stages}
+}
+
+// restore makes the store come back from an earlier copy.
+func (s *memoryStore) restore(earlier *memoryStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record, s.statusAt, s.stages = earlier.record, earlier.statusAt, earlier.stages
+	s.restoredAt = time.Now()
+}
+
 func (s *memoryStore) ReadRolloutRecord(context.Context, string) (keyvalue.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,3 +289,26 @@
 	r.applyRecord(storeCallResult{call: call, outcome: keyvalue.Outcome{Applied: true, Revision: 8}}, time.Now())
 	is.Equal(r.state, unread)
 }
+
+// A copy of the store may hold an earlier stage. If the owner left it there, the next owner
+// would begin a reverted rollout anew.
+func TestRecordIsWrittenAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &memoryStore{}
+		owner := newRolloutHost(t, "entry-1", store)
+		run(t, 3*time.Second, orderOfV2, owner)
+		earlier := store.copied()
+		owner.rollout.steering = owner.rollout.steering.WithStage(rollout.Reverted, time.Now())
+		owner.rollout.state = unclaimed // the next call writes the stage
+		run(t, 3*time.Second, orderOfV2, owner)
+		is.Equal(store.stages[len(store.stages)-1], rollout.Reverted)
+		store.restore(earlier)
+		run(t, 3*time.Second, orderOfV2, owner)
+		is.Equal(store.stages[len(store.stages)-1], rollout.Reverted) // the status is written again
+		next := newRolloutHost(t, "entry-2", store)
+		run(t, 3*time.Second, orderOfV2, next)
+		is.Equal(next.rollout.steering.Stage(), rollout.Reverted)
+		is.Equal(next.grants, 0)
+	})
+}
