--- a/godwitmoord/pkg/dispatch/lists.go
+++ b/godwitmoord/pkg/dispatch/lists.go
@@ -9,9 +9,9 @@
 	"godwitmoor.example/coordination/pkg/permit"
 )
 
-// servicesWithNewOwner returns the services whose owner has changed since the last call:
-// those in use here, and those that were, because a new owner also waits for the lists of
-// hosts without permits.
+// servicesWithNewOwner returns the services whose owner has changed since the last call.
+// It includes services that were in use here earlier, because a new owner waits for the
+// lists of hosts without permits too.
 func (e *Entry) servicesWithNewOwner() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -120,11 +120,11 @@
 
 // heldList returns the list of the permits of a service that are held here.
 func (e *Entry) heldList(service string) entryMessage {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	permits := []permit.Permit{}
 	trips := e.expensiveRoundTrips(service)
 	e.logRoundTrips(service, trips)
+	permits := []permit.Permit{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, g := range e.held {
 		if g.service == service {
 			permits = append(permits, g.Permit)
--- a/godwitmoord/pkg/dispatch/rollout_test.go
+++ b/godwitmoord/pkg/dispatch/rollout_test.go
@@ -234,3 +234,35 @@
 	is.Equal(r.steering.Stage(), rollout.Reverted)
 	is.Equal(r.steering.Order().Revision, again.Revision)
 }
+
+// Guards against an owner that gives no endpoint any requests while the store is away,
+// because the endpoint that started first is leaving.
+func TestVersionOfALeavingEndpointIsNotTakenForTheOneInUse(t *testing.T) {
+	is := is.New(t)
+	endpoints := []configuration.Endpoint{{Name: "i-0", Version: "v1", Born: 1, Leaving: true}, {Name: "i-1", Version: "v2", Born: 2}}
+	is.Equal(versionsBesidesOldest(endpoints, ""), []string{"v1"})
+	endpoints[0].Leaving = false
+	is.Equal(versionsBesidesOldest(endpoints, ""), []string{"v2"})
+}
+
+// Guards against memory that grows with each endpoint that was ever started.
+func TestEndpointsThatAreGoneLeaveNoColdMark(t *testing.T) {
+	is := is.New(t)
+	r := newRolloutHost(t, "entry-1", &memoryStore{}).rollout
+	r.cold.isWarm("i-9", time.Second, time.Now())
+	r.cold.isWarm("i-2", time.Second, time.Now())
+	r.warmEndpoints(time.Now(), "v3")
+	_, known := r.cold["i-2"]
+	is.True(known)
+	is.Equal(len(r.cold), 1)
+}
+
+// Guards against a host that lost the service while it wrote the record, got it back, and
+// goes on without reading what another owner wrote in between.
+func TestWriteFromBeforeAChangeOfOwnersClaimsNothing(t *testing.T) {
+	is := is.New(t)
+	r := &serviceRollout{active: true, isOwner: true, state: unread, steering: rollout.New(orderOfV2, rollout.Bounds{Share: 0.1, Slack: 50}, time.Now())}
+	call := &storeCall{kind: writeRecord, record: r.steering.Record(rollout.Canary, 24)}
+	r.applyRecord(storeCallResult{call: call, outcome: keyvalue.Outcome{Applied: true, Revision: 8}}, time.Now())
+	is.Equal(r.state, unread)
+}
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -137,10 +137,14 @@
 	now := time.Now()
 	b.charge.Progressed(now)
 	b.progress += n
-	if b.progress < minProgressBytes || now.Before(b.stepEnd) || b.charge.GivenUp() {
+	if b.progress < minProgressBytes || now.Before(b.stepEnd) {
 		return
 	}
 	b.extend(now, true)
+	// The extension may have undone the deadline that GiveUp set meanwhile.
+	if b.charge.GivenUp() {
+		b.GiveUp()
+	}
 }
 
 // extend sets the read deadline.
@@ -212,7 +216,7 @@
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
-// close charges back what the body holds, at the end of its request.
+// close returns the charge of the body, at the end of its request.
 func (b *callerBody) close() {
 	b.chunks, b.firstChunk = nil, [1][]byte{}
 	b.charge.Close()
--- a/godwitmoord/pkg/front/spool.go
+++ b/godwitmoord/pkg/front/spool.go
@@ -116,12 +116,16 @@
 	return s.running
 }
 
-// add spools data. It waits for room, and fails if none comes in time.
+// add spools data. It waits for room, and fails if none comes in time. While nothing of
+// the connection is spooled and the host has no room, it sends the data itself.
 func (s *spool) add(data []byte) (int, error) {
 	added := 0
 	var full <-chan time.Time
 	for {
 		n, err := s.put(data[added:])
+		if n == 0 && err == nil && !s.isRunning() {
+			n, err = s.send(data[added:])
+		}
 		added += n
 		if err != nil || added == len(data) {
 			return added, err
@@ -138,6 +142,21 @@
 	}
 }
 
+// send sends data without spooling it, and fails if the caller reads none of it in time.
+func (s *spool) send(data []byte) (int, error) {
+	_ = s.conn.Conn.SetWriteDeadline(time.Now().Add(s.conn.listener.fullTime))
+	n, err := s.conn.Conn.Write(data)
+	_ = s.conn.Conn.SetWriteDeadline(time.Time{})
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if n == 0 {
+		s.fail(budget.SpoolFull)
+		return 0, errUnread
+	}
+	return n, nil
+}
+
 // put spools as much of data as there is room for, and starts the goroutine if it does
 // not run.
 func (s *spool) put(data []byte) (int, error) {
@@ -200,7 +219,7 @@
 	return nil
 }
 
-// sent charges back n bytes that the caller has got.
+// sent returns the charge of n bytes that the caller has got.
 func (s *spool) sent(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,7 +234,7 @@
 	}
 }
 
-// fail resets the connection and charges back what is left.
+// fail resets the connection and returns the charge of what is left.
 func (s *spool) fail(reason budget.Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -234,18 +253,18 @@
 
 // reserveSpool charges n bytes for a spool, and reports whether there is room.
 func (l *boundedListener) reserveSpool(n int) bool {
-	most := int64(hostSpoolBytes)
+	limit := int64(hostSpoolBytes)
 	if l.account != nil {
-		most = min(most, l.account.Limit()/spoolDivisor)
+		limit = min(limit, l.account.Limit()/spoolDivisor)
 	}
-	if l.spooled.Add(int64(n)) <= most && l.account.Reserve(int64(n)) {
+	if l.spooled.Add(int64(n)) <= limit && l.account.Reserve(int64(n)) {
 		return true
 	}
 	l.spooled.Add(int64(-n))
 	return false
 }
 
-// releaseSpool charges back n bytes of a spool.
+// releaseSpool returns the charge of n bytes of a spool.
 func (l *boundedListener) releaseSpool(n int) {
 	l.spooled.Add(int64(-n))
 	l.account.Add(int64(-n))
