--- a/godwitmoord/pkg/discovery/rollouts.go
+++ b/godwitmoord/pkg/discovery/rollouts.go
@@ -62,7 +62,7 @@
 		o.byService, o.replaced = map[string]rollout.Order{}, map[string][]rollout.Order{}
 	}
 	if found {
-		replaced := append(o.replaced[order.Service], known)
+		replaced := slices.Concat(o.replaced[order.Service], []rollout.Order{known})
 		o.replaced[order.Service] = replaced[max(0, len(replaced)-maxReplacedOrders):]
 	}
 	o.byService[order.Service] = order
