Serve requests without a customer in the first round, and displace returned ones

Cause: requests without a customer had one share together, so one such caller put the others beyond it. A full queue refused a request of a higher rank while ones of a lower rank waited for reserved slots. Shares without rank weights refused by a rule that nothing had tested.

Change: requests without a customer are of the first round; makeRoom takes returned requests last; shares need rank weights. Tests ask through askMany.

--- a/coordination/pkg/permit/action.go
+++ b/coordination/pkg/permit/action.go
@@ -95,8 +95,8 @@
 		// Again is set if the request had been refused before and came back when it was
 		// told to.
 		Again bool `json:"again,omitempty"`
-		// Promised is set if slots had been reserved for the request as well.
-		Promised bool `json:"promised,omitempty"`
+		// Reserved is set if slots had been reserved for the request as well.
+		Reserved bool `json:"reserved,omitempty"`
 	}
 	// CrashFound reports that an endpoint crashed with requests that it had not begun
 	// to answer. Other owners have to learn of it.
--- a/coordination/pkg/permit/admission.go
+++ b/coordination/pkg/permit/admission.go
@@ -92,7 +92,7 @@
 		if t.rank <= rank {
 			return false
 		}
-		for _, kind := range []int{beyondQueue, lateQueue, onTimeQueue} {
+		for _, kind := range []int{beyondQueue, lateQueue, onTimeQueue, returnedQueue} {
 			q := t.queues[kind]
 			if len(q) == 0 {
 				continue
--- a/coordination/pkg/permit/fair_share.go
+++ b/coordination/pkg/permit/fair_share.go
@@ -92,7 +92,8 @@
 // neither waiting requests nor recent grants.
 func (c *Core) configureShares(e Configured) {
 	f := &c.fair
-	f.enabled = e.FairShare
+	// Without rank weights nothing is refused early, which shares and returns build on.
+	f.enabled = e.FairShare && len(e.Weights) > 0
 	f.weights, f.meanWeight = map[string]float64{}, 1
 	total := 0.0
 	for _, q := range e.Quotas {
@@ -229,11 +230,13 @@
 
 // findRounds finds the requests of a queue whose rounds change. A round serves each
 // customer its equal share, and a request is of the round in which it begins: so none is
-// too large for a share, and each customer has a share of at least one request.
+// too large for a share, and each customer has a share of at least one request. Requests
+// without a customer come from many callers, who would have one share together, so they
+// are of the first round.
 func (c *Core) findRounds(q queue, share float64) {
 	for _, w := range q {
 		round := 0
-		if !math.IsInf(share, 1) {
+		if !math.IsInf(share, 1) && w.ask.Customer != "" {
 			round = w.customer.roundOf(share)
 			w.customer.ahead += w.work
 		}
--- a/coordination/pkg/permit/fair_share_test.go
+++ b/coordination/pkg/permit/fair_share_test.go
@@ -38,6 +38,13 @@
 	}})
 }
 
+// askMany asks for a number of answers of 20 parts, whose IDs count from PREFIX-0.
+func (p *enginePool) askMany(customer, prefix string, count int) {
+	for i := range count {
+		p.askFor(customer, fmt.Sprint(prefix, "-", i), 20)
+	}
+}
+
 // nextGranted frees the slot, and returns the request that gets it.
 func (p *enginePool) nextGranted() string {
 	for id := range p.grantedTo {
@@ -53,12 +60,8 @@
 // returns the next four requests that are granted the one slot.
 func grantsAfterFlood(p *enginePool) []string {
 	p.askFor("flood", "running", 20)
-	for i := range 6 {
-		p.askFor("flood", fmt.Sprint("flood-", i), 20)
-	}
-	for i := range 2 {
-		p.askFor("other", fmt.Sprint("other-", i), 20)
-	}
+	p.askMany("flood", "flood", 6)
+	p.askMany("other", "other", 2)
 	return []string{p.nextGranted(), p.nextGranted(), p.nextGranted(), p.nextGranted()}
 }
 
@@ -95,9 +98,7 @@
 	is := is.New(t)
 	p := newSharedPool(t, quotaOfWeight("flood", 100), quotaOfWeight("other", 100))
 	p.askFor("flood", "running", 20)
-	for i := range 12 {
-		p.askFor("flood", fmt.Sprint("flood-", i), 20)
-	}
+	p.askMany("flood", "flood", 12)
 	for i := range 7 {
 		is.Equal(p.nextGranted(), fmt.Sprint("flood-", i))
 	}
@@ -112,9 +113,7 @@
 	is := is.New(t)
 	p := newSharedPool(t, quotaOfWeight("flood", 100), quotaOfWeight("other", 100))
 	p.askFor("flood", "running", 20)
-	for i := range 8 {
-		p.askFor("flood", fmt.Sprint("flood-", i), 20)
-	}
+	p.askMany("flood", "flood", 8)
 	p.askFor("other", "large", 150)
 	is.Equal([]string{p.nextGranted(), p.nextGranted(), p.nextGranted()}, []string{"flood-0", "flood-1", "large"})
 }
@@ -124,13 +123,9 @@
 	is := is.New(t)
 	p := newSharedPool(t, quotaOfWeight("flood", 100), quotaOfWeight("other", 100))
 	p.askFor("flood", "running", 20)
-	for i := range 8 {
-		p.askFor("flood", fmt.Sprint("flood-", i), 20)
-	}
+	p.askMany("flood", "flood", 8)
 	before := len(p.refused)
-	for i := range 3 {
-		p.askFor("other", fmt.Sprint("other-", i), 20)
-	}
+	p.askMany("other", "other", 3)
 	is.True(len(p.refused) > before)
 	for id, refused := range p.refused {
 		is.Equal(id[:5], "flood")
@@ -139,15 +134,29 @@
 	}
 }
 
+// Guards against one share for all callers without a customer together.
+func TestRequestsWithoutACustomerAreNotBeyondAShare(t *testing.T) {
+	is := is.New(t)
+	p := newSharedPool(t)
+	p.askFor("", "running", 20)
+	p.askMany("", "public", 4)
+	p.askMany("customer", "customer", 8)
+	for _, want := range []string{"public-0", "public-1", "public-2", "public-3"} {
+		is.Equal(p.nextGranted(), want)
+	}
+	is.True(len(p.refused) > 0)
+	for _, refused := range p.refused {
+		is.Equal(refused.BeyondShare, "customer")
+	}
+}
+
 // Guards against requests beyond a share that stay behind more patient ones when their
 // own time is over.
 func TestRequestBeyondTheShareEndsInTime(t *testing.T) {
 	is := is.New(t)
 	p := newSharedPool(t, quotaOfWeight("flood", 100), quotaOfWeight("other", 100))
 	p.askFor("flood", "running", 20)
-	for i := range 4 {
-		p.askFor("flood", fmt.Sprint("flood-", i), 20)
-	}
+	p.askMany("flood", "flood", 4)
 	for i := range 60 {
 		p.askFor("other", fmt.Sprint("other-", i), 20) // others keep asking, so that none of the flood is granted
 		p.advance(50 * time.Millisecond)
@@ -193,7 +202,7 @@
 	is := is.New(t)
 	usual, plain, fair := simulateLoad(excessLoad(1, false)), simulateLoad(excessLoad(5, false)), simulateLoad(excessLoad(5, true))
 	for _, s := range []*simulation{usual, plain, fair} {
-		t.Log("others", s.others(), "all", s.outcomes(), "value", s.valueShare(), "busy", s.busy, "returns", s.returns, "second refusals", s.secondRefusals, "broken promises", s.brokenPromises)
+		t.Log("others", s.others(), "all", s.outcomes(), "value", s.valueShare(), "busy", s.busy, "returns", s.returns, "second refusals", s.secondRefusals, "unmet reservations", s.unmetReservations)
 	}
 	for kind := range kinds {
 		is.True(fair.others()[kind].inTimeShare() > usual.others()[kind].inTimeShare()-0.04) // no rank pays for another
--- a/coordination/pkg/permit/goal_memory.go
+++ b/coordination/pkg/permit/goal_memory.go
@@ -21,7 +21,7 @@
 // whether slots were reserved for it then.
 type refusedGoal struct {
 	goal, retryAt Instant
-	promised      bool
+	reserved      bool
 }
 
 type refusedSubject struct {
@@ -33,7 +33,7 @@
 func (a Ask) subjectKey() string { return a.Suspect().own() }
 
 // remember stores the goal of a refused request, and what its caller was told.
-func (m *goalMemory) remember(a Ask, now, retryAt Instant, promised bool) {
+func (m *goalMemory) remember(a Ask, now, retryAt Instant, reserved bool) {
 	if a.Subject == "" || a.Goal == 0 {
 		return
 	}
@@ -41,7 +41,7 @@
 		m.goals = map[string]refusedGoal{}
 	}
 	m.dropExpired(now)
-	m.goals[a.subjectKey()] = refusedGoal{goal: a.Goal, retryAt: retryAt, promised: promised}
+	m.goals[a.subjectKey()] = refusedGoal{goal: a.Goal, retryAt: retryAt, reserved: reserved}
 	m.order = append(m.order, refusedSubject{key: a.subjectKey(), at: now})
 }
 
--- a/coordination/pkg/permit/load_test.go
+++ b/coordination/pkg/permit/load_test.go
@@ -176,9 +176,9 @@
 	rules   permit.Configured
 	waiting map[string]permit.Ask
 	// returns counts the calls that came back after a refusal, secondRefusals those of
-	// them that were refused again, and brokenPromises those for which slots had been
+	// them that were refused again, and unmetReservations those for which slots had been
 	// reserved.
-	returns, secondRefusals, brokenPromises int
+	returns, secondRefusals, unmetReservations int
 	// busy is the time that requests ran on the engines during the load, over all slots.
 	busy time.Duration
 	// events holds the events that arrived during the load, if the policy records them.
@@ -375,8 +375,8 @@
 			m.running = append(m.running, &runningRequest{id: a.ID, host: a.Host, call: s.callsByID[a.ID], granted: s.now, promptLeft: float64(s.callsByID[a.ID].prompt), heardSlowness: a.Slowness})
 		case permit.Refused:
 			delete(s.waiting, a.ID)
-			if a.Promised {
-				s.brokenPromises++
+			if a.Reserved {
+				s.unmetReservations++
 			}
 			if s.callsByID[a.ID].tries > 1 {
 				s.secondRefusals++
--- a/coordination/pkg/permit/queue.go
+++ b/coordination/pkg/permit/queue.go
@@ -22,8 +22,8 @@
 	// late is set once the first part can no longer arrive by its goal.
 	late bool
 	// returned is set if the request was refused before and came back when it was told
-	// to; promised is also set if slots were reserved for it then.
-	returned, promised bool
+	// to; reserved is also set if slots were reserved for it then.
+	returned, reserved bool
 	// round is the number of shares that its customer gets before the request, while
 	// customers compete.
 	round int
@@ -50,7 +50,7 @@
 	switch {
 	case w.ask.Begun:
 		return begunQueue
-	case w.promised:
+	case w.reserved:
 		return returnedQueue
 	case w.round > 0:
 		return beyondQueue
--- a/coordination/pkg/permit/refusal.go
+++ b/coordination/pkg/permit/refusal.go
@@ -13,8 +13,8 @@
 }
 
 func (c *Core) refuseWithRetryAfter(w *waiter, reason Reason, retryAfter time.Duration) {
-	retryAfter, promised := c.scheduleReturn(w, reason, retryAfter)
-	c.refusedGoals.remember(w.ask, c.now, c.now.After(retryAfter), promised)
+	retryAfter, reserved := c.scheduleReturn(w, reason, retryAfter)
+	c.refusedGoals.remember(w.ask, c.now, c.now.After(retryAfter), reserved)
 	c.actions = append(c.actions, c.withShare(w, Refused{
 		ID:         w.ask.ID,
 		Host:       w.ask.Host,
--- a/coordination/pkg/permit/return_schedule.go
+++ b/coordination/pkg/permit/return_schedule.go
@@ -50,7 +50,7 @@
 // between two times, and returns when that step begins. Work within its customer's share
 // takes no account of work beyond, so that this does not keep it from returning. If no
 // step has room, reserve returns the latest time, at which the load may be another.
-func (s *returnSchedule) reserve(work float64, beyond bool, earliest, latest Instant) (at Instant, promised bool) {
+func (s *returnSchedule) reserve(work float64, beyond bool, earliest, latest Instant) (at Instant, reserved bool) {
 	taken := &s.within
 	if beyond {
 		taken = &s.all
@@ -96,8 +96,8 @@
 	}
 	c.returns.advance(c.now)
 	c.updateSpareSlots()
-	at, promised := c.returns.reserve(w.work, w.round > 0, c.now.After(earliest), c.now.After(latest))
-	return at.Since(c.now), promised
+	at, reserved := c.returns.reserve(w.work, w.round > 0, c.now.After(earliest), c.now.After(latest))
+	return at.Since(c.now), reserved
 }
 
 // updateSpareSlots computes the slots that arriving requests leave to returning ones: those
@@ -123,9 +123,9 @@
 	}
 	refused, found := c.refusedGoals.goals[w.ask.subjectKey()]
 	w.returned = found && c.now.After(returnStep) >= refused.retryAt
-	w.promised = w.returned && refused.promised
-	if w.promised {
-		refused.promised = false
+	w.reserved = w.returned && refused.reserved
+	if w.reserved {
+		refused.reserved = false
 		c.refusedGoals.goals[w.ask.subjectKey()] = refused
 	}
 }
@@ -155,7 +155,7 @@
 	if !c.fair.enabled || !r.Reason.lacksSlots() {
 		return r
 	}
-	r.Again, r.Promised = w.returned, w.promised
+	r.Again, r.Reserved = w.returned, w.reserved
 	if w.round > 0 {
 		r.BeyondShare = w.ask.Customer
 	}
--- a/godwitmoord/pkg/dispatch/share_report.go
+++ b/godwitmoord/pkg/dispatch/share_report.go
@@ -44,8 +44,8 @@
 	if a.Again {
 		s.owner.common.Count("owner.refusals.again")
 	}
-	if a.Promised {
-		s.owner.common.Count("owner.refusals.promised")
+	if a.Reserved {
+		s.owner.common.Count("owner.refusals.reserved")
 	}
 	if !s.shares.add(a) {
 		return
--- a/godwitmoord/pkg/dispatch/share_report_test.go
+++ b/godwitmoord/pkg/dispatch/share_report_test.go
@@ -38,10 +38,10 @@
 	is.Equal(lines.Len(), 0)
 	for range 3 {
 		s.countShare(permit.Refused{ID: "ask", Reason: permit.Crowded, BeyondShare: "tower"})
-		s.countShare(permit.Refused{ID: "ask", Reason: permit.Crowded, Again: true, Promised: true})
+		s.countShare(permit.Refused{ID: "ask", Reason: permit.Crowded, Again: true, Reserved: true})
 	}
 	is.Equal(lines.Len(), 1)
-	for _, counter := range []string{"owner.refusals.beyond-share", "owner.refusals.again", "owner.refusals.promised"} {
+	for _, counter := range []string{"owner.refusals.beyond-share", "owner.refusals.again", "owner.refusals.reserved"} {
 		is.Equal(metrics.GetOrRegisterCounter(counter, s.owner.common.Metrics).Count(), int64(3))
 	}
 }
