Learn the slowness of an answer once, and overshoot in measured times

Cause: an answer whose first part was reported counted twice in the endpoint's mean slowness. Overshoot compared a time without the slowness with an estimate that includes it, so late first parts in a slow moment counted as early.

Change: learnSlowness is called once for each answer; overshoot is learned from the measured times.

Result: two tests fail without the change (mean 1.06 beside 1.03, no overshoot for a first part that took 60 ms in place of 25 ms) and pass with it.

--- a/coordination/pkg/permit/endpoint_rates.go
+++ b/coordination/pkg/permit/endpoint_rates.go
@@ -78,7 +78,6 @@
 		relativeError := (u.Total - h.expected).Abs().Seconds() / h.expected.Seconds()
 		e.deviation += learningRate * (min(relativeError, 1) - e.deviation)
 	}
-	e.shared.learnOvershoot(h, u)
 	if u.PromptTokens == 0 || u.AnswerTokens == 0 {
 		smoothOrSet(&e.fixedCost, u.Total.Seconds())
 		return
--- a/coordination/pkg/permit/held_permit.go
+++ b/coordination/pkg/permit/held_permit.go
@@ -70,7 +70,11 @@
 	if usage.Begun {
 		c.clearParts(h.ask)
 	}
+	c.rates.learnOvershoot(h, usage)
 	h.endpoint.learn(h, h.endpoint.atMeanSlowness(usage))
+	if !h.learnedFirstPart {
+		h.endpoint.learnSlowness(usage)
+	}
 	c.release(id, h)
 	c.concludeCrash(h.endpoint)
 }
@@ -81,6 +85,7 @@
 	if h := c.held[id]; h != nil && !h.learnedFirstPart {
 		h.learnedFirstPart = true
 		h.endpoint.learnFirstPart(h, h.endpoint.atMeanSlowness(usage))
+		h.endpoint.learnSlowness(usage)
 		if usage.Begun {
 			c.clearParts(h.ask)
 		}
--- a/coordination/pkg/permit/service_rates.go
+++ b/coordination/pkg/permit/service_rates.go
@@ -8,15 +8,15 @@
 	overshoot    overshoot
 }
 
-// learnOvershoot learns how much later than expected the first part of an answer came. An
-// answer without parts comes as a whole.
+// learnOvershoot learns how much later than expected the first part of an answer came. Both
+// times include the slowness of the endpoint. An answer without parts comes as a whole.
 func (r *serviceRates) learnOvershoot(h *heldPermit, u Usage) {
-	if h.ask.Goal == 0 {
+	if h.ask.Goal == 0 || u.Total <= 0 {
 		return
 	}
+	actual := u.FirstByte
 	if u.PromptTokens == 0 {
-		r.overshoot.learn(h.expected, u.Total)
-		return
+		actual = u.Total
 	}
-	r.overshoot.learn(h.expectedFirst, u.FirstByte)
+	r.overshoot.learn(h.expectedFirst, actual)
 }
--- a/coordination/pkg/permit/slowness.go
+++ b/coordination/pkg/permit/slowness.go
@@ -106,19 +106,33 @@
 }
 
 // atMeanSlowness returns the usage as it would be at the endpoint's mean slowness, so that a
-// short slowdown is not learned as a slow endpoint. It also updates the mean.
+// short slowdown is not learned as a slow endpoint.
 func (e *endpoint) atMeanSlowness(u Usage) Usage {
+	stated, isStated := e.statedSlowness(u)
+	if !isStated {
+		return u
+	}
+	return u.without(e.slowness.relative(stated))
+}
+
+// learnSlowness updates the mean slowness from an answer. It is called once for each.
+func (e *endpoint) learnSlowness(u Usage) {
+	if stated, isStated := e.statedSlowness(u); isStated {
+		e.slowness.addToMean(stated)
+	}
+}
+
+// statedSlowness returns the slowness that an answer stated; false if it measured nothing,
+// or if the endpoint never stated one.
+func (e *endpoint) statedSlowness(u Usage) (float64, bool) {
 	isMeasured := u.FirstByte > 0 || u.Total > 0
 	if !isMeasured || (u.Slowness <= 0 && e.slowness.mean == 0) {
-		return u
+		return 0, false
 	}
-	stated := u.Slowness
-	if stated <= 0 {
-		stated = usualSlowness
+	if u.Slowness <= 0 {
+		return usualSlowness, true
 	}
-	u = u.without(e.slowness.relative(stated))
-	e.slowness.addToMean(stated)
-	return u
+	return u.Slowness, true
 }
 
 func (s *slowness) addToMean(stated float64) {
--- a/coordination/pkg/permit/slowness_test.go
+++ b/coordination/pkg/permit/slowness_test.go
@@ -226,6 +226,35 @@
 	}
 }
 
+// Guards against an answer that counts twice in the mean slowness as its first part was
+// reported before its end.
+func TestSlownessOfAnAnswerIsLearnedOnce(t *testing.T) {
+	whole, inParts := twoEngines(t), twoEngines(t)
+	for _, p := range []*enginePool{whole, inParts} {
+		p.answered("usual", 1, 10*time.Millisecond, 400*time.Millisecond, 1)
+	}
+	whole.answered("slow", 1, 25*time.Millisecond, time.Second, 2.5)
+	inParts.granted("slow")
+	inParts.step(permit.Progressed{At: inParts.now, ID: "slow", Usage: permit.Usage{PromptTokens: 1000, FirstByte: 25 * time.Millisecond, Slowness: 2.5}})
+	inParts.step(permit.Finished{At: inParts.now, ID: "slow", Usage: permit.Usage{
+		PromptTokens: 1000, AnswerTokens: 20, FirstByte: 25 * time.Millisecond, Total: time.Second, Slowness: 2.5,
+	}})
+	inParts.is.True(whole.core.MeanSlowness("one") > 1)
+	inParts.is.Equal(inParts.core.MeanSlowness("one"), whole.core.MeanSlowness("one"))
+}
+
+// Guards against late first parts that count as early ones in a slow moment, as the estimate
+// includes the slowness and the measured time does not.
+func TestOvershootInASlowMomentIsLearned(t *testing.T) {
+	p := twoEngines(t)
+	p.answered("usual", 30, 10*time.Millisecond, 400*time.Millisecond, 1)
+	usual := p.core.MeanOvershoot()
+	p.slow("one", 2.5, 0)
+	p.slow("other", 2.5, 0)
+	p.answered("late", 1, 60*time.Millisecond, time.Second, 2.5) // 25 ms are expected
+	p.is.True(p.core.MeanOvershoot() > usual+0.03)
+}
+
 // Guards against values that would make an estimate negative or endless.
 func TestOddSlownessChangesNoEstimateWithoutBounds(t *testing.T) {
 	p := twoEngines(t)
