--- a/coordination/pkg/permit/data_centres.go
+++ b/coordination/pkg/permit/data_centres.go
@@ -23,7 +23,7 @@
 	return tightestGoal > 0 && roundTrip.Seconds() > expensiveShare*tightestGoal.Seconds()
 }
 
-// dataCentrePair names the way from one data centre to another.
+// dataCentrePair names the path from one data centre to another.
 type dataCentrePair struct{ from, to string }
 
 // measuredTrip is a round trip, and when it was reported.
@@ -32,11 +32,11 @@
 	at   Instant
 }
 
-// dataCentres decides what it costs a request to leave its data centre. A way, from one data
+// dataCentres decides what it costs a request to leave its data centre. A path, from one data
 // centre to another, is expensive if IsExpensive holds for its round trip. The zero value
-// knows no expensive way, and charges nothing.
+// knows no expensive path, and charges nothing.
 type dataCentres struct {
-	// trips holds the expensive ways that hosts reported lately, use the slots in use by
+	// trips holds the expensive paths that hosts reported lately, use the slots in use by
 	// data centre.
 	trips map[dataCentrePair]measuredTrip
 	use   map[string]slotUse
@@ -50,7 +50,7 @@
 	return max(0, float64(u.slots-u.inUse)) / float64(max(u.slots, 1))
 }
 
-// measure records the round trips of the expensive ways from a data centre.
+// measure records the round trips of the expensive paths from a data centre.
 func (d *dataCentres) measure(e Measured) {
 	if e.DataCentre == "" {
 		return
@@ -65,9 +65,9 @@
 
 // countUse counts the slots in use in each data centre, where leaving one is expensive.
 func (d *dataCentres) countUse(endpoints []*endpoint, now Instant) {
-	for way, trip := range d.trips {
+	for path, trip := range d.trips {
 		if now.Since(trip.at) > roundTripLifetime {
-			delete(d.trips, way)
+			delete(d.trips, path)
 		}
 	}
 	if len(d.trips) == 0 {
--- a/coordination/pkg/permit/data_centres_test.go
+++ b/coordination/pkg/permit/data_centres_test.go
@@ -135,7 +135,7 @@
 }
 
 // newSitePool returns a pool with one engine in each of two data centres, between which
-// the way is expensive.
+// the path is expensive.
 func newSitePool(t *testing.T, hereSlots int) *enginePool {
 	here, there := engine(hereSlots), engine(8)
 	here.Name, here.DataCentre = "here", "lorient"
@@ -189,7 +189,7 @@
 	}
 }
 
-// Guards against a charge for ways that nobody measured, or not any more.
+// Guards against a charge for paths that nobody measured, or not any more.
 func TestUnmeasuredWayCostsNothing(t *testing.T) {
 	p := newSitePool(t, 8)
 	endpoint, leaves := p.endpointFor("a", "vannes")
--- a/godwitmoord/pkg/dispatch/data_centres.go
+++ b/godwitmoord/pkg/dispatch/data_centres.go
@@ -49,7 +49,7 @@
 	return expensive
 }
 
-// logRoundTrips logs a change of the data centres to which the way is expensive.
+// logRoundTrips logs a change of the data centres to which the path is expensive.
 func (e *Entry) logRoundTrips(service string, trips []permit.RoundTrip) {
 	names := make([]string, len(trips))
 	times := make([]time.Duration, len(trips))
@@ -66,19 +66,19 @@
 	if !changed {
 		return
 	}
-	e.common.Log.Info("expensive ways to data centres changed", zap.String("service", service), zap.Strings("to", names), zap.Durations("round-trips", times))
+	e.common.Log.Info("expensive paths to data centres changed", zap.String("service", service), zap.Strings("to", names), zap.Durations("round-trips", times))
 }
 
 // withDataCentre adds the data centre of the host that sent an event, where the service
-// has expensive ways.
+// has expensive paths.
 func (s *serviceOwner) withDataCentre(event permit.Event, from string) permit.Event {
 	switch e := event.(type) {
 	case permit.Measured:
-		s.hasExpensiveWays.Store(true)
+		s.hasExpensivePaths.Store(true)
 		e.DataCentre = s.owner.members.DataCentreOf(from)
 		return e
 	case permit.Asked:
-		if s.hasExpensiveWays.Load() {
+		if s.hasExpensivePaths.Load() {
 			e.Ask.DataCentre = s.owner.members.DataCentreOf(from)
 		}
 		return e
@@ -89,7 +89,7 @@
 
 // countLeaving counts grants by whether their requests leave their data centre.
 func (s *serviceOwner) countLeaving(granted permit.Granted) {
-	if !s.hasExpensiveWays.Load() {
+	if !s.hasExpensivePaths.Load() {
 		return
 	}
 	if granted.Leaves {
--- a/godwitmoord/pkg/dispatch/data_centres_test.go
+++ b/godwitmoord/pkg/dispatch/data_centres_test.go
@@ -12,7 +12,7 @@
 	"godwitmoor.example/godwitmoord/pkg/membership"
 )
 
-// Guards against a goal of another service, or a missing one, that decides when a way is
+// Guards against a goal of another service, or a missing one, that decides when a path is
 // expensive.
 func TestTightestGoalIsThatOfTheRoutesToTheService(t *testing.T) {
 	is := is.New(t)
--- a/godwitmoord/pkg/dispatch/entry.go
+++ b/godwitmoord/pkg/dispatch/entry.go
@@ -98,7 +98,7 @@
 	pauses map[string]wantedPause
 	// slownesses holds the unusual slowness that endpoints stated last, by endpoint.
 	slownesses map[string]statedSlowness
-	// expensive holds the names of the data centres to which the way was expensive when it
+	// expensive holds the names of the data centres to which the path was expensive when it
 	// was logged last, separated by spaces, by service.
 	expensive map[string]string
 	// warnings holds what owners learned about parts of prompts, by service.
--- a/godwitmoord/pkg/dispatch/service_owner.go
+++ b/godwitmoord/pkg/dispatch/service_owner.go
@@ -25,10 +25,10 @@
 	events      ring.Ring[permit.Event]
 	lateness    lateness
 	slowdowns   slowdowns
-	// hasExpensiveWays is set once a host measured a round trip to another data centre
+	// hasExpensivePaths is set once a host measured a round trip to another data centre
 	// that is expensive for the service.
-	hasExpensiveWays atomic.Bool
-	shares           shareReport
+	hasExpensivePaths atomic.Bool
+	shares            shareReport
 	// lastWrite is when the grants were last queued for writing to the store, and
 	// lastAsk is when the last ask arrived.
 	lastWrite time.Time
--- a/godwitmoord/pkg/dispatch/wire.go
+++ b/godwitmoord/pkg/dispatch/wire.go
@@ -64,7 +64,7 @@
 	Ended bool `cbor:"20,keyasint,omitempty"`
 	// Slowness is what an endpoint said of its slowness. A message of slownessKind has it.
 	Slowness *slownessReport `cbor:"21,keyasint,omitempty"`
-	// RoundTrips holds the expensive ways from the data centre of the entry.
+	// RoundTrips holds the expensive paths from the data centre of the entry.
 	RoundTrips []permit.RoundTrip `cbor:"22,keyasint,omitempty"`
 }
 
--- a/godwitmoord/pkg/membership/round_trips_test.go
+++ b/godwitmoord/pkg/membership/round_trips_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a way that is taken as long because a probe waited for a processor, and
+// Guards against a path that is taken as long because a probe waited for a processor, and
 // against one that is remembered as short after it became longer.
 func TestRoundTripIsTheShortestOfRecentProbes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -29,7 +29,7 @@
 	})
 }
 
-// Guards against hosts that take their own time to answer for the length of the way.
+// Guards against hosts that take their own time to answer for the length of the path.
 func TestRoundTripsCountFromTheHostsOwnDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
