--- a/coordination/pkg/permit/steering.go
+++ b/coordination/pkg/permit/steering.go
@@ -115,7 +115,7 @@
 // failEndpoint records a failure of an endpoint. One on trial is not paused for it: what
 // it may get is bounded already, and the failures are what the trial is for.
 func (c *Core) failEndpoint(e *endpoint, fault Fault) {
-	if fault != Rejected && c.steering.Trial.Endpoint == e.rules.Name {
+	if fault != Rejected && c.steering.Trial.Endpoint != "" && c.steering.Trial.Endpoint == e.rules.Name {
 		return
 	}
 	e.fail(c.now, fault)
