Take the memory of the process in bytes, and call displaced bodies displaced

Cause: three packages converted MiB to bytes. Fewer than three descriptors gave a bound of zero connections, which means none. Bodies were given up, where queued requests are displaced.

Change: settings.MemoryBytes converts once; the bound is at least 1; names, log line (bodies or connections dropped for lack of room or progress) and counter (budget.body-displaced) say displaced.

Result: TestFewDescriptorsAreABound fails without the change.

--- a/godwitmoor/pkg/commands/check.go
+++ b/godwitmoor/pkg/commands/check.go
@@ -14,7 +14,6 @@
 const (
 	statusErrors   = 1
 	statusWarnings = 2
-	bytesPerMiB    = 1 << 20
 
 	exitStatusHelp = "Exit status: 0 if nothing was found, 1 after an error, 2 if there are only warnings."
 )
@@ -119,7 +118,7 @@
 }
 
 func (h hostSettings) limits() configuration.HostLimits {
-	return configuration.HostLimits{Memory: int64(h.parsed.Memory) * bytesPerMiB, Repeats: h.repeats()}
+	return configuration.HostLimits{Memory: h.parsed.MemoryBytes(), Repeats: h.repeats()}
 }
 
 // repeats returns the bound on repeats; nil if the settings have none.
--- a/godwitmoord/pkg/app/app.go
+++ b/godwitmoord/pkg/app/app.go
@@ -170,11 +170,11 @@
 		Kernel:   k,
 		Metrics:  metrics.NewRegistry(),
 		Dialect:  exchange.Native{},
-		Budget:   budget.New(s.Memory),
+		Budget:   budget.New(s.MemoryBytes()),
 	}
 	c.Shortages = &budget.Reporter{Log: log, Account: c.Budget, Count: c.Count}
 	d := &Daemon{common: c, kernel: k, members: membership.New(c), status: status.New(c), front: front.New(c)}
-	k.Register(kernel.Memory, &memory.Service{Mebibytes: s.Memory})
+	k.Register(kernel.Memory, &memory.Service{Limit: s.MemoryBytes()})
 	k.Register(kernel.Record, record.New(c))
 	k.Register(kernel.Peer, peer.New(c))
 	k.Register(kernel.Membership, d.members)
--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -1,10 +1,10 @@
 // Package budget keeps the account of the memory that a host holds for callers, endpoints
-// and other hosts, and decides which request bodies are given up (their reading ends, and
+// and other hosts, and decides which request bodies are displaced (their reading ends, and
 // their requests are refused) when there is no more room.
 //
 // Memory is charged before it is used, and the charge is returned when it is released. Charging
 // costs one atomic addition. Bodies of more than SmallBytes are also listed while they
-// are read, so that some of them can be given up for others; the decision itself is
+// are read, so that some of them can be displaced by others; the decision itself is
 // pure, see Displace.
 //
 // Settings without a memory or a number of descriptors give a nil Account or a bound of
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	account := budget.New(settings.Memory)
+//	account := budget.New(settings.MemoryBytes())
 //	var body budget.Body
 //	body.Open(account, rank, customer, reader)
 //	defer body.Close()
@@ -26,7 +26,6 @@
 )
 
 const (
-	mebibyte = 1 << 20
 	// heldDivisor is the share of the process's memory that may be held, as its
 	// divisor. The rest is for the program itself, its tables, and memory that is
 	// released but not yet collected.
@@ -51,7 +50,10 @@
 // Connections returns how many connections callers may have open, and how many other
 // hosts, given the descriptors of the process; zero means no bound.
 func Connections(descriptors int) int {
-	return descriptors * connectionNumerator / connectionDenominator
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(descriptors*connectionNumerator/connectionDenominator, 1)
 }
 
 // Account counts the bytes that a host holds. A nil Account bounds nothing. It is safe
@@ -68,13 +70,13 @@
 	opened uint64
 }
 
-// New returns the account of a process that may use memory, in MiB; nil if that is
+// New returns the account of a process that may use memory, in bytes; nil if that is
 // zero.
-func New(memory int) *Account {
+func New(memory int64) *Account {
 	if memory <= 0 {
 		return nil
 	}
-	limit := int64(memory) * mebibyte / heldDivisor
+	limit := memory / heldDivisor
 	return &Account{limit: limit, largeLimit: limit - limit/reserveDivisor, bodies: map[*Body]struct{}{}}
 }
 
@@ -123,9 +125,9 @@
 
 // Reader reads a body.
 type Reader interface {
-	// GiveUp makes the read end. It is called once at most, while the account is locked,
+	// Interrupt makes the read end. It is called once at most, while the account is locked,
 	// so it must not call the account.
-	GiveUp()
+	Interrupt()
 }
 
 // Body is the charge of one body of a request. The zero value bounds nothing. Its
@@ -136,12 +138,12 @@
 	customer string
 	reader   Reader
 	// large is set once the body was listed. From then on the account's lock guards
-	// bytes, listed and givenUp.
+	// bytes, listed and displaced.
 	large bool
 	// bytes is what is charged.
 	bytes int64
-	// listed is set while the body can be given up, and givenUp once it was.
-	listed, givenUp bool
+	// listed is set while the body can be displaced, and displaced once it was.
+	listed, displaced bool
 	// order is the place of the body among those that were listed.
 	order uint64
 	// lastByte is the time of its last byte, in Unix nanoseconds.
@@ -149,13 +151,13 @@
 }
 
 // Open sets what the charge of a body depends on, before the body is read. The reader is
-// told if the body is given up for others; its next Grow then fails.
+// interrupted if the body is displaced by others; its next Grow then fails.
 func (b *Body) Open(a *Account, rank int, customer string, reader Reader) {
 	b.account, b.rank, b.customer, b.reader = a, rank, customer, reader
 }
 
 // Grow charges n more bytes, and reports whether there is room for them. If there is
-// none, other bodies may be given up, or this one is.
+// none, other bodies may be displaced, or this one is refused.
 func (b *Body) Grow(n int64) bool {
 	a := b.account
 	if a == nil {
@@ -167,7 +169,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b.givenUp {
+	if b.displaced {
 		return false
 	}
 	b.list()
@@ -190,14 +192,14 @@
 	}
 }
 
-// GivenUp reports whether the body was given up for others.
-func (b *Body) GivenUp() bool {
+// Displaced reports whether the body was displaced by others.
+func (b *Body) Displaced() bool {
 	if !b.large {
 		return false
 	}
 	b.account.mu.Lock()
 	defer b.account.mu.Unlock()
-	return b.givenUp
+	return b.displaced
 }
 
 // Pause returns how long the reader of the body should wait after a read that returned n
@@ -211,8 +213,8 @@
 	return Pause(len(b.account.bodies))
 }
 
-// Complete ends the reading: the body stays charged, and is not given up any more. It
-// returns false if the body was given up before.
+// Complete ends the reading: the body stays charged, and is not displaced any more. It
+// returns false if the body was displaced before.
 func (b *Body) Complete() bool {
 	if !b.large {
 		return true
@@ -220,7 +222,7 @@
 	b.account.mu.Lock()
 	defer b.account.mu.Unlock()
 	b.unlist()
-	return !b.givenUp
+	return !b.displaced
 }
 
 // Close returns the charge of the body.
@@ -233,7 +235,7 @@
 	b.bytes = 0
 }
 
-// list adds the body to those that can be given up. The account's lock is held.
+// list adds the body to those that can be displaced. The account's lock is held.
 func (b *Body) list() {
 	if b.listed {
 		return
@@ -244,13 +246,13 @@
 	b.account.bodies[b] = struct{}{}
 }
 
-// unlist removes the body from those that can be given up. The account's lock is held.
+// unlist removes the body from those that can be displaced. The account's lock is held.
 func (b *Body) unlist() {
 	delete(b.account.bodies, b)
 	b.listed = false
 }
 
-// makeRoom gives up other bodies so that n more bytes of b are within the limit, and
+// makeRoom displaces other bodies so that n more bytes of b are within the limit, and
 // charges them, or returns false. The account's lock is held.
 func (a *Account) makeRoom(b *Body, n, limit int64) bool {
 	stalledSince := time.Now().Add(-stallTime).UnixNano()
@@ -272,17 +274,17 @@
 		return false
 	}
 	for _, i := range displaced {
-		a.giveUp(listed[i])
+		a.displace(listed[i])
 	}
 	return a.reserveWithin(n, limit)
 }
 
-// giveUp returns the charge of a body and makes its read end. The memory itself is
+// displace returns the charge of a body and makes its read end. The memory itself is
 // released when the read has ended. The account's lock is held.
-func (a *Account) giveUp(b *Body) {
+func (a *Account) displace(b *Body) {
 	b.unlist()
-	b.givenUp = true
+	b.displaced = true
 	a.held.Add(-b.bytes)
 	b.bytes = 0
-	b.reader.GiveUp()
+	b.reader.Interrupt()
 }
--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -8,26 +8,28 @@
 	"github.com/matryer/is"
 )
 
-// testMemory is the memory of a process in MiB; half of it may be held, and seven
+const mebibyte = 1 << 20
+
+// testMemory is the memory of a process in bytes; half of it may be held, and seven
 // eighths of that by large bodies.
-const testMemory = 32
+const testMemory = 32 * mebibyte
 
-const testLargeLimit = testMemory / 2 * mebibyte / 8 * 7
+const testLargeLimit = testMemory / 2 / 8 * 7
 
-// countingReader counts how often it is told to give up.
-type countingReader struct{ givenUp *int }
+// countingReader counts how often it is interrupted.
+type countingReader struct{ interrupted *int }
 
-func (r countingReader) GiveUp() { *r.givenUp++ }
+func (r countingReader) Interrupt() { *r.interrupted++ }
 
-func openBody(a *Account, rank int, customer string, givenUp *int) *Body {
+func openBody(a *Account, rank int, customer string, interrupted *int) *Body {
 	b := &Body{}
-	b.Open(a, rank, customer, countingReader{givenUp})
+	b.Open(a, rank, customer, countingReader{interrupted})
 	return b
 }
 
 // Clients that stop just short of the end of their bodies took all memory, so that those
 // that went on were refused.
-func TestBodyThatStallsIsGivenUpForOneThatGoesOn(t *testing.T) {
+func TestBodyThatStallsIsDisplacedByOneThatGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		a := New(testMemory)
@@ -49,7 +51,7 @@
 	})
 }
 
-// Many large bodies that were given up for each other would all begin again, and
+// Many large bodies that displaced each other would all begin again, and
 // none would be completed.
 func TestLatestOfEqualBodiesIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -61,8 +63,8 @@
 		is.True(first.Grow(testLargeLimit / 2))
 		is.True(second.Grow(testLargeLimit / 2))
 		is.True(!second.Grow(mebibyte))
-		is.Equal(gone, 0)          // the one that asks is told by the result
-		is.True(!second.GivenUp()) // it was refused, not given up for another
+		is.Equal(gone, 0)            // the one that asks is told by the result
+		is.True(!second.Displaced()) // it was refused
 		second.Close()
 		is.True(first.Grow(testLargeLimit / 2))
 	})
@@ -81,13 +83,12 @@
 	})
 }
 
-// A body that is complete may have been sent to an endpoint, so it can't be given up as
+// A body that is complete may have been sent to an endpoint, so it can't be refused as
 // not run.
-func TestCompleteBodyIsNotGivenUp(t *testing.T) {
+func TestCompleteBodyIsNotDisplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := New(testMemory)
-		var gone int
+		a, gone := New(testMemory), 0
 		complete := openBody(a, 9, "mill", &gone)
 		is.True(complete.Grow(testLargeLimit))
 		is.True(complete.Complete())
@@ -115,6 +116,14 @@
 	is.Equal(Connections(0), 0)
 }
 
+// Guards against a bound that rounds down to zero, which means that there is none.
+func TestFewDescriptorsAreABound(t *testing.T) {
+	is := is.New(t)
+	for descriptors := 1; descriptors < 16; descriptors++ {
+		is.True(Connections(descriptors) >= 1)
+	}
+}
+
 // Frames of other hosts carry the permits; without room for them nothing is served.
 func TestOtherHostsHaveRoomWhenCallersUsedUpTheirs(t *testing.T) {
 	is := is.New(t)
@@ -124,7 +133,7 @@
 	is.True(a.ReserveForHosts(mebibyte))
 }
 
-// The order in which bodies are given up: no progress, lower rank, customer that holds
+// The order in which bodies are displaced: no progress, lower rank, customer that holds
 // most, later.
 func TestBodyWhoseLossCostsLeastIsDisplacedFirst(t *testing.T) {
 	asking := Holder{Rank: 1, Customer: "tower", Order: 9}
--- a/godwitmoord/pkg/budget/decision.go
+++ b/godwitmoord/pkg/budget/decision.go
@@ -17,9 +17,9 @@
 	Order uint64
 }
 
-// Displace decides which bodies are given up when a host has no room for the next need
+// Displace decides which bodies are displaced when a host has no room for the next need
 // bytes of a body: those whose loss costs least, until the bytes fit. It handles many
-// large bodies at once. It returns the indices of the bodies to give up, or false if
+// large bodies at once. It returns the indices of these bodies, or false if
 // the asking body, at the given index, is itself the one whose loss costs least.
 //
 // Bodies that make no progress go first, then those of the lowest rank, then those of
--- a/godwitmoord/pkg/budget/report.go
+++ b/godwitmoord/pkg/budget/report.go
@@ -7,15 +7,15 @@
 	"go.uber.org/zap"
 )
 
-// Reason is why something was given up or turned away.
+// Reason is why a body or a connection was dropped.
 type Reason string
 
 // The reasons.
 const (
-	// BodyWithoutRoom is a body for which there was no room, BodyGivenUp one that was
-	// given up for others while it was read.
+	// BodyWithoutRoom is a body for which there was no room, BodyDisplaced one that was
+	// displaced by others while it was read.
 	BodyWithoutRoom Reason = "body-without-room"
-	BodyGivenUp     Reason = "body-given-up"
+	BodyDisplaced   Reason = "body-displaced"
 	// BodyTooSlow is a body that arrived below the least rate.
 	BodyTooSlow Reason = "body-too-slow"
 	// ConnectionRefused is a new connection for which there was no room, and
@@ -35,7 +35,7 @@
 // reportInterval is the least time between two lines in the log.
 const reportInterval = time.Second
 
-// Reporter counts what was given up or turned away, and logs it at a limited rate. A nil
+// Reporter counts what was dropped, and logs it at a limited rate. A nil
 // Reporter does nothing. It is safe for concurrent use.
 type Reporter struct {
 	Log     *zap.Logger
@@ -66,7 +66,7 @@
 	if now.Sub(r.reported) < reportInterval {
 		return
 	}
-	r.Log.Warn("given up for lack of room or progress", zap.Any("cases", r.unreported),
+	r.Log.Warn("bodies or connections dropped for lack of room or progress", zap.Any("cases", r.unreported),
 		zap.Int64("held-bytes", r.Account.Held()), zap.Int64("limit-bytes", r.Account.Limit()))
 	r.reported, r.unreported = now, nil
 }
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -141,9 +141,9 @@
 		return
 	}
 	b.extend(now, true)
-	// The extension may have undone the deadline that GiveUp set meanwhile.
-	if b.charge.GivenUp() {
-		b.GiveUp()
+	// The extension may have undone the deadline that Interrupt set meanwhile.
+	if b.charge.Displaced() {
+		b.Interrupt()
 	}
 }
 
@@ -179,15 +179,15 @@
 // was given up.
 func (b *callerBody) noRoom() *rejection {
 	reason := budget.BodyWithoutRoom
-	if b.charge.GivenUp() {
-		reason = budget.BodyGivenUp
+	if b.charge.Displaced() {
+		reason = budget.BodyDisplaced
 	}
 	b.service.common.Shortages.Report(reason)
 	return &rejection{status: http.StatusServiceUnavailable, reason: text.HostFull, retryAfter: noRoomRetry}
 }
 
-// GiveUp makes the read of the body end.
-func (b *callerBody) GiveUp() { _ = b.control.SetReadDeadline(time.Unix(0, 1)) }
+// Interrupt makes the read of the body end.
+func (b *callerBody) Interrupt() { _ = b.control.SetReadDeadline(time.Unix(0, 1)) }
 
 // whole returns the body in one piece, for what needs it so.
 func (b *callerBody) whole() []byte {
--- a/godwitmoord/pkg/front/body_test.go
+++ b/godwitmoord/pkg/front/body_test.go
@@ -71,7 +71,7 @@
 	}
 	r := httptest.NewRequest(http.MethodPost, "/", body)
 	r.ContentLength = -1
-	s := New(&common.Common{Budget: budget.New(memory)})
+	s := New(&common.Common{Budget: budget.New(int64(memory) << 20)})
 	return &callerBody{service: s, writer: w, request: r, control: http.NewResponseController(w)}
 }
 
@@ -163,9 +163,9 @@
 	is.Equal(b.service.common.Budget.Held(), int64(0))
 }
 
-// A body that was given up while its read deadline was extended went on being read, and
+// A body that was displaced while its read deadline was extended went on being read, and
 // held memory that was charged to another one.
-func TestExtendedDeadlineDoesNotUndoGivingUp(t *testing.T) {
+func TestExtendedDeadlineDoesNotUndoAnInterrupt(t *testing.T) {
 	is := is.New(t)
 	b := newTestBody(1, nil)
 	account := b.service.common.Budget
@@ -180,6 +180,6 @@
 		is.True(other.Grow(account.Limit() * 7 / 8)) // all that large bodies may hold
 	}
 	b.progressed(minProgressBytes)
-	is.True(b.charge.GivenUp())
+	is.True(b.charge.Displaced())
 	is.True(w.deadline.Before(now))
 }
--- a/godwitmoord/pkg/front/spool_bench_test.go
+++ b/godwitmoord/pkg/front/spool_bench_test.go
@@ -23,7 +23,7 @@
 				b.Fatal(err)
 			}
 			defer inner.Close()
-			l := &boundedListener{Listener: inner, account: budget.New(64), spools: spools, unreadTime: time.Second, fullTime: time.Second, open: map[*callerConn]struct{}{}}
+			l := &boundedListener{Listener: inner, account: budget.New(64 << 20), spools: spools, unreadTime: time.Second, fullTime: time.Second, open: map[*callerConn]struct{}{}}
 			caller, err := net.Dial("tcp", inner.Addr().String())
 			if err != nil {
 				b.Fatal(err)
--- a/godwitmoord/pkg/front/spool_test.go
+++ b/godwitmoord/pkg/front/spool_test.go
@@ -59,7 +59,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	s.is.NoErr(err)
 	s.listener = &boundedListener{
-		Listener: smallListener{inner}, account: budget.New(64), spools: true,
+		Listener: smallListener{inner}, account: budget.New(64 << 20), spools: true,
 		unreadTime: 300 * time.Millisecond, fullTime: 200 * time.Millisecond, open: map[*callerConn]struct{}{},
 	}
 	if change != nil {
--- a/godwitmoord/pkg/memory/memory.go
+++ b/godwitmoord/pkg/memory/memory.go
@@ -29,21 +29,20 @@
 	// does not count, and for what it can't collect in time.
 	limitNumerator   = 3
 	limitDenominator = 4
-	mebibyte         = 1 << 20
 	liveMetric       = "/gc/heap/live:bytes"
 )
 
 // Service sets the garbage collector's target percentage, and the runtime's memory
 // limit. The zero value is ready to use and sets no limit.
 type Service struct {
-	// Mebibytes is the memory that the process may use, in MiB; zero means no limit.
-	Mebibytes int
+	// Limit is the memory that the process may use, in bytes; zero means no limit.
+	Limit int64
 }
 
 // Start sets the limit, and adjusts the percentage at every interval until ctx ends.
 func (s *Service) Start(ctx context.Context) error {
-	if s.Mebibytes > 0 {
-		debug.SetMemoryLimit(limitFor(s.Mebibytes))
+	if s.Limit > 0 {
+		debug.SetMemoryLimit(limitFor(s.Limit))
 	}
 	go s.run(ctx)
 	return nil
@@ -70,10 +69,8 @@
 }
 
 // limitFor returns the runtime's memory limit in bytes for a process that may use
-// memory, in MiB.
-func limitFor(memory int) int64 {
-	return int64(memory) * mebibyte * limitNumerator / limitDenominator
-}
+// memory, in bytes.
+func limitFor(memory int64) int64 { return memory * limitNumerator / limitDenominator }
 
 // percentFor returns the growth allowed for a live heap of the given bytes, in
 // percent.
--- a/godwitmoord/pkg/memory/memory_test.go
+++ b/godwitmoord/pkg/memory/memory_test.go
@@ -10,6 +10,6 @@
 // uncollected.
 func TestRuntimeLimitIsBelowTheMemoryOfTheProcess(t *testing.T) {
 	is := is.New(t)
-	is.Equal(limitFor(100), int64(75<<20))
-	is.True(limitFor(284) < 284<<20)
+	is.Equal(limitFor(100<<20), int64(75<<20))
+	is.True(limitFor(284<<20) < 284<<20)
 }
--- a/godwitmoord/pkg/peer/frame_test.go
+++ b/godwitmoord/pkg/peer/frame_test.go
@@ -190,7 +190,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newService(t)
-		s.common.Budget = budget.New(1)
+		s.common.Budget = budget.New(1 << 20)
 		s.common.Budget.Add(s.common.Budget.Limit())
 		held := s.common.Budget.Held()
 		conn := s.accept()
@@ -224,7 +224,7 @@
 func TestReplyWithoutRoomIsCounted(t *testing.T) {
 	is := is.New(t)
 	s := newService(t)
-	s.common.Budget = budget.New(1)
+	s.common.Budget = budget.New(1 << 20)
 	s.common.Budget.Add(2 * s.common.Budget.Limit())
 	s.common.Shortages = &budget.Reporter{Log: zap.NewNop(), Account: s.common.Budget, Count: s.common.Count}
 	near, far := net.Pipe()
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -155,6 +155,13 @@
 	return uint32(s.ProcessorShare * float64(max(s.ProcessorCores, 1)) * perCore)
 }
 
+// MemoryBytes returns the memory that the process may use, in bytes; zero if it is not
+// known.
+func (s Settings) MemoryBytes() int64 {
+	const mebibyte = 1 << 20
+	return int64(s.Memory) * mebibyte
+}
+
 // Load reads and checks a settings file.
 func Load(file string, overrides Overrides) (Settings, error) {
 	data, err := os.ReadFile(file)
