Share the notice of an operators' entry, and release a relay however serving ends

Cause: two functions encoded the same notice; the bytes that a relay holds stayed charged after a panic while a request was served.

Change: entryNotice serves both; the release is deferred.

--- a/godwitmoord/pkg/discovery/rollouts.go
+++ b/godwitmoord/pkg/discovery/rollouts.go
@@ -104,19 +104,12 @@
 // readOrder applies a change of the operators' keys that the store told this host, if it
 // orders a rollout, and passes it on to the others.
 func (s *Service) readOrder(c keyvalue.Change) {
-	if s.acceptOrder(c) {
-		s.shareOrder(c.Entry)
-	}
-}
-
-// shareOrder passes the order of a rollout that the store told this host on to the others.
-func (s *Service) shareOrder(e keyvalue.Entry) {
-	n, err := newStoreNotice(e, sharedChange{}.withValue(e.Value))
-	if err != nil {
-		s.common.Log.Error("order of a rollout cannot be encoded", zap.Int64("revision", e.Revision), zap.Error(err))
+	if !s.acceptOrder(c) {
 		return
 	}
-	s.notices.Publish(n)
+	if n, encoded := s.entryNotice(c.Entry); encoded {
+		s.notices.Publish(n)
+	}
 }
 
 // isOrder reports whether a key orders a rollout, and this deployment has them.
--- a/godwitmoord/pkg/discovery/sharing.go
+++ b/godwitmoord/pkg/discovery/sharing.go
@@ -83,9 +83,8 @@
 // shareConfiguration passes the configuration that the store told this host on to the
 // others.
 func (s *Service) shareConfiguration(e keyvalue.Entry, version int64) {
-	n, err := newStoreNotice(e, sharedChange{}.withValue(e.Value))
-	if err != nil {
-		s.common.Log.Error("configuration cannot be encoded", zap.Int64("revision", e.Revision), zap.Error(err))
+	n, encoded := s.entryNotice(e)
+	if !encoded {
 		return
 	}
 	n.Version = configurationRank(e.Revision, version)
@@ -93,6 +92,16 @@
 	s.notices.Publish(n)
 }
 
+// entryNotice returns the notice about an entry that the operators wrote, and false if it
+// cannot be encoded.
+func (s *Service) entryNotice(e keyvalue.Entry) (notice.Notice, bool) {
+	n, err := newStoreNotice(e, sharedChange{}.withValue(e.Value))
+	if err != nil {
+		s.common.Log.Error("entry of the operators cannot be encoded", zap.String("key", e.Key), zap.Int64("revision", e.Revision), zap.Error(err))
+	}
+	return n, err == nil
+}
+
 // newStoreNotice returns the notice about a change of an entry.
 func newStoreNotice(e keyvalue.Entry, shared sharedChange) (notice.Notice, error) {
 	body, err := cbor.Marshal(shared)
--- a/godwitmoord/pkg/serving/serving.go
+++ b/godwitmoord/pkg/serving/serving.go
@@ -98,6 +98,7 @@
 func (s *Service) Serve(ctx context.Context, r Request, c Caller) Result {
 	run := &requestRun{service: s, request: r}
 	run.relay = relay{caller: c, streams: r.Streams && r.Method != http.MethodHead, resumesByID: r.Resumable, hasFinalEvent: !r.Keyless, account: s.common.Budget}
+	defer run.relay.release()
 	run.relay.position.lastEvent = r.LastEvent
 	var result Result
 	switch {
@@ -112,7 +113,6 @@
 		run.relay.readsToEnd = true
 		result = run.serveWithClaim(ctx)
 	}
-	run.relay.release()
 	s.recordResult(run, result)
 	return result
 }
