--- a/coordination/pkg/rollout/rollout_test.go
+++ b/coordination/pkg/rollout/rollout_test.go
@@ -158,6 +158,17 @@
 	is.True(s.fiftieth == 0 || s.lastSent <= s.fiftieth+revertBound)
 }
 
+// checkCompleted checks that a rollout is completed although some of its attempts are bad.
+func checkCompleted(t *testing.T, seed uint64, isBad func(attempt, *rand.Rand) bool) {
+	t.Helper()
+	s := newSimulation(seed)
+	s.isBad = isBad
+	s.run()
+	if s.steering.Stage() != rollout.Completed {
+		t.Errorf("seed %d: %s", seed, s.steering.Stage())
+	}
+}
+
 // Guards against a rollout that reverts a good version, or does not end in time, and
 // against a canary so large that it leaves nothing for a fault that shows later.
 func TestGoodVersionIsCompletedInTime(t *testing.T) {
@@ -207,11 +218,7 @@
 // Guards against taking the fault of one endpoint for that of its version.
 func TestOneBadEndpointDoesNotRevertItsVersion(t *testing.T) {
 	for seed := range uint64(8) {
-		is := is.New(t)
-		s := newSimulation(seed)
-		s.isBad = func(a attempt, _ *rand.Rand) bool { return a.endpoint == "n-2" }
-		s.run()
-		is.Equal(s.steering.Stage(), rollout.Completed)
+		checkCompleted(t, seed, func(a attempt, _ *rand.Rand) bool { return a.endpoint == "n-2" })
 	}
 }
 
@@ -219,26 +226,18 @@
 // read slowly.
 func TestFaultOfBothVersionsIsNoneOfTheTarget(t *testing.T) {
 	for seed := range uint64(8) {
-		is := is.New(t)
-		s := newSimulation(seed)
-		s.isBad = func(a attempt, random *rand.Rand) bool {
+		checkCompleted(t, seed, func(a attempt, random *rand.Rand) bool {
 			return a.after > 20*time.Second && a.after < 45*time.Second && random.Float64() < 0.25
-		}
-		s.run()
-		is.Equal(s.steering.Stage(), rollout.Completed)
+		})
 	}
 }
 
 // Guards against reverting a good version for a short fault while all requests go to it.
 func TestShortFaultInTheShiftIsNoneOfTheTarget(t *testing.T) {
 	for seed := range uint64(8) {
-		is := is.New(t)
-		s := newSimulation(seed)
-		s.isBad = func(a attempt, _ *rand.Rand) bool {
+		checkCompleted(t, seed, func(a attempt, _ *rand.Rand) bool {
 			return a.after > 56*time.Second && a.after < 56800*time.Millisecond
-		}
-		s.run()
-		is.Equal(s.steering.Stage(), rollout.Completed)
+		})
 	}
 }
 
--- a/godwitmoord/pkg/app/platform_eras_test.go
+++ b/godwitmoord/pkg/app/platform_eras_test.go
@@ -19,18 +19,33 @@
 	s.store.SetFaults(platformtest.StoreFaults{})
 }
 
+// replaceKey writes a configuration with another key of the customer, and waits until it
+// is in force.
+func (s *platformDeployment) replaceKey() {
+	s.t.Helper()
+	s.customerKey = "new-key"
+	s.writeConfiguration()
+	s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+}
+
+// checkOldKeyIsRefused checks for a time that the hosts at the addresses don't accept the key
+// that replaceKey replaced.
+func (s *platformDeployment) checkOldKeyIsRefused(d, pause time.Duration, addresses ...string) {
+	s.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
+		for _, address := range addresses {
+			s.frontAddress = address
+			s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
+		}
+	}
+}
+
 // Guards against a restored store whose older configuration brings removed keys back or
 // ends the use of the newer one.
 func TestRestoredStoreDoesNotBringAnOlderConfigurationBack(t *testing.T) {
 	s := startPlatformDeployment(t)
-	s.loseWrites(func() {
-		s.customerKey = "new-key"
-		s.writeConfiguration()
-		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
-	})
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(pollPause) {
-		s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
-	}
+	s.loseWrites(s.replaceKey)
+	s.checkOldKeyIsRefused(4*time.Second, pollPause, s.frontAddress)
 	// The copy proves nothing about the newer configuration, which may have been replaced.
 	s.is.Equal(s.send("/lookup/7", "new-key").Status, http.StatusServiceUnavailable)
 	s.version--
@@ -54,18 +69,9 @@
 	first := s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: freeAddress(t)}, []string{})
 	s.frontAddress = first.frontAddress
 	s.eventually("the host is ready", func() bool { return readinessStatusAt(first.readinessAddress) == http.StatusOK })
-	s.loseWrites(func() {
-		s.customerKey = "new-key"
-		s.writeConfiguration()
-		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
-	})
+	s.loseWrites(s.replaceKey)
 	second := s.startHostAt(platformHost{name: "entry-2", store: server.URL, peerAddress: freeAddress(t)}, []string{first.peerAddress})
-	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(pollPause) {
-		for _, address := range []string{first.frontAddress, second.frontAddress} {
-			s.frontAddress = address
-			s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
-		}
-	}
+	s.checkOldKeyIsRefused(3*time.Second, pollPause, first.frontAddress, second.frontAddress)
 	s.frontAddress = first.frontAddress
 	s.eventually("the first host goes on with the newer one", func() bool { return s.send("/lookup/7", "new-key").Status == http.StatusOK })
 	s.version--
@@ -140,18 +146,11 @@
 	}
 	s.frontAddress = second.frontAddress
 	s.loseWrites(func() {
-		s.customerKey = "new-key"
-		s.writeConfiguration()
-		s.eventually("the old key is refused", func() bool { return s.send("/lookup/7", "good-key").Status == http.StatusUnauthorized })
+		s.replaceKey()
 		s.is.NoErr(first.daemon.Stop())
 	})
 	first = s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: peers[0]}, peers)
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(pollPause / 10) {
-		for _, address := range []string{first.frontAddress, second.frontAddress} {
-			s.frontAddress = address
-			s.is.True(s.send("/lookup/7", "good-key").Status != http.StatusOK)
-		}
-	}
+	s.checkOldKeyIsRefused(4*time.Second, pollPause/10, first.frontAddress, second.frontAddress)
 	s.version--
 	s.writeConfiguration()
 	s.frontAddress = first.frontAddress
--- a/godwitmoord/pkg/attempt/cut_head_test.go
+++ b/godwitmoord/pkg/attempt/cut_head_test.go
@@ -26,15 +26,22 @@
 }
 
 func (a *answerAndClose) run() {
-	for {
-		conn, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
+	acceptEach(a.listener, func(conn net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 			_, _ = io.WriteString(conn, a.text)
 		}
 		_ = conn.Close()
+	})
+}
+
+// acceptEach calls handle with each connection until the listener is closed.
+func acceptEach(listener net.Listener, handle func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		handle(conn)
 	}
 }
 
--- a/godwitmoord/pkg/attempt/reset_upload_test.go
+++ b/godwitmoord/pkg/attempt/reset_upload_test.go
@@ -61,13 +61,9 @@
 }
 
 func (e *resettingEndpoint) run() {
-	for {
-		conn, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
+	acceptEach(e.listener, func(conn net.Conn) {
 		go (&resettingConn{endpoint: e, conn: conn.(*net.TCPConn)}).run()
-	}
+	})
 }
 
 // resettingConn is one connection to a resettingEndpoint.
