--- a/godwitmoord/pkg/app/platform_eras_test.go
+++ b/godwitmoord/pkg/app/platform_eras_test.go
@@ -19,6 +19,18 @@
 	s.store.SetFaults(platformtest.StoreFaults{})
 }
 
+// newKeyDeployment returns a deployment with one endpoint, whose hosts a test starts, and the
+// URL of its store.
+func newKeyDeployment(t *testing.T) (*platformDeployment, string) {
+	s := newPlatformDeployment(t)
+	s.keyRevocation, s.quota = 20*time.Second, ampleQuota
+	s.writeConfiguration()
+	s.registerWorker("desk-1", false)
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
 // replaceKey writes a configuration with another key of the customer, and waits until it
 // is in force.
 func (s *platformDeployment) replaceKey() {
@@ -60,17 +72,12 @@
 // Guards against a host that starts after the restore, reads the older configuration and
 // accepts keys that the newer one removed, or gives the older one to other hosts.
 func TestHostThatStartsAfterARestorePrefersTheNewerConfigurationOfOthers(t *testing.T) {
-	s := newPlatformDeployment(t)
-	s.keyRevocation, s.quota = 20*time.Second, ampleQuota
-	s.writeConfiguration()
-	s.registerWorker("desk-1", false)
-	server := httptest.NewServer(s.store)
-	t.Cleanup(server.Close)
-	first := s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: freeAddress(t)}, []string{})
+	s, storeURL := newKeyDeployment(t)
+	first := s.startHostAt(platformHost{name: "entry-1", store: storeURL, peerAddress: freeAddress(t)}, []string{})
 	s.frontAddress = first.frontAddress
 	s.eventually("the host is ready", func() bool { return readinessStatusAt(first.readinessAddress) == http.StatusOK })
 	s.loseWrites(s.replaceKey)
-	second := s.startHostAt(platformHost{name: "entry-2", store: server.URL, peerAddress: freeAddress(t)}, []string{first.peerAddress})
+	second := s.startHostAt(platformHost{name: "entry-2", store: storeURL, peerAddress: freeAddress(t)}, []string{first.peerAddress})
 	s.checkOldKeyIsRefused(3*time.Second, pollPause, first.frontAddress, second.frontAddress)
 	s.frontAddress = first.frontAddress
 	s.eventually("the first host goes on with the newer one", func() bool { return s.send("/lookup/7", "new-key").Status == http.StatusOK })
@@ -132,15 +139,10 @@
 // Guards against the same on a host that the others contact first: it reads the store as
 // soon as it starts, before it knows them.
 func TestListedHostThatStartsAfterARestoreAcceptsNoRemovedKey(t *testing.T) {
-	s := newPlatformDeployment(t)
-	s.keyRevocation, s.quota = 20*time.Second, ampleQuota
-	s.writeConfiguration()
-	s.registerWorker("desk-1", false)
-	server := httptest.NewServer(s.store)
-	t.Cleanup(server.Close)
+	s, storeURL := newKeyDeployment(t)
 	peers := []string{freeAddress(t), freeAddress(t)}
-	first := s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: peers[0]}, peers)
-	second := s.startHostAt(platformHost{name: "entry-2", store: server.URL, peerAddress: peers[1]}, peers)
+	first := s.startHostAt(platformHost{name: "entry-1", store: storeURL, peerAddress: peers[0]}, peers)
+	second := s.startHostAt(platformHost{name: "entry-2", store: storeURL, peerAddress: peers[1]}, peers)
 	for _, h := range []platformHost{first, second} {
 		s.eventually("the host is ready", func() bool { return readinessStatusAt(h.readinessAddress) == http.StatusOK })
 	}
@@ -149,7 +151,7 @@
 		s.replaceKey()
 		s.is.NoErr(first.daemon.Stop())
 	})
-	first = s.startHostAt(platformHost{name: "entry-1", store: server.URL, peerAddress: peers[0]}, peers)
+	first = s.startHostAt(platformHost{name: "entry-1", store: storeURL, peerAddress: peers[0]}, peers)
 	s.checkOldKeyIsRefused(4*time.Second, pollPause/10, first.frontAddress, second.frontAddress)
 	s.version--
 	s.writeConfiguration()
