--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -176,7 +176,7 @@
 }
 
 // noRoom returns the rejection of a body for whose next chunk there is no room, or that
-// was given up.
+// was displaced.
 func (b *callerBody) noRoom() *rejection {
 	reason := budget.BodyWithoutRoom
 	if b.charge.Displaced() {
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -109,7 +109,7 @@
 	l.account.Add(-budget.ConnectionBytes)
 }
 
-// awaitSpools waits until everything that is spooled is sent or given up, or ctx ends.
+// awaitSpools waits until everything that is spooled is sent or dropped, or ctx ends.
 func (l *boundedListener) awaitSpools(ctx context.Context) {
 	for l.spooling.Load() > 0 {
 		select {
