--- /dev/null
+++ b/review/harness-2/deployment.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Names of the deployments that the cases play.
+const (
+	hostName    = "desk.example"
+	serviceName = "desk"
+	tenantName  = "tower"
+	apiKey      = "key-of-tower-1"
+	maxBody     = 4 << 20
+)
+
+// route is a route of the operators' configuration.
+type route struct {
+	name, kind, service string
+	timeout             time.Duration
+	attempts            int
+}
+
+// configuration returns the text of a configuration.
+func configuration(version int, routes []route, services []map[string]any, keys []string) string {
+	var list []map[string]any
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"Name": r.name, "Host": hostName, "PathPrefix": "/" + r.name + "/", "RouteKind": r.kind, "TimeoutMs": r.timeout.Milliseconds(),
+			"GoalMs": 150, "Priority": 1, "Service": r.service, "MaxAttempts": r.attempts, "Anonymous": false, "Sticky": false, "Resumable": false,
+		})
+	}
+	text, err := json.Marshal(map[string]any{
+		"Version": version, "Routes": list, "Services": services,
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBody, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []any{map[string]any{"Name": tenantName, "ApiKeys": keys, "Priority": 1, "Unit": "tokens", "UncachedTokens": 200, "RatePerS": 0, "Burst": 0}},
+	})
+	if err != nil {
+		panic(err) // cannot happen: maps of plain values are always encodable
+	}
+	return string(text)
+}
+
+// application returns the entry of an application service.
+func application(name string) map[string]any {
+	return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConns": 110, "Protocol": "h1", "Tls": false}
+}
+
+// listen opens a listener on a free loopback port.
+func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+// freeAddresses returns loopback addresses with free ports.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// newNodes returns machines of a deployment that are not started yet. They know the
+// addresses of the first ones.
+func (s *scene) newNodes(count int, storeAddress string) ([]*node, error) {
+	free, err := freeAddresses(4 * count)
+	if err != nil {
+		return nil, err
+	}
+	var nodes []*node
+	var seeds []string
+	for i := range count {
+		f := nodeFields{
+			name: fmt.Sprintf("edge-%d", i+1), zone: "zone-a", front: free[4*i], readiness: free[4*i+1], control: free[4*i+2], status: free[4*i+3],
+			store: storeAddress, firstStart: true, memoryMb: 284, maxFds: 4100,
+		}
+		if i < 3 {
+			seeds = append(seeds, f.control)
+		}
+		nodes = append(nodes, &node{fields: f, dir: s.dir})
+	}
+	for _, n := range nodes {
+		n.fields.seeds = seeds
+	}
+	return nodes, nil
+}
