Case 10: clients that stop reading block a service for everybody

It takes the place of the case of slow bodies, which is lighter. Cause: an answer is written to its caller without a time limit, and the permit for its slot is returned only after that. Test: review/10/run.sh, 16 clients that read nothing of one long stream each.

--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -16,6 +16,9 @@
 	maxBody     = 4 << 20
 )
 
+// stableWindow is StableWindowMs.
+const stableWindow = 3 * time.Second
+
 // route is a route of the operators' configuration.
 type route struct {
 	name, kind, service string
--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine.go
@@ -16,6 +16,11 @@
 	firstToken = 80 * time.Millisecond
 	tokenPause = 20 * time.Millisecond
 	events     = 8
+	// longEvents and longEventBytes are the largest stream of the site: so many events of so
+	// many bytes, on requests for longPath.
+	longEvents     = 640
+	longEventBytes = 360
+	longPath       = "/plan/long"
 	// restartTime is how long an engine that crashed is away.
 	restartTime = 1500 * time.Millisecond
 )
@@ -24,6 +29,7 @@
 // request with the part poison, and is back after restartTime.
 type engine struct {
 	id, address string
+	slots       int
 	log         *runLog
 	store       *store
 	poison      string
@@ -36,8 +42,16 @@
 
 // entry returns what the engine writes of itself to the store.
 func (e *engine) entry(born time.Time) string {
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-a","Version":"v1","Slots":12,"State":"ready","ColdLeftMs":0,"Sequence":1,"Stage":"both","Models":[{"Name":"m","Version":1}],"born":%d}`,
-		engineService, e.address, born.UnixMilli())
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-a","Version":"v1","Slots":%d,"State":"ready","ColdLeftMs":0,"Sequence":1,"Stage":"both","Models":[{"Name":"m","Version":1}],"born":%d}`,
+		engineService, e.address, e.slots, born.UnixMilli())
+}
+
+// modelService returns the entry of a model service in the configuration.
+func modelService(slots int) map[string]any {
+	return map[string]any{
+		"Name": engineService, "HealthPath": "/healthz", "MaxConns": 370, "Protocol": "h1", "Tls": false,
+		"Engine": map[string]any{"Slots": slots, "KvCapacity": 762149, "Stride": 6},
+	}
 }
 
 // start opens the engine's listener, at the address that it had before.
@@ -115,10 +129,14 @@
 		return false
 	}
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nGodwitmoor-Attempt-Id: %s\r\nGodwitmoor-Server-Stamp: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", attempt, stampOf(e.id, attempt))
-	for i := 1; i <= events && err == nil; i++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, attempt)
+	count, filler, pause := events, "", tokenPause
+	if r.URL.Path == longPath {
+		count, filler, pause = longEvents, strings.Repeat(" ", longEventBytes), time.Millisecond
+	}
+	for i := 1; i <= count && err == nil; i++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s%s\n\n", i, i, attempt, filler)
 		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
-		time.Sleep(tokenPause)
+		time.Sleep(pause)
 	}
 	if err == nil {
 		_, err = io.WriteString(conn, "0\r\n\r\n")
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -47,9 +47,9 @@
 // cases are the cases by name. Each returns what broke the rule; empty if it held.
 var cases = map[string]func(*scene) (string, error){
 	"heads":  playHeads,
-	"bodies": playBodies,
 	"config": playBigConfig,
 	"poison": playPoison,
+	"unread": playUnread,
 	"garble": playGarble,
 }
 
--- a/review/harness-2/poison.go
+++ b/review/harness-2/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,6 +14,7 @@
 const (
 	engineService = "pool"
 	engineCount   = 6
+	engineSlots   = 12
 	poisonPart    = "dead0bad"
 	// partCount is the number of parts of each prompt, poisonAt the place of the part that
 	// crashes engines, counted from 0.
@@ -50,14 +52,19 @@
 	}
 	defer c.close()
 	_ = c.conn.SetDeadline(time.Now().Add(6 * time.Second))
-	head := headOf(http.MethodPost, "/plan/1", attempt, apiKey, 5*time.Second)
-	_, err = fmt.Fprintf(c.conn, "%sGodwitmoor-Model: m\r\nGodwitmoor-Token-Count: %d,48\r\nGodwitmoor-Prompt-Prefix: %s\r\nContent-Length: 4\r\n\r\nplan", head, 4*partCount, prefix)
-	if err != nil {
+	if err := sendStreamRequest(c.conn, "/plan/1", attempt, 5*time.Second, prefix, 4*partCount); err != nil {
 		return answer{err: err}
 	}
 	return c.read(http.MethodPost)
 }
 
+// sendStreamRequest sends a request for a stream.
+func sendStreamRequest(w io.Writer, path, attempt string, deadline time.Duration, prefix string, tokens int) error {
+	head := headOf(http.MethodPost, path, attempt, apiKey, deadline)
+	_, err := fmt.Fprintf(w, "%sGodwitmoor-Model: m\r\nGodwitmoor-Token-Count: %d,48\r\nGodwitmoor-Prompt-Prefix: %s\r\nContent-Length: 4\r\n\r\nplan", head, tokens, prefix)
+	return err
+}
+
 // playPoison sends requests of which some have a part that crashes engines, and counts how
 // many of these still reach engines once that is known. PLACE in the environment puts the
 // part at another place.
@@ -76,7 +83,7 @@
 	var crashes []time.Time
 	sentAt := map[string]time.Time{}
 	for i := range engineCount {
-		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st}
+		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st, slots: engineSlots}
 		if s.trouble {
 			e.poison = poisonPart
 		}
@@ -91,8 +98,7 @@
 		}
 	}
 	st.set("op/config", configuration(1, []route{{name: "plan", kind: "streaming", service: engineService, timeout: 5 * time.Second, attempts: 1}},
-		[]map[string]any{{"Name": engineService, "HealthPath": "/healthz", "MaxConns": 370, "Protocol": "h1", "Tls": false, "Engine": map[string]any{"Slots": 12, "KvCapacity": 762149, "Stride": 6}}},
-		[]string{apiKey}))
+		[]map[string]any{modelService(engineSlots)}, []string{apiKey}))
 	nodes, err := s.newNodes(3, l.Addr().String())
 	if err != nil {
 		return "", err
