--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -26,8 +26,14 @@
 	attempts            int
 }
 
-// configuration returns the text of a configuration.
+// configuration returns the text of a configuration without quotas.
 func configuration(version int, routes []route, services []map[string]any, keys []string) string {
+	return configurationWithQuota(version, routes, services, keys, 0)
+}
+
+// configurationWithQuota returns the text of a configuration. quota is the tenant's RatePerS
+// and Burst; zero means no limit.
+func configurationWithQuota(version int, routes []route, services []map[string]any, keys []string, quota int) string {
 	var list []map[string]any
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -38,7 +44,7 @@
 	text, err := json.Marshal(map[string]any{
 		"Version": version, "Routes": list, "Services": services,
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBody, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{"Name": tenantName, "ApiKeys": keys, "Priority": 1, "Unit": "tokens", "UncachedTokens": 200, "RatePerS": 0, "Burst": 0}},
+		"Tenants": []any{map[string]any{"Name": tenantName, "ApiKeys": keys, "Priority": 1, "Unit": "tokens", "UncachedTokens": 200, "RatePerS": quota, "Burst": quota}},
 	})
 	if err != nil {
 		panic(err) // cannot happen: maps of plain values are always encodable
--- a/review/harness-2/desk.go
+++ b/review/harness-2/desk.go
@@ -28,14 +28,8 @@
 		return nil, nil, nil, err
 	}
 	go st.serve(l)
-	for _, id := range []string{"w-1", "w-2"} {
-		wl, err := listen()
-		if err != nil {
-			return nil, nil, nil, err
-		}
-		w := newWorker(id, 6, 30*time.Millisecond, log)
-		go w.serve(wl)
-		st.set("servers/"+id, w.entry(serviceName, wl.Addr().String(), time.Now()))
+	if err := addDesk(st, log); err != nil {
+		return nil, nil, nil, err
 	}
 	st.set("op/config", configuration)
 	nodes, err := s.newNodes(count, l.Addr().String())
@@ -45,6 +39,20 @@
 	return st, nodes, log, startAll(nodes)
 }
 
+// addDesk starts the two workers of the application service.
+func addDesk(st *store, log *runLog) error {
+	for _, id := range []string{"w-1", "w-2"} {
+		l, err := listen()
+		if err != nil {
+			return err
+		}
+		w := newWorker(id, 6, 30*time.Millisecond, log)
+		go w.serve(l)
+		st.set("servers/"+id, w.entry(serviceName, l.Addr().String(), time.Now()))
+	}
+	return nil
+}
+
 // startAll starts machines and waits until all are ready. After an error none runs.
 func startAll(nodes []*node) error {
 	for _, n := range nodes {
--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine.go
@@ -28,12 +28,12 @@
 // engine stands in for a model worker. It crashes when it begins to write an answer to a
 // request with the part poison, and is back after restartTime.
 type engine struct {
-	id, address string
-	slots       int
-	log         *runLog
-	store       *store
-	poison      string
-	onCrash     func(attempt string)
+	id, address, service string
+	slots                int
+	log                  *runLog
+	store                *store
+	poison               string
+	onCrash              func(attempt string)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -43,13 +43,13 @@
 // entry returns what the engine writes of itself to the store.
 func (e *engine) entry(born time.Time) string {
 	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"zone-a","Version":"v1","Slots":%d,"State":"ready","ColdLeftMs":0,"Sequence":1,"Stage":"both","Models":[{"Name":"m","Version":1}],"born":%d}`,
-		engineService, e.address, e.slots, born.UnixMilli())
+		e.service, e.address, e.slots, born.UnixMilli())
 }
 
 // modelService returns the entry of a model service in the configuration.
-func modelService(slots int) map[string]any {
+func modelService(name string, slots int) map[string]any {
 	return map[string]any{
-		"Name": engineService, "HealthPath": "/healthz", "MaxConns": 370, "Protocol": "h1", "Tls": false,
+		"Name": name, "HealthPath": "/healthz", "MaxConns": 370, "Protocol": "h1", "Tls": false,
 		"Engine": map[string]any{"Slots": slots, "KvCapacity": 762149, "Stride": 6},
 	}
 }
--- a/review/harness-2/heads.go
+++ b/review/harness-2/heads.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,8 +24,22 @@
 	// memoryCheck how often it looks at the memory.
 	restartDelay = time.Second
 	memoryCheck  = 50 * time.Millisecond
+	// spareDescriptors is what this process needs beside the connections of the crowd.
+	spareDescriptors = 200
 )
 
+// checkDescriptors returns an error unless this process may open so many descriptors.
+func checkDescriptors(count int) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < uint64(count) {
+		return fmt.Errorf("%d descriptors are allowed, the case needs %d", limit.Cur, count)
+	}
+	return nil
+}
+
 // shortFields returns header lines with short names, all of them different.
 func shortFields(length int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789-_"
@@ -91,6 +106,9 @@
 // playHeads lets a crowd of clients send heads that don't end, and checks that the processes
 // don't end.
 func playHeads(s *scene) (string, error) {
+	if err := checkDescriptors(headNodes*headCrowd + spareDescriptors); err != nil {
+		return "", err
+	}
 	nodes, _, err := s.desk(headNodes)
 	if err != nil {
 		return "", err
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -44,13 +44,16 @@
 	fmt.Fprintf(s.record, "%8.3f %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, values...))
 }
 
-// cases are the cases by name. Each returns what broke the rule; empty if it held.
+// cases are the cases by name, and two further findings: bodies and quota. Each returns what
+// broke the rule; empty if it held.
 var cases = map[string]func(*scene) (string, error){
-	"heads":  playHeads,
 	"config": playBigConfig,
-	"poison": playPoison,
 	"unread": playUnread,
 	"garble": playGarble,
+	"poison": playPoison,
+	"heads":  playHeads,
+	"bodies": playBodies,
+	"quota":  playQuota,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness-2/poison.go
+++ b/review/harness-2/poison.go
@@ -83,7 +83,7 @@
 	var crashes []time.Time
 	sentAt := map[string]time.Time{}
 	for i := range engineCount {
-		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st, slots: engineSlots}
+		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st, service: engineService, slots: engineSlots}
 		if s.trouble {
 			e.poison = poisonPart
 		}
@@ -98,7 +98,7 @@
 		}
 	}
 	st.set("op/config", configuration(1, []route{{name: "plan", kind: "streaming", service: engineService, timeout: 5 * time.Second, attempts: 1}},
-		[]map[string]any{modelService(engineSlots)}, []string{apiKey}))
+		[]map[string]any{modelService(engineService, engineSlots)}, []string{apiKey}))
 	nodes, err := s.newNodes(3, l.Addr().String())
 	if err != nil {
 		return "", err
--- a/review/harness-2/unread.go
+++ b/review/harness-2/unread.go
@@ -29,9 +29,8 @@
 	// and allowedOpen how many requests may have none then.
 	finalSlack  = 500 * time.Millisecond
 	allowedOpen = 7
-	// fewestServed is the part of the ordinary requests below which the service counts as
-	// not served.
-	fewestServed = 0.25
+	// starved is how often a kind of request must be served, as a part of how often all are.
+	starved = 0.25
 )
 
 // dialNarrow opens a connection with small segments and a small window.
@@ -95,13 +94,16 @@
 	}
 	go st.serve(l)
 	for i := range unreadEngines {
-		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st, slots: unreadSlots}
+		e := &engine{id: fmt.Sprintf("e-%d", i+1), log: log, store: st, service: engineService, slots: unreadSlots}
 		if err := e.start(); err != nil {
 			return "", err
 		}
 	}
-	st.set("op/config", configuration(1, []route{{name: "plan", kind: "streaming", service: engineService, timeout: unreadTimeout, attempts: 1}},
-		[]map[string]any{modelService(unreadSlots)}, []string{apiKey}))
+	if err := addDesk(st, log); err != nil {
+		return "", err
+	}
+	routes := append(deskRoutes(), route{name: "plan", kind: "streaming", service: engineService, timeout: unreadTimeout, attempts: 1})
+	st.set("op/config", configuration(1, routes, []map[string]any{application(serviceName), modelService(engineService, unreadSlots)}, []string{apiKey}))
 	nodes, err := s.newNodes(3, l.Addr().String())
 	if err != nil {
 		return "", err
@@ -137,40 +139,47 @@
 		}
 	}
 	s.note("%d of these requests have no end %v after their route's time", open, finalSlack)
-	served := s.ordinaryStreams(nodes)
+	streams, lookups := s.ordinaryRequests(nodes)
 	runs := 0
 	for _, r := range log.all() {
 		if strings.HasPrefix(r.attempt, "ordinary") {
 			runs++
 		}
 	}
-	s.note("of %d ordinary requests %d were served; engines ran %d of them", ordinaryCount, served, runs)
-	if open > allowedOpen && float64(served) < fewestServed*ordinaryCount {
-		return fmt.Sprintf("%d requests had no end %v after their route's time, and of %d ordinary requests after them %d were served", open, finalSlack, ordinaryCount, served), nil
+	s.note("served of %d ordinary requests for streams %d, of as many lookups %d; engines ran %d of the streams", ordinaryCount, streams, lookups, runs)
+	if open > allowedOpen && float64(streams) < starved*float64(streams+lookups)/2 {
+		return fmt.Sprintf("%d requests had no end %v after their route's time; of %d ordinary requests for streams after them %d were served, of as many lookups %d", open, finalSlack, ordinaryCount, streams, lookups), nil
 	}
 	return "", nil
 }
 
-// ordinaryStreams sends ordinary requests and returns how many were served.
-func (s *scene) ordinaryStreams(nodes []*node) int {
+// ordinaryRequests sends requests for streams and lookups, and returns how many of each
+// were served.
+func (s *scene) ordinaryRequests(nodes []*node) (streams, lookups int) {
 	var mu sync.Mutex
 	var done sync.WaitGroup
-	served, statuses := 0, map[int]int{}
+	statuses := map[string]int{}
+	count := func(kind string, a answer, served *int) {
+		defer done.Done()
+		mu.Lock()
+		defer mu.Unlock()
+		statuses[fmt.Sprintf("%s %d", kind, a.status)]++
+		if a.status == http.StatusOK && a.err == nil {
+			*served++
+		}
+	}
 	for k := range ordinaryCount {
-		done.Add(1)
+		address := nodes[k%len(nodes)].fields.front
+		done.Add(2)
 		go func() {
-			defer done.Done()
-			a := streamCall(nodes[k%len(nodes)].fields.front, fmt.Sprintf("ordinary-%d", k), prefixOf(k, 10, false))
-			mu.Lock()
-			defer mu.Unlock()
-			statuses[a.status]++
-			if a.status == http.StatusOK && a.err == nil {
-				served++
-			}
+			count("stream", streamCall(address, fmt.Sprintf("ordinary-%d", k), prefixOf(k, 10, false)), &streams)
+		}()
+		go func() {
+			count("lookup", callOnce(address, http.MethodGet, "/lookup/1", fmt.Sprintf("lookup-%d", k), apiKey, "", time.Second), &lookups)
 		}()
 		time.Sleep(ordinaryPause)
 	}
 	done.Wait()
-	s.note("answers to ordinary requests by status: %v", statuses)
-	return served
+	s.note("answers to ordinary requests: %v", statuses)
+	return streams, lookups
 }
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -13,6 +13,7 @@
 
 // run is one request that a worker began to work on.
 type run struct {
+	at                    time.Time
 	worker, attempt, path string
 }
 
@@ -93,7 +94,7 @@
 
 // newRun returns the run of a request.
 func newRun(worker string, r *http.Request) run {
-	return run{worker: worker, attempt: r.Header.Get("Godwitmoor-Attempt-Id"), path: r.URL.RequestURI()}
+	return run{at: time.Now(), worker: worker, attempt: r.Header.Get("Godwitmoor-Attempt-Id"), path: r.URL.RequestURI()}
 }
 
 // answerOf and stampOf return the body and the signature of a worker's answer.
