--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 )
@@ -57,8 +58,25 @@
 	return map[string]any{"Name": name, "HealthPath": "/healthz", "MaxConns": 110, "Protocol": "h1", "Tls": false}
 }
 
+// Ports are chosen from firstPort on, below those that the system gives to outgoing
+// connections: one of these could take the port of a process that isn't up yet.
+const (
+	firstPort = 10000
+	portCount = 20000
+	portTries = 100
+)
+
 // listen opens a listener on a free loopback port.
-func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+func listen() (net.Listener, error) {
+	var err error
+	for range portTries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
 
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(count int) ([]string, error) {
--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine.go
@@ -56,11 +56,11 @@
 
 // start opens the engine's listener, at the address that it had before.
 func (e *engine) start() error {
-	address := e.address
-	if address == "" {
-		address = "127.0.0.1:0"
+	open := listen
+	if e.address != "" {
+		open = func() (net.Listener, error) { return net.Listen("tcp", e.address) }
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := open()
 	if err != nil {
 		return err
 	}
--- a/review/harness-2/node.go
+++ b/review/harness-2/node.go
@@ -112,7 +112,7 @@
 func (n *node) awaitReady(longest time.Duration) error {
 	for end := time.Now().Add(longest); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if n.endStatus() != "" {
-			return fmt.Errorf("%s ended: %s", n.fields.name, n.endStatus())
+			return fmt.Errorf("%s ended: %s: %s", n.fields.name, n.endStatus(), n.lastLogLine())
 		}
 		if n.ready() {
 			return nil
@@ -121,6 +121,16 @@
 	return fmt.Errorf("%s is not ready after %v", n.fields.name, longest)
 }
 
+// lastLogLine returns the last line that the process wrote.
+func (n *node) lastLogLine() string {
+	text, err := os.ReadFile(n.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 // memoryMiB returns the resident memory of the process now and at its peak, in MiB.
 func (n *node) memoryMiB() (now, peak int) {
 	file, err := os.Open(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
