Test further crowds of clients that misbehave, which the host withstands

The tests had one form each, and clients that connect once. New forms, each of clients that connect again: heads over the limit with many different fields, empty lines in single pieces, bodies by length piece by piece and whole, fields without end and many fields after chunks, chunks with long extensions, connections that send nothing.

The quota of the key no longer refuses the ordinary caller after a crowd of whole requests, which was seen once in each of two forms: crowd and bounds are the same.

--- a/godwitmoord/pkg/app/misbehaving_clients_test.go
+++ b/godwitmoord/pkg/app/misbehaving_clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -27,12 +28,19 @@
 	// tests. They are below what each crowd needs if nothing is bounded.
 	testMemoryMiB   = 96
 	testDescriptors = 256
+	// manyDescriptors lets so many clients connect that what each may hold matters.
+	manyDescriptors = 1024
+	// crowdQuota is more tokens a second than the requests of a crowd count: the ordinary
+	// caller has the same key.
+	crowdQuota = 1 << 30
 	// testBodyBytes is the largest body that a service accepts.
 	testBodyBytes = 4 << 20
 	// missingBytes is how much of its body a client does not send.
 	missingBytes = 64 << 10
 	// crowdTime is how long the clients misbehave.
 	crowdTime = 4 * time.Second
+	// reconnectPause is how long a client waits before it connects again.
+	reconnectPause = 50 * time.Millisecond
 )
 
 // boundedHost is a daemon in a process of its own, in front of one worker.
@@ -55,16 +63,16 @@
 	return program
 }
 
-// startBoundedHost starts a daemon with the bounds of these tests and waits until it is
-// ready.
-func startBoundedHost(t *testing.T, program string) *boundedHost {
+// startBoundedHost starts a daemon with the bounds of these tests, which may have so many
+// descriptors, and waits until it is ready.
+func startBoundedHost(t *testing.T, program string, descriptors int) *boundedHost {
 	t.Helper()
 	h := &boundedHost{is: is.New(t), exited: make(chan struct{}), frontAddress: freeAddress(t)}
 	worker := httptest.NewServer(&platformtest.Worker{ID: "desk-1"})
 	t.Cleanup(worker.Close)
 	store := platformtest.NewStore()
 	store.SetConfiguration(platformtest.Configuration{
-		Version: 1, Host: "shop.example", Services: []string{"desk"}, Tenant: "tower", Keys: []string{"good-key"}, MaxBodyBytes: testBodyBytes,
+		Version: 1, Host: "shop.example", Services: []string{"desk"}, Tenant: "tower", Keys: []string{"good-key"}, MaxBodyBytes: testBodyBytes, Quota: crowdQuota,
 		Routes: []platformtest.Route{{Name: "lookup", Kind: "safe", Service: "desk", Timeout: 5 * time.Second}},
 	})
 	store.SetWorker("desk-1", "desk", strings.TrimPrefix(worker.URL, "http://"), false)
@@ -76,7 +84,7 @@
 		"heartbeat": "50ms", "dead-after": "400ms", "stop-notice": "10ms", "memory": %d, "descriptors": %d,
 		"platform": {"store": "%s", "readiness": "%s", "hosts": [], "key-revocation": "5s", "stop-grace": "2s", "terms": ["pressure"],
 			"repeat-ratio": 0.2, "repeat-slack": 50, "repeat-window": "10s", "first-start": true, "quota-window": "8s"}}`,
-		h.frontAddress, freeAddress(t), freeAddress(t), testMemoryMiB, testDescriptors, strings.TrimPrefix(standin.URL, "http://"), readiness)
+		h.frontAddress, freeAddress(t), freeAddress(t), testMemoryMiB, descriptors, strings.TrimPrefix(standin.URL, "http://"), readiness)
 	h.is.NoErr(os.WriteFile(file, []byte(text), 0o600))
 	h.process = exec.Command(program, "--settings", file)
 	h.process.Stderr = os.Stderr
@@ -137,6 +145,10 @@
 type misbehaviour struct {
 	name    string
 	clients int
+	// descriptors is what the host may have open; zero means testDescriptors.
+	descriptors int
+	// again is set if the clients connect again when their connection has ended.
+	again bool
 	// send writes to the host until it has sent what it wants to, or an error.
 	send func(w io.Writer) error
 }
@@ -148,8 +160,17 @@
 	end  time.Time
 }
 
-// run sends and then keeps the connection open until the end.
+// run misbehaves until the end.
 func (c *crowdClient) run() {
+	c.connect()
+	for c.form.again && time.Now().Before(c.end) {
+		time.Sleep(reconnectPause)
+		c.connect()
+	}
+}
+
+// connect sends and then keeps the connection open until the end.
+func (c *crowdClient) connect() {
 	conn, err := net.Dial("tcp", c.host.frontAddress)
 	if err != nil {
 		return
@@ -214,33 +235,61 @@
 	}
 }
 
+// crowd is the clients of one or more forms, at one host.
+type crowd struct {
+	host    *boundedHost
+	end     time.Time
+	clients sync.WaitGroup
+	// mostDescriptors is the most descriptors that the host was seen to have open.
+	mostDescriptors int
+}
+
+// startCrowd starts the clients of all forms at once.
+func startCrowd(h *boundedHost, forms []misbehaviour, duration time.Duration) *crowd {
+	c := &crowd{host: h, end: time.Now().Add(duration)}
+	for _, form := range forms {
+		for range form.clients {
+			client := &crowdClient{host: h, form: form, end: c.end}
+			c.clients.Go(client.run)
+		}
+	}
+	return c
+}
+
+// wait waits until the clients have ended or the host has.
+func (c *crowd) wait() {
+	for time.Now().Before(c.end) && c.host.lives() {
+		c.mostDescriptors = max(c.mostDescriptors, c.host.openDescriptors())
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.clients.Wait()
+}
+
+// checkBounds checks that the host lives, that it stayed within its bounds, and that it
+// answers one ordinary request.
+func (c *crowd) checkBounds(t *testing.T, descriptors int) {
+	t.Helper()
+	h := c.host
+	h.is.True(h.lives())
+	peak := h.peakMemory()
+	t.Logf("peak memory %d KiB, most open descriptors %d", peak>>10, c.mostDescriptors)
+	answer := platformtest.Call(h.frontAddress, "shop.example", "/lookup/7", "good-key", uuid.NewString())
+	h.is.NoErr(answer.Err)
+	h.is.Equal(answer.Status, http.StatusOK)
+	h.is.True(peak <= testMemoryMiB<<20)
+	h.is.True(c.mostDescriptors <= descriptors)
+}
+
 // Clients outside the operators' control exhausted the memory or the descriptors of a
 // host, and the process was ended.
 func TestHostStaysWithinItsBoundsAndServesAfterClientsMisbehaved(t *testing.T) {
 	program := buildDaemon(t)
-	for _, form := range misbehaviours() {
+	for _, form := range append(misbehaviours(), manyFieldForms()...) {
 		t.Run(form.name, func(t *testing.T) {
-			h := startBoundedHost(t, program)
-			mostDescriptors := 0
-			end := time.Now().Add(crowdTime)
-			var crowd sync.WaitGroup
-			for range form.clients {
-				c := &crowdClient{host: h, form: form, end: end}
-				crowd.Go(c.run)
-			}
-			for time.Now().Before(end) && h.lives() {
-				mostDescriptors = max(mostDescriptors, h.openDescriptors())
-				time.Sleep(50 * time.Millisecond)
-			}
-			crowd.Wait()
-			h.is.True(h.lives())
-			peak := h.peakMemory()
-			t.Logf("peak memory %d KiB, most open descriptors %d", peak>>10, mostDescriptors)
-			answer := platformtest.Call(h.frontAddress, "shop.example", "/lookup/7", "good-key", uuid.NewString())
-			h.is.NoErr(answer.Err)
-			h.is.Equal(answer.Status, http.StatusOK)
-			h.is.True(peak <= testMemoryMiB<<20)
-			h.is.True(mostDescriptors <= testDescriptors)
+			descriptors := cmp.Or(form.descriptors, testDescriptors)
+			c := startCrowd(startBoundedHost(t, program, descriptors), []misbehaviour{form}, crowdTime)
+			c.wait()
+			c.checkBounds(t, descriptors)
 		})
 	}
 }
--- /dev/null
+++ b/godwitmoord/pkg/app/misbehaving_forms_test.go
@@ -0,0 +1,88 @@
+package app_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+const (
+	// headBytes is the length of a head within the limit of the platform.
+	headBytes = 16000
+	// trailerBytes is the length of fields after a body that a server still reads.
+	trailerBytes = 3900
+	// manyClients is more clients than manyDescriptors lets connect.
+	manyClients = 400
+)
+
+// shortFields returns header lines with different short names.
+func shortFields(length int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	var b strings.Builder
+	for i := 0; b.Len() < length; i++ {
+		b.WriteByte(letters[i%26])
+		b.WriteByte(letters[i/26%26])
+		b.WriteByte(letters[i/26/26%26])
+		b.WriteString(":\r\n")
+	}
+	return b.String()
+}
+
+// sendPieces writes data in pieces, with a pause after each.
+func sendPieces(w io.Writer, data []byte, piece int, pause time.Duration) error {
+	for len(data) > 0 {
+		n, err := w.Write(data[:min(len(data), piece)])
+		if err != nil {
+			return err
+		}
+		data = data[n:]
+		time.Sleep(pause)
+	}
+	return nil
+}
+
+// manyFieldForms are forms that send little and make the host hold much, or that hold
+// connections with nothing.
+func manyFieldForms() []misbehaviour {
+	fields := shortFields(headBytes)
+	trailers := "0\r\n" + shortFields(trailerBytes)
+	chunked := "Transfer-Encoding: chunked\r\n\r\n"
+	byteChunk := "1\r\nx\r\n"
+	extension := "1;" + strings.Repeat("x", 4000) + "\r\nx\r\n"
+	body := bytes.Repeat([]byte("x"), testBodyBytes-missingBytes)
+	text := func(s string) func(io.Writer) error {
+		return func(w io.Writer) error {
+			_, err := io.WriteString(w, s)
+			return err
+		}
+	}
+	return []misbehaviour{
+		{name: "heads over the limit with many fields", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return sendAll(w, requestLines(""), []byte(fields), 4*headBytes)
+		}},
+		{name: "empty lines in single pieces", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return sendPieces(w, bytes.Repeat([]byte("\r\n"), 1<<10), 2, 10*time.Millisecond)
+		}},
+		{name: "bodies by length piece by piece", clients: 48, send: func(w io.Writer) error {
+			if _, err := io.WriteString(w, requestLines(fmt.Sprintf("Content-Length: %d\r\n\r\n", testBodyBytes))); err != nil {
+				return err
+			}
+			return sendPieces(w, body, 64<<10, 20*time.Millisecond)
+		}},
+		{name: "whole bodies by length", clients: 96, again: true, send: func(w io.Writer) error {
+			return sendAll(w, requestLines(fmt.Sprintf("Content-Length: %d\r\n\r\n", testBodyBytes)), body, testBodyBytes)
+		}},
+		{name: "fields without end after chunks", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return text(requestLines(chunked) + byteChunk + trailers)(w)
+		}},
+		{name: "many fields after chunks", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return text(requestLines(chunked) + byteChunk + trailers + "\r\n")(w)
+		}},
+		{name: "chunks with long extensions", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return sendAll(w, requestLines(chunked), []byte(extension), 3*len(extension))
+		}},
+		{name: "connections that send nothing", clients: manyClients, again: true, send: func(io.Writer) error { return nil }},
+	}
+}
