Hold the heads of requests as bytes, and charge their fields

Cause: the HTTP server makes a map entry of each field as it arrives, which takes over ten times the bytes of a short one, and each connection was charged a fixed 32 KiB.

Change: a reader between the connection and the server keeps a head as plain bytes until it is complete, and charges its lines and the entries of its lists until the request has ended. A head without room gets 503, not run. Usual heads, up to about 70 fields, are covered by their connection, which is charged 40 KiB for it. Fields after a body are dropped once it is read.

--- a/godwitmoord/pkg/app/misbehaving_forms_test.go
+++ b/godwitmoord/pkg/app/misbehaving_forms_test.go
@@ -58,10 +58,23 @@
 			return err
 		}
 	}
+	within := func(s string) string { return s[:headBytes-len(requestLines(""))] }
 	return []misbehaviour{
 		{name: "heads over the limit with many fields", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
 			return sendAll(w, requestLines(""), []byte(fields), 4*headBytes)
 		}},
+		{name: "heads without end with many fields", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return text(requestLines(within(fields)))(w)
+		}},
+		{name: "heads without end piece by piece", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return sendPieces(w, []byte(requestLines(within(fields))), headBytes/20, 100*time.Millisecond)
+		}},
+		{name: "heads with many fields before bodies without end", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return text(requestLines(fields[:headBytes/6*6-600]) + "Content-Length: 64\r\n\r\nx")(w)
+		}},
+		{name: "requests with many fields one after another", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
+			return sendAll(w, "", []byte(requestLines(fields[:headBytes/6*6-600])+"Content-Length: 0\r\n\r\n"), 50*headBytes)
+		}},
 		{name: "empty lines in single pieces", clients: manyClients, descriptors: manyDescriptors, again: true, send: func(w io.Writer) error {
 			return sendPieces(w, bytes.Repeat([]byte("\r\n"), 1<<10), 2, 10*time.Millisecond)
 		}},
--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -35,9 +35,16 @@
 	reserveDivisor = 8
 	// SmallBytes is the most that a body may hold without being listed.
 	SmallBytes = 16 << 10
-	// ConnectionBytes is charged for the connection of a caller: its buffers, the head
-	// of its request, and the stacks of its goroutines.
-	ConnectionBytes = 32 << 10
+	// ConnectionBytes is charged for the connection of a caller: its buffers, a head while
+	// it arrives or that of a usual request, and the stacks of its goroutines.
+	ConnectionBytes = 40 << 10
+	// coveredHeadBytes is the part of ConnectionBytes that is for the head of a request.
+	coveredHeadBytes = 20 << 10
+	// headByteCopies is how often the bytes of a head are held.
+	headByteCopies = 3
+	// headItemBytes is held for each field of a head, and for each entry of a list in
+	// one: two entries of maps, or one while a map grows.
+	headItemBytes = 256
 	// stallTime is how long a body must have got no byte to count as stalled.
 	stallTime = time.Second
 	// Callers, and other hosts that open connections, may each use connectionNumerator /
@@ -56,6 +63,12 @@
 	return max(descriptors*connectionNumerator/connectionDenominator, 1)
 }
 
+// HeadBytes returns what is charged, beside its connection, for the head of a request
+// with so many bytes and items; an item is a field, or an entry of a list in one.
+func HeadBytes(bytes, items int) int64 {
+	return max(int64(bytes*headByteCopies+items*headItemBytes-coveredHeadBytes), 0)
+}
+
 // Account counts the bytes that a host holds. A nil Account bounds nothing. It is safe
 // for concurrent use.
 type Account struct {
@@ -109,6 +122,12 @@
 	return a == nil || a.reserveWithin(n, a.limit)
 }
 
+// ReserveLarge charges n bytes like Reserve, but leaves the room that is reserved for small
+// charges.
+func (a *Account) ReserveLarge(n int64) bool {
+	return a == nil || a.reserveWithin(n, a.largeLimit)
+}
+
 func (a *Account) reserveWithin(n, limit int64) bool {
 	if a.held.Add(n) <= limit {
 		return true
--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -182,6 +182,14 @@
 	is.Equal(chosen, 2)
 }
 
+// A limit for heads must not be met by clients that send usual ones.
+func TestUsualHeadIsCoveredByItsConnection(t *testing.T) {
+	is := is.New(t)
+	is.Equal(HeadBytes(800, 60), int64(0))
+	is.True(HeadBytes(16<<10, 10) > 0)
+	is.True(HeadBytes(16<<10, 2700) > 2700*200)
+}
+
 // Bodies in chunks of one byte used up the processor, so that the host served nobody.
 func TestSparseBodiesTogetherAreReadNoFasterThanOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/godwitmoord/pkg/budget/report.go
+++ b/godwitmoord/pkg/budget/report.go
@@ -18,6 +18,8 @@
 	BodyDisplaced   Reason = "body-displaced"
 	// BodyTooSlow is a body that arrived below the least rate.
 	BodyTooSlow Reason = "body-too-slow"
+	// HeadWithoutRoom is the head of a request for which there was no room.
+	HeadWithoutRoom Reason = "head-without-room"
 	// ConnectionRefused is a new connection for which there was no room, and
 	// ConnectionClosed one that was closed for another.
 	ConnectionRefused Reason = "connection-refused"
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -40,7 +40,9 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	control *http.ResponseController
-	charge  budget.Body
+	// conn is the connection of the request; nil if connections are not bounded.
+	conn   *callerConn
+	charge budget.Body
 	// chunks are the body; firstChunk holds them while there is one only.
 	chunks     [][]byte
 	firstChunk [1][]byte
@@ -52,6 +54,11 @@
 	progress                  int
 }
 
+func newCallerBody(s *Service, w http.ResponseWriter, r *http.Request) *callerBody {
+	conn, _ := r.Context().Value(connectionKey{}).(*callerConn)
+	return &callerBody{service: s, writer: w, request: r, control: http.NewResponseController(w), conn: conn}
+}
+
 // readInto reads the body of the request up to the service's limit.
 func (b *callerBody) readInto(request *serving.Request) *rejection {
 	if b.request.Body == http.NoBody {
@@ -74,6 +81,8 @@
 	b.extend(now, bounded)
 	rejected := b.read(http.MaxBytesReader(b.writer, b.request.Body, limit), bounded)
 	_ = b.control.SetReadDeadline(time.Time{})
+	// Fields after the body are not used, and hold many times their bytes.
+	b.request.Trailer = nil
 	if rejected != nil {
 		return rejected
 	}
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -171,7 +171,7 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body := &callerBody{service: s, writer: w, request: r, control: http.NewResponseController(w)}
+	body := newCallerBody(s, w, r)
 	defer body.close()
 	current := s.release.Current()
 	if current == nil {
@@ -206,6 +206,9 @@
 // readRequest converts an HTTP request: with platform settings by the routes of the
 // configuration, otherwise by the services' prefixes and the rules.
 func (s *Service) readRequest(body *callerBody, r *http.Request, current *release.InForce, arrived time.Time) (serving.Request, *rejection) {
+	if rejected := body.chargeHead(); rejected != nil {
+		return serving.Request{}, rejected
+	}
 	if s.common.Settings.Platform != nil {
 		return s.readByRoutes(body, r, current, arrived)
 	}
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -129,6 +129,7 @@
 	phase      atomic.Int32
 	phaseStart atomic.Int64
 	closeOnce  sync.Once
+	head       headReader
 	// spools is set while what the caller doesn't read in time may be spooled.
 	spools atomic.Bool
 	// raw and tryFunc serve tryWrite, which passes data and result in trying and tried.
@@ -137,11 +138,19 @@
 	trying  []byte
 	tried   int
 	spool   spool
+
+	mu sync.Mutex
+	// headBytes is what is charged for the head of the current request, and closed is set
+	// once nothing may be.
+	headBytes int64
+	closed    bool
 }
 
 func newCallerConn(l *boundedListener, accepted net.Conn) *callerConn {
 	c := &callerConn{Conn: accepted, listener: l}
 	c.setPhase(budget.Opened)
+	c.head.conn = c
+	c.head.begin()
 	if tcp, isTCP := accepted.(*net.TCPConn); isTCP && l.spools {
 		raw, err := tcp.SyscallConn()
 		c.raw, c.tryFunc = raw, c.try
@@ -161,6 +170,25 @@
 	return budget.Connection{Phase: budget.ConnectionPhase(c.phase.Load()), Age: now.Sub(time.Unix(0, c.phaseStart.Load()))}
 }
 
+// Read returns bytes that the caller sent. While memory is bounded, the head of a
+// request is returned once it is complete.
+func (c *callerConn) Read(into []byte) (int, error) {
+	if c.listener.account == nil {
+		return c.Conn.Read(into)
+	}
+	return c.head.Read(into)
+}
+
+// headStarted records that a part of a head has arrived. On a connection that was idle,
+// the server notices only the whole head, so its time begins here.
+func (c *callerConn) headStarted() {
+	if budget.ConnectionPhase(c.phase.Load()) != budget.Idle {
+		return
+	}
+	c.setPhase(budget.Opened)
+	_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+}
+
 // recordPhase records what a connection does. It is called by the HTTP server.
 func recordPhase(conn net.Conn, state http.ConnState) {
 	c, isCaller := conn.(*callerConn)
@@ -170,8 +198,11 @@
 	switch state {
 	case http.StateActive:
 		c.setPhase(budget.Serving)
+		c.head.end()
 	case http.StateIdle:
 		c.setPhase(budget.Idle)
+		c.releaseHead(false)
+		c.head.begin()
 	}
 }
 
@@ -185,7 +216,10 @@
 
 func (c *callerConn) closeNow() error {
 	err := c.Conn.Close()
-	c.closeOnce.Do(func() { c.listener.release(c) })
+	c.closeOnce.Do(func() {
+		c.releaseHead(true)
+		c.listener.release(c)
+	})
 	return err
 }
 
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -54,7 +54,8 @@
 	ProcessorShare float64 `json:"processor-share,omitempty"`
 	ProcessorCores int     `json:"processor-cores,omitempty"`
 	// Memory is the memory that the process may use, in MiB. Half of it may be held for
-	// callers, endpoints and other hosts. Zero means that it bounds nothing.
+	// callers, endpoints and other hosts, the fields of requests' heads included. Zero
+	// means that it bounds nothing.
 	Memory int `json:"memory,omitempty"`
 	// Descriptors is the number of file descriptors that the process may use. Callers and
 	// other hosts may each have connections on three eighths of them. Zero means that it
