Displace slow bodies for new connections

Cause: a connection whose request was being received counted as one with a request in progress, which is never closed for a new one.

Change: a request whose body has been coming for over a second gives way, a stalled one before idle connections, the slowest after them. It has not run, so it is refused as such. Until it is answered its connection may be open beyond the bound, with at most an eighth of the bound.

--- a/godwitmoord/pkg/app/misbehaving_clients_test.go
+++ b/godwitmoord/pkg/app/misbehaving_clients_test.go
@@ -293,3 +293,37 @@
 		})
 	}
 }
+
+// A host that withstands each form of clients alone may not withstand all at once.
+func TestHostStaysWithinItsBoundsAndServesAfterAllFormsAtOnce(t *testing.T) {
+	forms := append(append(misbehaviours(), manyFieldForms()...), slowBodies())
+	for i := range forms {
+		forms[i].clients = max(forms[i].clients/mixedDivisor, minMixedClients)
+		forms[i].again = true
+	}
+	c := startCrowd(startBoundedHost(t, buildDaemon(t), manyDescriptors), forms, 2*crowdTime)
+	c.wait()
+	c.checkBounds(t, manyDescriptors)
+}
+
+// Slow bodies held all connections that callers may have open, and the host took no
+// others for as long as their clients went on.
+func TestOrdinaryCallerIsAnsweredWhileSlowBodiesHoldAllConnections(t *testing.T) {
+	h := startBoundedHost(t, buildDaemon(t), testDescriptors)
+	c := startCrowd(h, []misbehaviour{slowBodies()}, slowCrowdTime)
+	held := testDescriptors * 3 / 8
+	for h.openDescriptors() < held {
+		h.is.True(h.lives() && time.Now().Before(c.end)) // the crowd holds all connections
+		time.Sleep(10 * time.Millisecond)
+	}
+	answered := false
+	for !answered && h.lives() && time.Now().Before(c.end) {
+		c.mostDescriptors = max(c.mostDescriptors, h.openDescriptors())
+		answer := platformtest.Call(h.frontAddress, "shop.example", "/lookup/7", "good-key", uuid.NewString())
+		answered = answer.Err == nil && answer.Status == http.StatusOK
+		time.Sleep(reconnectPause)
+	}
+	h.is.True(answered) // while the crowd goes on
+	c.wait()
+	c.checkBounds(t, testDescriptors)
+}
--- a/godwitmoord/pkg/app/misbehaving_forms_test.go
+++ b/godwitmoord/pkg/app/misbehaving_forms_test.go
@@ -15,6 +15,15 @@
 	trailerBytes = 3900
 	// manyClients is more clients than manyDescriptors lets connect.
 	manyClients = 400
+	// In a crowd of all forms, each has so much fewer clients, but some.
+	mixedDivisor    = 8
+	minMixedClients = 8
+	// Of slow bodies, slowPieceBytes come in each slowPause, above the least rate.
+	slowBodyBytes  = 64 << 10
+	slowPieceBytes = 1 << 10
+	slowPause      = 500 * time.Millisecond
+	// slowCrowdTime is shorter than slow bodies are.
+	slowCrowdTime = 20 * time.Second
 )
 
 // shortFields returns header lines with different short names.
@@ -43,6 +52,17 @@
 	return nil
 }
 
+// slowBodies hold their connections for as long as the host lets them.
+func slowBodies() misbehaviour {
+	return misbehaviour{name: "slow bodies", clients: manyClients, again: true, send: func(w io.Writer) error {
+		head := requestLines(fmt.Sprintf("Content-Length: %d\r\n\r\n", slowBodyBytes))
+		if _, err := io.WriteString(w, head); err != nil {
+			return err
+		}
+		return sendPieces(w, bytes.Repeat([]byte("x"), slowBodyBytes), slowPieceBytes, slowPause)
+	}}
+}
+
 // manyFieldForms are forms that send little and make the host hold much, or that hold
 // connections with nothing.
 func manyFieldForms() []misbehaviour {
--- a/godwitmoord/pkg/budget/budget.go
+++ b/godwitmoord/pkg/budget/budget.go
@@ -45,8 +45,8 @@
 	// headItemBytes is held for each field of a head, and for each entry of a list in
 	// one: two entries of maps, or one while a map grows.
 	headItemBytes = 256
-	// stallTime is how long a body must have got no byte to count as stalled.
-	stallTime = time.Second
+	// StallTime is how long a body must have got no byte to count as stalled.
+	StallTime = time.Second
 	// Callers, and other hosts that open connections, may each use connectionNumerator /
 	// connectionDenominator of the descriptors. The rest is for endpoints, the store and
 	// the status port.
@@ -274,7 +274,7 @@
 // makeRoom displaces other bodies so that n more bytes of b are within the limit, and
 // charges them, or returns false. The account's lock is held.
 func (a *Account) makeRoom(b *Body, n, limit int64) bool {
-	stalledSince := time.Now().Add(-stallTime).UnixNano()
+	stalledSince := time.Now().Add(-StallTime).UnixNano()
 	listed := make([]*Body, 0, len(a.bodies))
 	holders := make([]Holder, 0, len(a.bodies))
 	asking := 0
--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -36,7 +36,7 @@
 		var stalledGone, otherGone int
 		stalled := openBody(a, 0, "mill", &stalledGone)
 		is.True(stalled.Grow(testLargeLimit))
-		time.Sleep(stallTime)
+		time.Sleep(StallTime)
 		other := openBody(a, 5, "mill", &otherGone)
 		is.True(other.Grow(testLargeLimit))
 		is.Equal(stalledGone, 1)
@@ -168,11 +168,11 @@
 func TestConnectionThatHoldsNothingIsClosedForANewOne(t *testing.T) {
 	is := is.New(t)
 	serving := Connection{Phase: Serving, Age: time.Hour}
-	opening := Connection{Phase: Opened, Age: headTime / 2}
+	opening := Connection{Phase: Opened, Age: arrivalTime / 2}
 	idle := Connection{Phase: Idle, Age: time.Second}
 	longIdle := Connection{Phase: Idle, Age: time.Minute}
-	slowHead := Connection{Phase: Opened, Age: 2 * headTime}
-	slowerHead := Connection{Phase: Opened, Age: 3 * headTime}
+	slowHead := Connection{Phase: Opened, Age: 2 * arrivalTime}
+	slowerHead := Connection{Phase: Opened, Age: 3 * arrivalTime}
 	_, found := ConnectionToClose([]Connection{serving, opening})
 	is.True(!found)
 	chosen, found := ConnectionToClose([]Connection{serving, idle, longIdle, opening})
@@ -182,6 +182,27 @@
 	is.Equal(chosen, 2)
 }
 
+// Slow bodies held all connections that callers may have, and the host took no others.
+func TestConnectionWithASlowBodyIsClosedForANewOne(t *testing.T) {
+	is := is.New(t)
+	serving := Connection{Phase: Serving, Age: time.Hour}
+	leaving := Connection{Phase: Leaving, Age: time.Hour}
+	begun := Connection{Phase: Receiving, Age: arrivalTime / 2, Stalled: true}
+	_, found := ConnectionToClose([]Connection{serving, leaving, begun})
+	is.True(!found)
+	large := Connection{Phase: Receiving, Age: 10 * time.Second, Received: mebibyte}
+	slow := Connection{Phase: Receiving, Age: 2 * time.Second, Received: 4 << 10}
+	chosen, found := ConnectionToClose([]Connection{large, serving, slow, begun})
+	is.True(found)
+	is.Equal(chosen, 2) // the larger one will be complete sooner
+	idle := Connection{Phase: Idle, Age: time.Second}
+	chosen, _ = ConnectionToClose([]Connection{slow, idle})
+	is.Equal(chosen, 1) // it loses no work
+	stalled := Connection{Phase: Receiving, Age: 2 * time.Second, Received: mebibyte, Stalled: true}
+	chosen, _ = ConnectionToClose([]Connection{slow, idle, stalled})
+	is.Equal(chosen, 2)
+}
+
 // A limit for heads must not be met by clients that send usual ones.
 func TestUsualHeadIsCoveredByItsConnection(t *testing.T) {
 	is := is.New(t)
--- a/godwitmoord/pkg/budget/decision.go
+++ b/godwitmoord/pkg/budget/decision.go
@@ -95,6 +95,10 @@
 	Serving
 	// Idle connections have had a request and wait for the next one.
 	Idle
+	// Receiving connections have a request in progress whose body has not all arrived.
+	Receiving
+	// Leaving connections had a request whose body was being received, and was displaced.
+	Leaving
 )
 
 // Connection is a connection of a caller, as the decision sees it.
@@ -102,21 +106,61 @@
 	Phase ConnectionPhase
 	// Age is how long it has been in that phase.
 	Age time.Duration
+	// Received is the number of bytes of the body that is being received, and Stalled is
+	// set if none of them arrived for a while.
+	Received int64
+	Stalled  bool
 }
 
-// headTime is how long a client whose network works needs at most to send the head of its
-// first request.
-const headTime = time.Second
+// arrivalTime is how long a client whose network works needs at most to send the head of a
+// request, or a body of usual length.
+const arrivalTime = time.Second
+
+// closingCost orders the connections that may be closed, those with the lowest cost first.
+type closingCost int
+
+const (
+	// unclosable connections must not be closed.
+	unclosable closingCost = iota
+	slowHead
+	stalledBody
+	idle
+	slowBody
+)
+
+// cost returns what the end of the connection costs its caller.
+func (c Connection) cost() closingCost {
+	switch c.Phase {
+	case Opened:
+		if c.Age > arrivalTime {
+			return slowHead
+		}
+	case Receiving:
+		if c.Age > arrivalTime && c.Stalled {
+			return stalledBody
+		}
+		if c.Age > arrivalTime {
+			return slowBody
+		}
+	case Idle:
+		return idle
+	case Serving, Leaving:
+	}
+	return unclosable
+}
+
+// rate returns the bytes of its body that arrived per second.
+func (c Connection) rate() float64 { return float64(c.Received) / c.Age.Seconds() }
 
 // ConnectionToClose decides which connection is closed when a host may open no more:
-// the one that has been sending its first head for longest, if that is over headTime,
-// or else the one that has been idle for longest. It returns false if there is none, so
-// that the new connection is the one to close.
+// the one that has been sending its head for longest, if that is over arrivalTime, else
+// one whose body has stalled, the one that has been idle for longest, or the one whose
+// body has been arriving for over arrivalTime, the slowest. It returns false if there
+// is none, so that the new connection is the one to close.
 func ConnectionToClose(connections []Connection) (int, bool) {
 	chosen, found := -1, false
 	for i, c := range connections {
-		closable := c.Phase == Idle || (c.Phase == Opened && c.Age > headTime)
-		if !closable {
+		if c.cost() == unclosable {
 			continue
 		}
 		if !found || compareConnections(c, connections[chosen]) < 0 {
@@ -128,5 +172,9 @@
 
 // compareConnections orders connections that may be closed, the first to close first.
 func compareConnections(a, b Connection) int {
-	return cmp.Or(cmp.Compare(a.Phase, b.Phase), cmp.Compare(b.Age, a.Age))
+	order := cmp.Compare(a.cost(), b.cost())
+	if order == 0 && a.cost() == slowBody {
+		order = cmp.Compare(a.rate(), b.rate())
+	}
+	return cmp.Or(order, cmp.Compare(b.Age, a.Age))
 }
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -78,8 +78,12 @@
 	// caller disconnects.
 	now := time.Now()
 	b.end = now.Add(readBodyTimeout)
+	b.conn.beginBody(now)
 	b.extend(now, bounded)
 	rejected := b.read(http.MaxBytesReader(b.writer, b.request.Body, limit), bounded)
+	if !b.conn.endBody() && rejected == nil {
+		rejected = b.noRoom()
+	}
 	_ = b.control.SetReadDeadline(time.Time{})
 	// Fields after the body are not used, and hold many times their bytes.
 	b.request.Trailer = nil
@@ -145,15 +149,12 @@
 func (b *callerBody) progressed(n int) {
 	now := time.Now()
 	b.charge.Progressed(now)
+	b.conn.progressed(n, now)
 	b.progress += n
 	if b.progress < minProgressBytes || now.Before(b.stepEnd) {
 		return
 	}
 	b.extend(now, true)
-	// The extension may have undone the deadline that Interrupt set meanwhile.
-	if b.charge.Displaced() {
-		b.Interrupt()
-	}
 }
 
 // extend sets the read deadline.
@@ -163,11 +164,18 @@
 		b.progressEnd = now.Add(progressTime)
 	}
 	_ = b.control.SetReadDeadline(b.progressEnd)
+	// The extension may have undone the deadline that Interrupt set meanwhile.
+	if b.displaced() {
+		b.Interrupt()
+	}
 }
 
+// displaced reports whether the body was displaced, by other bodies or by a connection.
+func (b *callerBody) displaced() bool { return b.charge.Displaced() || b.conn.isDisplaced() }
+
 // ended returns why the body that ended with err is refused; nil if it is complete.
 func (b *callerBody) ended(err error) *rejection {
-	if !b.charge.Complete() {
+	if !b.charge.Complete() || b.conn.isDisplaced() {
 		return b.noRoom()
 	}
 	var tooLarge *http.MaxBytesError
@@ -188,7 +196,7 @@
 // was displaced.
 func (b *callerBody) noRoom() *rejection {
 	reason := budget.BodyWithoutRoom
-	if b.charge.Displaced() {
+	if b.displaced() {
 		reason = budget.BodyDisplaced
 	}
 	b.service.common.Shortages.Report(reason)
--- a/godwitmoord/pkg/front/body_test.go
+++ b/godwitmoord/pkg/front/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -183,3 +184,66 @@
 	is.True(b.charge.Displaced())
 	is.True(w.deadline.Before(now))
 }
+
+// A request that is displaced by a new connection must be refused as not run, also where
+// its body goes on arriving.
+func TestBodyDisplacedByAConnectionIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &boundedListener{maxOpen: 1, open: map[*callerConn]struct{}{}}
+		near, far := net.Pipe()
+		defer far.Close()
+		b := newTestBody(64, &slowBody{left: 1 << 20, step: 2 << 10, pause: 500 * time.Millisecond})
+		b.conn = l.admit(near)
+		displaced := make(chan bool, 1)
+		time.AfterFunc(3*time.Second, func() { displaced <- l.closeOne() })
+		_, rejected := readTestBody(b)
+		is.True(<-displaced)
+		is.Equal(rejected.status, http.StatusServiceUnavailable)
+		is.Equal(rejected.reason, text.HostFull)
+		is.Equal(l.leaving, 1)
+		is.NoErr(b.conn.Close())
+		is.Equal(l.leaving, 0)
+	})
+}
+
+// A request whose body is complete may be sent, so it can't be refused as not run.
+func TestRequestWithACompleteBodyIsNotDisplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &boundedListener{maxOpen: 1, open: map[*callerConn]struct{}{}}
+		near, far := net.Pipe()
+		defer far.Close()
+		b := newTestBody(64, &slowBody{left: 8 << 10, step: 2 << 10, pause: time.Second, endsInstead: true})
+		b.conn = l.admit(near)
+		_, rejected := readTestBody(b)
+		is.Equal(rejected, nil)
+		time.Sleep(time.Minute)
+		is.True(!l.closeOne())
+		is.NoErr(b.conn.Close())
+	})
+}
+
+// Connections that leave are open beyond the bound, so they must be few.
+func TestFewRequestsAreDisplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &boundedListener{maxOpen: 2 * leavingDivisor, open: map[*callerConn]struct{}{}}
+		for range l.maxOpen {
+			near, far := net.Pipe()
+			defer far.Close()
+			l.admit(near).beginBody(time.Now())
+		}
+		time.Sleep(time.Minute)
+		admitted := 0
+		for range l.maxOpen {
+			near, far := net.Pipe()
+			defer far.Close()
+			if l.admit(near) != nil {
+				admitted++
+			}
+		}
+		is.Equal(admitted, 2)
+		is.Equal(len(l.open), l.maxOpen+2)
+	})
+}
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -14,8 +14,13 @@
 	"godwitmoor.example/godwitmoord/pkg/budget"
 )
 
-// spoolPollInterval is how often a stop checks whether spooled parts are sent.
-const spoolPollInterval = 20 * time.Millisecond
+const (
+	// spoolPollInterval is how often a stop checks whether spooled parts are sent.
+	spoolPollInterval = 20 * time.Millisecond
+	// leavingDivisor is the share of the bound of connections that may be open beyond it
+	// while their displaced requests are answered, as its divisor.
+	leavingDivisor = 8
+)
 
 // boundedListener accepts callers' connections within the bounds of the host.
 type boundedListener struct {
@@ -35,6 +40,9 @@
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
+	// leaving is the number of open connections whose requests were displaced. They close
+	// as soon as they are answered.
+	leaving int
 }
 
 // Accept returns the next connection for which there is room.
@@ -69,12 +77,16 @@
 // called by Accept only.
 func (l *boundedListener) reserve() bool {
 	l.mu.Lock()
-	full := l.maxOpen > 0 && len(l.open) >= l.maxOpen
+	full := l.maxOpen > 0 && len(l.open)-l.leaving >= l.maxOpen
 	l.mu.Unlock()
 	return !full && l.account.Reserve(budget.ConnectionBytes)
 }
 
-// closeOne closes a connection that holds nothing, and reports whether there was one.
+// maxLeaving returns how many connections beyond maxOpen may be leaving.
+func (l *boundedListener) maxLeaving() int { return max(l.maxOpen/leavingDivisor, 1) }
+
+// closeOne closes the connection whose loss costs least, or displaces the request that it
+// sends, and reports whether there was one.
 func (l *boundedListener) closeOne() bool {
 	now := time.Now()
 	open := l.withoutSpool()
@@ -86,6 +98,9 @@
 	if !found {
 		return false
 	}
+	if connections[i].Phase == budget.Receiving {
+		return open[i].displace()
+	}
 	l.shortages.Report(budget.ConnectionClosed)
 	_ = open[i].Close()
 	return true
@@ -106,6 +121,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
+	if c.leaving {
+		l.leaving--
+	}
 	l.account.Add(-budget.ConnectionBytes)
 }
 
@@ -130,6 +148,11 @@
 	phaseStart atomic.Int64
 	closeOnce  sync.Once
 	head       headReader
+	// received is the number of bytes of the body that is being received, and lastByte the
+	// time of its last byte, in Unix nanoseconds.
+	received, lastByte atomic.Int64
+	// leaving is set once the request is displaced. The listener's lock guards it.
+	leaving bool
 	// spools is set while what the caller doesn't read in time may be spooled.
 	spools atomic.Bool
 	// raw and tryFunc serve tryWrite, which passes data and result in trying and tried.
@@ -167,7 +190,10 @@
 
 // state returns the connection as the decision sees it.
 func (c *callerConn) state(now time.Time) budget.Connection {
-	return budget.Connection{Phase: budget.ConnectionPhase(c.phase.Load()), Age: now.Sub(time.Unix(0, c.phaseStart.Load()))}
+	return budget.Connection{
+		Phase: budget.ConnectionPhase(c.phase.Load()), Age: now.Sub(time.Unix(0, c.phaseStart.Load())),
+		Received: c.received.Load(), Stalled: now.Sub(time.Unix(0, c.lastByte.Load())) >= budget.StallTime,
+	}
 }
 
 // Read returns bytes that the caller sent. While memory is bounded, the head of a
@@ -189,6 +215,57 @@
 	_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
 }
 
+// beginBody records that the body of a request is being received. Until endBody the
+// request may be displaced. A nil connection is not bounded.
+func (c *callerConn) beginBody(now time.Time) {
+	if c == nil {
+		return
+	}
+	c.received.Store(0)
+	c.lastByte.Store(now.UnixNano())
+	c.setPhase(budget.Receiving)
+}
+
+// progressed records that n bytes of the body arrived.
+func (c *callerConn) progressed(n int, now time.Time) {
+	if c == nil {
+		return
+	}
+	c.received.Add(int64(n))
+	c.lastByte.Store(now.UnixNano())
+}
+
+// endBody records that the body is received or given up, and reports whether the request
+// was not displaced.
+func (c *callerConn) endBody() bool {
+	if c == nil {
+		return true
+	}
+	c.phase.CompareAndSwap(int32(budget.Receiving), int32(budget.Serving))
+	return !c.isDisplaced()
+}
+
+// isDisplaced reports whether the request was displaced by a new connection.
+func (c *callerConn) isDisplaced() bool {
+	return c != nil && budget.ConnectionPhase(c.phase.Load()) == budget.Leaving
+}
+
+// displace makes the read of the body end, and the request be refused. It reports whether
+// the request could still be displaced, and the connections that are leaving are few.
+func (c *callerConn) displace() bool {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, isOpen := l.open[c]
+	if !isOpen || l.leaving >= l.maxLeaving() || !c.phase.CompareAndSwap(int32(budget.Receiving), int32(budget.Leaving)) {
+		return false
+	}
+	c.leaving = true
+	l.leaving++
+	_ = c.SetReadDeadline(time.Unix(0, 1))
+	return true
+}
+
 // recordPhase records what a connection does. It is called by the HTTP server.
 func recordPhase(conn net.Conn, state http.ConnState) {
 	c, isCaller := conn.(*callerConn)
--- a/godwitmoord/pkg/settings/settings.go
+++ b/godwitmoord/pkg/settings/settings.go
@@ -58,8 +58,9 @@
 	// means that it bounds nothing.
 	Memory int `json:"memory,omitempty"`
 	// Descriptors is the number of file descriptors that the process may use. Callers and
-	// other hosts may each have connections on three eighths of them. Zero means that it
-	// bounds nothing.
+	// other hosts may each have connections on three eighths of them, and callers on an
+	// eighth of that more while requests that are still being received are refused for
+	// new connections. Zero means that it bounds nothing.
 	Descriptors int `json:"descriptors,omitempty"`
 	// Record writes every decision to the log.
 	Record bool `json:"record,omitempty"`
