End the writes of an answer that nobody reads

Callers that sent requests and read no refusals kept a connection.

Cause: the write to the caller was the only wait of a request without an end, and the permit is returned after it.

Evidence: TestCallersThatReadNothingKeepNoSlotsBeyondTheirTime fails on: no ordinary stream is answered for the 30 s that it waits.

Change: 250 ms after the deadline of a request its writes end, and its connection with a reset. Refusals and what is left of an answer at the end of its request have 10 s.

--- a/godwitmoord/pkg/app/slow_caller_test.go
+++ b/godwitmoord/pkg/app/slow_caller_test.go
@@ -1,15 +1,18 @@
 package app_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"godwitmoor.example/platform/platformtest"
 )
@@ -62,3 +65,67 @@
 	s.is.True(len(answer) > 0)
 	s.is.True(!strings.HasSuffix(string(answer), "\r\n0\r\n\r\n"))
 }
+
+const (
+	// unreadCallers is more callers than an endpoint of these tests has slots.
+	unreadCallers = 12
+	unreadTimeout = time.Second
+)
+
+// endlessOrUsualWorker is a worker whose answers to one route do not end.
+type endlessOrUsualWorker struct {
+	endless endlessWorker
+	usual   platformtest.Worker
+}
+
+func (w *endlessOrUsualWorker) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/endless/") {
+		w.endless.ServeHTTP(writer, r)
+		return
+	}
+	w.usual.ServeHTTP(writer, r)
+}
+
+// Callers that read nothing kept the slots of a service for as long as they kept their
+// connections, and nobody else was served.
+func TestCallersThatReadNothingKeepNoSlotsBeyondTheirTime(t *testing.T) {
+	s := newPlatformDeployment(t)
+	s.extraRoutes = []platformtest.Route{{Name: "endless", Kind: "streaming", Service: "pool", Timeout: unreadTimeout}}
+	s.writeConfiguration()
+	worker := &endlessOrUsualWorker{
+		endless: endlessWorker{ended: make(chan struct{}, unreadCallers)},
+		usual:   platformtest.Worker{ID: "pool-3", EventCount: 6},
+	}
+	server := httptest.NewServer(worker)
+	t.Cleanup(server.Close)
+	s.store.SetWorker("pool-3", "pool", strings.TrimPrefix(server.URL, "http://"), false)
+	s.startHost()
+	s.eventually("the host is ready", func() bool { return s.readinessStatus() == http.StatusOK })
+	var callers []net.Conn
+	for range unreadCallers {
+		conn, err := net.Dial("tcp", s.frontAddress)
+		s.is.NoErr(err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "GET /endless/7 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: good-key\r\nGodwitmoor-Deadline-Ms: 9000\r\nGodwitmoor-Attempt-Id: %s\r\n\r\n", uuid.NewString())
+		s.is.NoErr(err)
+		callers = append(callers, conn)
+	}
+	s.eventually("an ordinary stream is answered beside them", func() bool {
+		answer := s.send("/plan/7", "good-key")
+		return answer.Err == nil && answer.Status == http.StatusOK && len(worker.endless.ended) > 0
+	})
+	resets := 0
+	for _, conn := range callers {
+		s.is.NoErr(conn.SetReadDeadline(time.Now().Add(waitTimeout)))
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err == nil && answer.StatusCode != http.StatusOK {
+			continue // it found no slot
+		}
+		if err == nil {
+			_, err = io.ReadAll(answer.Body)
+		}
+		s.is.True(errors.Is(err, syscall.ECONNRESET)) // no orderly end
+		resets++
+	}
+	s.is.True(resets > 0)
+}
--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -224,6 +224,7 @@
 // refuse prepares the connection for a refusal of the request. While memory is bounded,
 // a rest of the body that does not come must not hold the connection.
 func (b *callerBody) refuse(reason text.Reason) {
+	_ = b.control.SetWriteDeadline(time.Now().Add(lastWriteTime))
 	if b.service.common.Budget == nil || b.request.Body == http.NoBody {
 		return
 	}
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -37,6 +37,12 @@
 	boundedHeaderBytes = 16 << 10
 	readBodyTimeout    = 30 * time.Second
 	idleTimeout        = 90 * time.Second
+	// unreadGrace is how long after its deadline a request may wait for its caller to read
+	// the answer.
+	unreadGrace = 250 * time.Millisecond
+	// lastWriteTime bounds the write of a refusal, and of what is left of an answer when
+	// its request has ended.
+	lastWriteTime = 10 * time.Second
 	// bytesPerToken estimates the tokens of a prompt from its length, as the caller
 	// does not send their number.
 	bytesPerToken = 4
@@ -191,14 +197,18 @@
 	}
 	writer := &answerWriter{writer: w, control: body.control, request: request.ID, host: s.common.Self.Name}
 	finished := resetUnfinished(r)
+	guard := guardUnread(r, request.Deadline.Add(unreadGrace))
 	switch result := s.serving.Serve(r.Context(), request, writer).(type) {
 	case serving.Refused:
+		guard.end()
 		s.refuse(w, request.ID, statusOf(result), result)
 	case serving.Broken:
+		guard.abort()
 		// Closing the connection in the middle of the answer is the only sign that
 		// every HTTP client recognizes as an incomplete answer.
 		panic(http.ErrAbortHandler)
 	case serving.Delivered:
+		guard.end()
 	}
 	finished()
 }
--- a/godwitmoord/pkg/front/unfinished_test.go
+++ b/godwitmoord/pkg/front/unfinished_test.go
@@ -8,9 +8,13 @@
 	"net/http"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"godwitmoor.example/godwitmoord/pkg/common"
+	"godwitmoor.example/godwitmoord/pkg/release"
 )
 
 func TestAnswerCutOffByAServerThatClosesIsNotWholeForAnHTTP10Caller(t *testing.T) {
@@ -54,3 +58,45 @@
 	t.Cleanup(func() { response.Body.Close() })
 	return response.Body
 }
+
+// pipeListener accepts one connection.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A caller that sends requests and reads no refusals held its connection for ever.
+func TestCallerThatReadsNoRefusalDoesNotKeepItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe() // a pipe has no buffer, as a connection whose buffers are full
+		l := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+		l.conns <- near
+		s := New(&common.Common{})
+		s.release = &release.Service{}
+		server := &http.Server{Handler: http.HandlerFunc(s.serve), ConnContext: withConnection}
+		go func() { _ = server.Serve(l) }()
+		_, err := fmt.Fprint(far, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		time.Sleep(lastWriteTime + time.Second)
+		_, err = far.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+		is.NoErr(server.Close())
+	})
+}
