Let late answers be written on kept HTTP/1.0 connections that may spool

Where answers are spooled, those of HTTP/1.0 are not, and the HTTP server's calls to lift a write deadline are ignored there. The end of writes that was set at the end of each such request would have ended an answer 10 s later on the same connection. Found by reading. The guard now lifts what it has set itself, and the bound for what is left of an answer goes the way of other deadlines, which spooling connections ignore.

TestAnswerThatComesLateIsWritten checks both kinds of listeners, two requests each. It covers the guard, not the 10 s.

--- a/godwitmoord/pkg/front/body.go
+++ b/godwitmoord/pkg/front/body.go
@@ -224,7 +224,7 @@
 // refuse prepares the connection for a refusal of the request. While memory is bounded,
 // a rest of the body that does not come must not hold the connection.
 func (b *callerBody) refuse(reason text.Reason) {
-	_ = b.control.SetWriteDeadline(time.Now().Add(lastWriteTime))
+	b.boundLastWrite()
 	if b.service.common.Budget == nil || b.request.Body == http.NoBody {
 		return
 	}
@@ -234,6 +234,12 @@
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
+// boundLastWrite bounds the write of what is left of the answer. Where answers are spooled,
+// the bounds of the spool apply.
+func (b *callerBody) boundLastWrite() {
+	_ = b.control.SetWriteDeadline(time.Now().Add(lastWriteTime))
+}
+
 // close returns the charge of the body, at the end of its request.
 func (b *callerBody) close() {
 	b.chunks, b.firstChunk = nil, [1][]byte{}
--- a/godwitmoord/pkg/front/front.go
+++ b/godwitmoord/pkg/front/front.go
@@ -201,6 +201,7 @@
 	switch result := s.serving.Serve(r.Context(), request, writer).(type) {
 	case serving.Refused:
 		guard.end()
+		body.boundLastWrite()
 		s.refuse(w, request.ID, statusOf(result), result)
 	case serving.Broken:
 		guard.abort()
@@ -209,6 +210,7 @@
 		panic(http.ErrAbortHandler)
 	case serving.Delivered:
 		guard.end()
+		body.boundLastWrite()
 	}
 	finished()
 }
--- a/godwitmoord/pkg/front/head.go
+++ b/godwitmoord/pkg/front/head.go
@@ -166,9 +166,9 @@
 }
 
 // chargeHead makes n bytes the charge for the head of the current request, and reports
-// whether there is room for them. A nil connection is not bounded.
+// whether there is room for them.
 func (c *callerConn) chargeHead(n int64) bool {
-	if c == nil || n == 0 {
+	if n == 0 {
 		return true
 	}
 	c.mu.Lock()
@@ -207,9 +207,10 @@
 // chargeHead charges the head of the request. That was done when the head was passed on,
 // but for what the server had of it before it answered the request before.
 func (b *callerBody) chargeHead() *rejection {
-	if b.conn.chargeHead(headBytes(b.request)) {
+	if b.conn == nil || b.conn.chargeHead(headBytes(b.request)) {
 		return nil
 	}
+	// The server keeps the request until its connection is closed.
 	b.request.Header = nil
 	return &rejection{status: http.StatusServiceUnavailable, reason: text.HostFull, retryAfter: noRoomRetry}
 }
--- a/godwitmoord/pkg/front/unfinished.go
+++ b/godwitmoord/pkg/front/unfinished.go
@@ -93,13 +93,10 @@
 // end ends the guard of a request that has its answer. What is left of that may be
 // written, also if it comes late.
 func (g *unreadGuard) end() {
-	if g == nil {
-		return
-	}
 	if g.abort() {
 		_ = g.conn.SetLinger(lingerDefault)
+		_ = g.conn.SetWriteDeadline(time.Time{})
 	}
-	_ = g.conn.SetWriteDeadline(time.Now().Add(lastWriteTime))
 }
 
 // abort ends the guard of a request whose answer is broken off, and reports whether its
--- a/godwitmoord/pkg/front/unfinished_test.go
+++ b/godwitmoord/pkg/front/unfinished_test.go
@@ -100,3 +100,49 @@
 		is.NoErr(server.Close())
 	})
 }
+
+// An answer that a busy host gives late must not be cut as one that nobody reads, also on
+// a connection that is kept.
+func TestAnswerThatComesLateIsWritten(t *testing.T) {
+	for _, spools := range []bool{false, true} {
+		is := is.New(t)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		l := &boundedListener{Listener: inner, spools: spools, open: map[*callerConn]struct{}{}}
+		s := &http.Server{ConnContext: withConnection, ConnState: recordPhase}
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			finished := resetUnfinished(r)
+			guard := guardUnread(r, time.Now())
+			is.True(guard != nil)
+			for !guard.wasCut() {
+				time.Sleep(time.Millisecond)
+			}
+			guard.end()
+			w.Header().Set("Content-Length", "4")
+			fmt.Fprint(w, "late")
+			finished()
+		})
+		go func() { _ = s.Serve(l) }()
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		reader := bufio.NewReader(conn)
+		for range 2 {
+			// Of HTTP/1.0, as other answers are spooled and have no guard.
+			_, err = fmt.Fprint(conn, "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+			is.NoErr(err)
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			body, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "late")
+		}
+		conn.Close()
+		is.NoErr(s.Close())
+	}
+}
+
+func (g *unreadGuard) wasCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
+}
