Close the longest silent connection first for a new one

An ordinary caller got 1 of 79 answers while 400 clients opened connections, sent nothing and came again, at a host with 96 places (a trial on the code before).

Cause: a connection without a head was kept for a second, whether it had sent anything or not, so 96 places a second got free for some 6,000 tries.

Change: one that has sent no byte for 10 ms gives way first, the longest silent one. The first bytes of a client follow the packet that opens its connection, so they come long before that unless a crowd takes all places within 10 ms.

--- a/godwitmoord/pkg/budget/budget_test.go
+++ b/godwitmoord/pkg/budget/budget_test.go
@@ -168,11 +168,11 @@
 func TestConnectionThatHoldsNothingIsClosedForANewOne(t *testing.T) {
 	is := is.New(t)
 	serving := Connection{Phase: Serving, Age: time.Hour}
-	opening := Connection{Phase: Opened, Age: arrivalTime / 2}
+	opening := Connection{Phase: Opened, Age: arrivalTime / 2, Received: 1}
 	idle := Connection{Phase: Idle, Age: time.Second}
 	longIdle := Connection{Phase: Idle, Age: time.Minute}
-	slowHead := Connection{Phase: Opened, Age: 2 * arrivalTime}
-	slowerHead := Connection{Phase: Opened, Age: 3 * arrivalTime}
+	slowHead := Connection{Phase: Opened, Age: 2 * arrivalTime, Received: 1}
+	slowerHead := Connection{Phase: Opened, Age: 3 * arrivalTime, Received: 1}
 	_, found := ConnectionToClose([]Connection{serving, opening})
 	is.True(!found)
 	chosen, found := ConnectionToClose([]Connection{serving, idle, longIdle, opening})
@@ -182,6 +182,20 @@
 	is.Equal(chosen, 2)
 }
 
+// Connections that send nothing were closed after a second only, so that a crowd of them
+// took nearly every place that got free.
+func TestSilentConnectionIsClosedBeforeOthers(t *testing.T) {
+	is := is.New(t)
+	fresh := Connection{Phase: Opened, Age: silentTime / 2}
+	slowHead := Connection{Phase: Opened, Age: 2 * arrivalTime, Received: 1}
+	silentFor := func(age time.Duration) Connection { return Connection{Phase: Opened, Age: age} }
+	_, found := ConnectionToClose([]Connection{fresh})
+	is.True(!found)
+	chosen, found := ConnectionToClose([]Connection{slowHead, silentFor(2 * silentTime), silentFor(3 * silentTime), fresh})
+	is.True(found)
+	is.Equal(chosen, 2)
+}
+
 // Slow bodies held all connections that callers may have, and the host took no others.
 func TestConnectionWithASlowBodyIsClosedForANewOne(t *testing.T) {
 	is := is.New(t)
--- a/godwitmoord/pkg/budget/decision.go
+++ b/godwitmoord/pkg/budget/decision.go
@@ -106,8 +106,8 @@
 	Phase ConnectionPhase
 	// Age is how long it has been in that phase.
 	Age time.Duration
-	// Received is the number of bytes of the body that is being received, and Stalled is
-	// set if none of them arrived for a while.
+	// Received is the number of bytes of the head or the body that is being received, and
+	// Stalled is set if none of the body arrived for a while.
 	Received int64
 	Stalled  bool
 }
@@ -116,12 +116,18 @@
 // request, or a body of usual length.
 const arrivalTime = time.Second
 
+// silentTime is the least time that a client has to send its first byte, which follows the
+// packet that opens the connection. The longest silent connection is closed first, so
+// that a client usually has far more.
+const silentTime = 10 * time.Millisecond
+
 // closingCost orders the connections that may be closed, those with the lowest cost first.
 type closingCost int
 
 const (
 	// unclosable connections must not be closed.
 	unclosable closingCost = iota
+	silent
 	slowHead
 	stalledBody
 	idle
@@ -132,6 +138,9 @@
 func (c Connection) cost() closingCost {
 	switch c.Phase {
 	case Opened:
+		if c.Received == 0 && c.Age > silentTime {
+			return silent
+		}
 		if c.Age > arrivalTime {
 			return slowHead
 		}
@@ -153,8 +162,9 @@
 func (c Connection) rate() float64 { return float64(c.Received) / c.Age.Seconds() }
 
 // ConnectionToClose decides which connection is closed when a host may open no more:
-// the one that has been sending its head for longest, if that is over arrivalTime, else
-// one whose body has stalled, the one that has been idle for longest, or the one whose
+// the one that has sent nothing for longest, if that is over silentTime, else the one that
+// has been sending its head for longest, if that is over arrivalTime, one whose body has
+// stalled, the one that has been idle for longest, or the one whose
 // body has been arriving for over arrivalTime, the slowest. It returns false if there
 // is none, so that the new connection is the one to close.
 func ConnectionToClose(connections []Connection) (int, bool) {
--- a/godwitmoord/pkg/front/head.go
+++ b/godwitmoord/pkg/front/head.go
@@ -68,7 +68,7 @@
 		}
 		h.buffer = append(make([]byte, 0, max(minHeadBuffer, n)), into[:n]...)
 	}
-	h.conn.headStarted()
+	h.conn.headStarted(len(h.buffer))
 	// The server tolerates some empty lines before a request. They may also be the end of
 	// a head whose beginning it has.
 	if isLineEnd(h.buffer[0]) {
--- a/godwitmoord/pkg/front/listener.go
+++ b/godwitmoord/pkg/front/listener.go
@@ -148,8 +148,8 @@
 	phaseStart atomic.Int64
 	closeOnce  sync.Once
 	head       headReader
-	// received is the number of bytes of the body that is being received, and lastByte the
-	// time of its last byte, in Unix nanoseconds.
+	// received is the number of bytes of the head or the body that is being received, and
+	// lastByte the time of the last byte of a body, in Unix nanoseconds.
 	received, lastByte atomic.Int64
 	// leaving is set once the request is displaced. The listener's lock guards it.
 	leaving bool
@@ -207,7 +207,8 @@
 
 // headStarted records that a part of a head has arrived. On a connection that was idle,
 // the server notices only the whole head, so its time begins here.
-func (c *callerConn) headStarted() {
+func (c *callerConn) headStarted(n int) {
+	c.received.Store(int64(n))
 	if budget.ConnectionPhase(c.phase.Load()) != budget.Idle {
 		return
 	}
