--- a/godwitmoord/pkg/app/misbehaving_clients_test.go
+++ b/godwitmoord/pkg/app/misbehaving_clients_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/google/uuid"
 	"github.com/matryer/is"
+	"godwitmoor.example/godwitmoord/pkg/budget"
 	"godwitmoor.example/platform/platformtest"
 )
 
@@ -311,7 +312,7 @@
 func TestOrdinaryCallerIsAnsweredWhileSlowBodiesHoldAllConnections(t *testing.T) {
 	h := startBoundedHost(t, buildDaemon(t), testDescriptors)
 	c := startCrowd(h, []misbehaviour{slowBodies()}, slowCrowdTime)
-	held := testDescriptors * 3 / 8
+	held := budget.Connections(testDescriptors)
 	for h.openDescriptors() < held {
 		h.is.True(h.lives() && time.Now().Before(c.end)) // the crowd holds all connections
 		time.Sleep(10 * time.Millisecond)
--- a/godwitmoord/pkg/front/head.go
+++ b/godwitmoord/pkg/front/head.go
@@ -165,45 +165,6 @@
 	return budget.HeadBytes(length, items)
 }
 
-// chargeHead makes n bytes the charge for the head of the current request, and reports
-// whether there is room for them.
-func (c *callerConn) chargeHead(n int64) bool {
-	if n == 0 {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	more := n - c.headBytes
-	if more <= 0 {
-		return true
-	}
-	if c.closed || !c.listener.account.ReserveLarge(more) {
-		c.listener.shortages.Report(budget.HeadWithoutRoom)
-		return false
-	}
-	c.headBytes = n
-	return true
-}
-
-// releaseHead returns the charge for the head. If the connection is closed, there are no
-// more charges.
-func (c *callerConn) releaseHead(closed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.listener.account.Add(-c.headBytes)
-	c.headBytes, c.closed = 0, c.closed || closed
-}
-
-// refuseHead answers a request whose head was not passed on.
-func (c *callerConn) refuseHead() {
-	// The refusal must not get between the parts of an answer.
-	if c.spool.isRunning() {
-		return
-	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(headRefusalTime))
-	_, _ = io.WriteString(c.Conn, headRefusal)
-}
-
 // chargeHead charges the head of the request. That was done when the head was passed on,
 // but for what the server had of it before it answered the request before.
 func (b *callerBody) chargeHead() *rejection {
